--- /dev/null
+++ b/src/proxy/usage_recorder.h
@@ -0,0 +1,47 @@
+#pragma once
+
+#include <chrono>
+#include <memory>
+#include <string>
+
+#include "protocol/proxy_settings.h"
+
+namespace hornbeamhook::proxy {
+
+/** What happened to one request, for the usage records. */
+struct usage_sample {
+    std::string pool;
+    std::string caller;
+    bool is_read = false;
+    bool was_served_by_replica = false;
+    std::string refusal;  ///< Error code when it did not run, else empty.
+    bool is_unknown = false;
+    std::chrono::microseconds latency{0};
+};
+
+/**
+ * Counts requests per pool, caller, place and hour, and writes cumulative rows to the table
+ * service every 10 s. Rows are overwritten, so nothing is counted twice.
+ */
+class usage_recorder {
+public:
+    explicit usage_recorder(const protocol::proxy_settings& settings, std::uint64_t incarnation);
+    ~usage_recorder();
+    usage_recorder(const usage_recorder&) = delete;
+    usage_recorder& operator=(const usage_recorder&) = delete;
+
+    /** Counts one request. Thread safe, does not block on I/O. */
+    void record(const usage_sample& sample);
+
+    /** Starts the writer thread. */
+    void start();
+
+    /** Writes what is pending once more and ends the thread. Safe to call twice. */
+    void stop();
+
+private:
+    struct implementation;
+    std::unique_ptr<implementation> implementation_;
+};
+
+}  // namespace hornbeamhook::proxy
