--- a/src/transport/target_connection.cpp
+++ b/src/transport/target_connection.cpp
@@ -100,13 +100,12 @@
 void ignore_notice(void* /*argument*/, const PGresult* /*result*/) {}
 
 connection_handle start_connection(const std::string& host, const std::string& port) {
-    const std::array<const char*, 14> keys{"hostaddr",
+    const std::array<const char*, 13> keys{"hostaddr",
                                            "port",
                                            "user",
                                            "dbname",
                                            "sslmode",
                                            "gssencmode",
-                                           "passfile",
                                            "application_name",
                                            "keepalives",
                                            "keepalives_idle",
@@ -114,13 +113,12 @@
                                            "keepalives_count",
                                            "tcp_user_timeout",
                                            nullptr};
-    const std::array<const char*, 14> values{host.c_str(),
+    const std::array<const char*, 13> values{host.c_str(),
                                              port.c_str(),
                                              "hornbeamhook",
                                              "hornbeamhook",
                                              "disable",
                                              "disable",
-                                             "/dev/null",
                                              "hornbeamhook",
                                              "1",
                                              "2",
@@ -175,9 +173,10 @@
     }
 
     /** Fails when the target closed the connection while it was idle. */
-    leaf::result<void> check_before_sending(time_point deadline);
+    leaf::result<void> check_before_sending(const std::vector<target_statement>& statements,
+                                            time_point deadline);
     leaf::result<void> send(const std::vector<target_statement>& statements, const std::string& id,
-                            time_point deadline);
+                            std::size_t id_index, time_point deadline);
     bool queue(const target_statement& statement);
     leaf::result<void> flush(time_point deadline);
     /** The next result; null when the results of one statement ended. */
@@ -186,11 +185,22 @@
 
 namespace {
 
+bool is_commit(const target_statement& statement) {
+    return starts_with_word(statement.sql, "COMMIT") || starts_with_word(statement.sql, "END");
+}
+
+bool ends_transaction(const target_statement& statement) {
+    return is_commit(statement) || starts_with_word(statement.sql, "ROLLBACK") ||
+           starts_with_word(statement.sql, "ABORT");
+}
+
 /** Collects the results of one exchange in the order of its statements. */
 class exchange_reader {
 public:
-    exchange_reader(const std::vector<target_statement>& statements, std::string id)
-        : statements_(statements), id_(std::move(id)) {}
+    /** The exchange id was sent before the statement at `id_index`. */
+    exchange_reader(const std::vector<target_statement>& statements, std::string id,
+                    std::size_t id_index)
+        : statements_(statements), id_(std::move(id)), id_index_(id_index) {}
 
     /** Takes one result; false when it does not belong to this exchange. */
     bool take(const PGresult* result) {
@@ -237,6 +247,11 @@
                   message == nullptr ? trim(PQresultErrorMessage(result)) : message);
     }
 
+    /** Index of the statement whose answer is being read. */
+    std::size_t get_statement_index() const {
+        return current_ > id_index_ ? current_ - 1 : current_;
+    }
+
     void set_error(std::string sqlstate, std::string message) {
         // An error at the synchronisation point belongs to the commit of the last statement.
         const std::size_t last = statements_.empty() ? 0 : statements_.size() - 1;
@@ -244,24 +259,22 @@
                               .was_sent = true,
                               .sqlstate = std::move(sqlstate),
                               .message = std::move(message),
-                              .failed_statement = std::min(current_ == 0 ? 0 : current_ - 1, last)};
+                              .failed_statement = std::min(get_statement_index(), last)};
     }
 
     bool take_success(const PGresult* result) {
         target_result converted = convert(result);
-        if (current_ == 0) {
+        if (current_ == id_index_) {
             is_id_confirmed_ = converted.rows.size() == 1 && converted.rows[0].size() == 1 &&
                                converted.rows[0][0] == id_;
             return is_id_confirmed_;
         }
-        if (current_ > statements_.size()) {
+        if (get_statement_index() >= statements_.size()) {
             return false;
         }
         // A target answers COMMIT of a failed transaction with success and the tag ROLLBACK.
-        const std::string& sql = statements_[current_ - 1].sql;
         const std::string_view tag = PQcmdStatus(const_cast<PGresult*>(result));
-        if (tag == "ROLLBACK" &&
-            (starts_with_word(sql, "COMMIT") || starts_with_word(sql, "END"))) {
+        if (tag == "ROLLBACK" && is_commit(statements_[get_statement_index()])) {
             if (!error_) {
                 set_error(std::string(failed_transaction_state),
                           "the target rolled the transaction back instead of committing it");
@@ -274,9 +287,10 @@
 
     const std::vector<target_statement>& statements_;
     const std::string id_;
+    const std::size_t id_index_;
     std::vector<target_result> results_;
     std::optional<target_error> error_;
-    std::size_t current_ = 0;  // Index 0 is the exchange id.
+    std::size_t current_ = 0;  // Counts the exchange id too.
     std::size_t syncs_ = 0;
     bool has_result_ = false;
     bool is_id_confirmed_ = false;
@@ -289,7 +303,8 @@
 
 }  // namespace
 
-leaf::result<void> target_connection::implementation::check_before_sending(time_point deadline) {
+leaf::result<void> target_connection::implementation::check_before_sending(
+    const std::vector<target_statement>& statements, time_point deadline) {
     if (is_broken) {
         return fail(target_failure_kind::closed, false, "the connection failed earlier");
     }
@@ -306,6 +321,13 @@
     if (PQstatus(connection.get()) != CONNECTION_OK) {
         return fail(target_failure_kind::closed, false, "the connection was closed while idle");
     }
+    if (PQtransactionStatus(connection.get()) == PQTRANS_INERROR &&
+        (statements.empty() || !ends_transaction(statements.front()))) {
+        return leaf::new_error(
+            target_error{.kind = target_failure_kind::sql_error,
+                         .sqlstate = std::string(failed_transaction_state),
+                         .message = "the transaction failed and must be rolled back first"});
+    }
     return {};
 }
 
@@ -321,13 +343,20 @@
 }
 
 leaf::result<void> target_connection::implementation::send(
-    const std::vector<target_statement>& statements, const std::string& id, time_point deadline) {
-    bool is_queued = queue({exchange_id_sql, {id}});
-    for (const target_statement& statement : statements) {
-        if (is_queued && needs_own_synchronisation(statement)) {
+    const std::vector<target_statement>& statements, const std::string& id, std::size_t id_index,
+    time_point deadline) {
+    bool is_queued = true;
+    for (std::size_t i = 0; i <= statements.size(); ++i) {
+        if (i == id_index) {
+            is_queued = is_queued && queue({exchange_id_sql, {id}});
+        }
+        if (i == statements.size()) {
+            break;
+        }
+        if (is_queued && needs_own_synchronisation(statements[i])) {
             is_queued = PQpipelineSync(connection.get()) == 1;
         }
-        is_queued = is_queued && queue(statement);
+        is_queued = is_queued && queue(statements[i]);
     }
     if (!is_queued || PQpipelineSync(connection.get()) != 1) {
         return fail(target_failure_kind::closed, true, get_message(connection.get()));
@@ -414,13 +443,16 @@
 
 leaf::result<std::vector<target_result>> target_connection::run(
     const std::vector<target_statement>& statements, time_point deadline) {
-    BOOST_LEAF_CHECK(implementation_->check_before_sending(deadline));
+    BOOST_LEAF_CHECK(implementation_->check_before_sending(statements, deadline));
     const std::string id = make_exchange_id();
-    BOOST_LEAF_CHECK(implementation_->send(statements, id, deadline));
+    // A failed transaction accepts nothing before the statement that ends it.
+    const std::size_t id_index =
+        PQtransactionStatus(implementation_->connection.get()) == PQTRANS_INERROR ? 1 : 0;
+    BOOST_LEAF_CHECK(implementation_->send(statements, id, id_index, deadline));
     const std::size_t expected_syncs =
         1 + static_cast<std::size_t>(
                 std::count_if(statements.begin(), statements.end(), &needs_own_synchronisation));
-    exchange_reader reader(statements, id);
+    exchange_reader reader(statements, id, id_index);
     while (reader.get_syncs() < expected_syncs) {
         BOOST_LEAF_AUTO(result, implementation_->receive(deadline));
         if (!reader.take(result.get())) {
