--- a/src/standin/target/group_member.cpp
+++ b/src/standin/target/group_member.cpp
@@ -389,7 +389,11 @@
             [](const sql_error& error) { return error.sqlstate + " " + error.message; },
             [] { return std::string("unknown error"); });
         if (!failure.empty()) {
-            throw std::runtime_error("cannot apply \"" + sql + "\": " + failure);
+            std::string message = "cannot apply a statement: ";
+            message += failure;
+            message += ": ";
+            message += sql;
+            throw std::runtime_error(message);
         }
     }
 }
