Add group monitor, homes, membership, poll schedule and configuration confirmation

Pure decisions of the control side, the poller thread of one target, and the slot where traffic threads wait for the next view of a group.

--- /dev/null
+++ b/src/coordination/configuration_confirmation.h
@@ -0,0 +1,67 @@
+#pragma once
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <variant>
+#include <vector>
+
+#include "state/group_view.h"
+
+namespace hornbeamhook::coordination {
+
+/**
+ * The store or a peer told its configuration version. `asked_at` is when the call was sent: the
+ * answer is as old as that. A version that was not adopted confirms nothing.
+ */
+struct version_heard {
+    state::time_point asked_at;
+    std::uint64_t version = 0;
+};
+
+/** This proxy's configuration is now at this version. */
+struct configuration_adopted {
+    std::uint64_t version = 0;
+};
+
+/** The VM list shows this many other VMs that are not leaving. */
+struct other_vms_listed {
+    std::size_t count = 0;
+};
+
+/** Time passed. */
+struct confirmation_checked {};
+
+using confirmation_event =
+    std::variant<version_heard, configuration_adopted, other_vms_listed, confirmation_checked>;
+
+/** The configuration is confirmed again, or not any more. */
+struct confirmation_changed {
+    bool is_confirmed = true;
+};
+
+using confirmation_action = std::variant<confirmation_changed>;
+
+/** Whether this proxy may assume that its configuration is in force. */
+struct configuration_confirmation_state {
+    /// Bound of docs/design.md section 7.
+    std::chrono::milliseconds patience{3000};
+    std::uint64_t adopted_version = 0;
+    std::optional<state::time_point> last_contact;  ///< When the version was last confirmed.
+    std::optional<version_heard> pending;           ///< A version that is still to be adopted.
+    std::size_t other_vms = 0;
+    bool is_confirmed = true;
+};
+
+/** New state and what to do. */
+struct configuration_confirmation_step {
+    configuration_confirmation_state state;
+    std::vector<confirmation_action> actions;
+};
+
+/** Applies one event. Pure. Set `last_contact` to the start time before the first step. */
+configuration_confirmation_step step_configuration_confirmation(
+    configuration_confirmation_state state, const confirmation_event& event, state::time_point now);
+
+}  // namespace hornbeamhook::coordination
--- /dev/null
+++ b/src/coordination/home_assignment.h
@@ -0,0 +1,40 @@
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "state/configuration.h"
+#include "state/member.h"
+
+namespace hornbeamhook::coordination {
+
+/** Rendezvous weight of `vm` for `key`; the same in every process. Pure, thread safe. */
+std::uint64_t get_rendezvous_weight(std::string_view key, std::string_view vm);
+
+/**
+ * The `count` home proxies of a target, best first: members of the target's data centre, then of
+ * its place, then any, each ordered by rendezvous weight. A member's loss only moves the targets
+ * it was home of. `members` are the live ones. Pure, thread safe.
+ */
+std::vector<state::member> get_homes(const std::string& pool,
+                                     const state::target_description& target,
+                                     const std::vector<state::member>& members, std::size_t count);
+
+/**
+ * The proxies that poll a group: the homes of its targets, ordered by rendezvous weight for the
+ * pool. Their index is the rank that delays a claim. Pure, thread safe.
+ */
+std::vector<state::member> get_pollers(const state::pool_description& pool,
+                                       const std::vector<state::member>& members,
+                                       std::size_t homes_per_target);
+
+/**
+ * Connections one home may open: the divisor is one more than the number of homes, so that proxies
+ * whose member views differ by one member do not exceed the limit together. At least one.
+ */
+int get_home_quota(int connection_limit, int reserved, int homes_per_target);
+
+}  // namespace hornbeamhook::coordination
--- /dev/null
+++ b/src/coordination/poll_schedule.cpp
@@ -0,0 +1,82 @@
+#include "coordination/poll_schedule.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace hornbeamhook::coordination {
+
+namespace {
+
+using state::time_point;
+using std::chrono::microseconds;
+using std::chrono::milliseconds;
+
+// While readers wait, polls repeat; the spacing grows with the wait so that a replica that does
+// not catch up for long costs few polls.
+constexpr microseconds min_repeat_spacing{1000};
+constexpr microseconds max_repeat_spacing{25'000};
+constexpr int repeat_spacing_divisor = 8;
+
+microseconds get_repeat_spacing(const poll_schedule_state& state) {
+    const auto waited =
+        std::chrono::duration_cast<microseconds>(state.last_began - state.last_requested);
+    return std::clamp(waited / repeat_spacing_divisor, min_repeat_spacing, max_repeat_spacing);
+}
+
+void begin(poll_schedule_state& state, time_point now, std::vector<schedule_action>& actions) {
+    state.began_at = now;
+    state.last_began = now;
+    state.is_queued = false;
+    actions.emplace_back(begin_poll{});
+}
+
+void apply(poll_schedule_state& state, const poll_requested& /*event*/, time_point now,
+           std::vector<schedule_action>& actions) {
+    state.last_requested = now;
+    if (state.began_at) {
+        state.is_queued = true;
+        return;
+    }
+    begin(state, now, actions);
+}
+
+void apply(poll_schedule_state& state, const poll_finished& event, time_point now,
+           std::vector<schedule_action>& actions) {
+    state.began_at.reset();
+    state.is_failing = !event.is_answered;
+    // A failing target is not polled back to back, however many readers ask.
+    if (state.is_queued && event.is_answered) {
+        begin(state, now, actions);
+    }
+}
+
+void apply(poll_schedule_state& state, const schedule_checked& event, time_point now,
+           std::vector<schedule_action>& actions) {
+    if (!state.began_at && now >= get_next_check(state, event.has_waiters)) {
+        begin(state, now, actions);
+    }
+}
+
+}  // namespace
+
+time_point get_next_check(const poll_schedule_state& state, bool has_waiters) {
+    if (state.is_failing) {
+        return state.last_began + failing_poll_spacing;
+    }
+    if (state.is_queued) {
+        return state.last_began;
+    }
+    if (has_waiters) {
+        return state.last_began + get_repeat_spacing(state);
+    }
+    return state.last_began + state.heartbeat_interval;
+}
+
+poll_schedule_step step_poll_schedule(poll_schedule_state state, const schedule_event& event,
+                                      time_point now) {
+    std::vector<schedule_action> actions;
+    std::visit([&](const auto& value) { apply(state, value, now, actions); }, event);
+    return {std::move(state), std::move(actions)};
+}
+
+}  // namespace hornbeamhook::coordination
--- /dev/null
+++ b/src/coordination/poll_schedule.h
@@ -0,0 +1,58 @@
+#pragma once
+
+#include <chrono>
+#include <optional>
+#include <variant>
+#include <vector>
+
+#include "state/group_view.h"
+
+namespace hornbeamhook::coordination {
+
+/** Somebody needs the answer to a poll that begins from now on. */
+struct poll_requested {};
+
+/** The poll in flight ended. */
+struct poll_finished {
+    bool is_answered = false;
+};
+
+/** Time passed, or the number of waiting readers changed. */
+struct schedule_checked {
+    bool has_waiters = false;  ///< Readers still wait for a later state of the group.
+};
+
+using schedule_event = std::variant<poll_requested, poll_finished, schedule_checked>;
+
+/** Begin one poll now. */
+struct begin_poll {};
+
+using schedule_action = std::variant<begin_poll>;
+
+/** When to poll one target: at most one poll in flight and one queued. */
+struct poll_schedule_state {
+    std::chrono::milliseconds heartbeat_interval{250};
+    std::optional<state::time_point> began_at;  ///< Set while a poll is in flight.
+    bool is_queued = false;                     ///< A poll was requested after the last one began.
+    state::time_point last_began{};
+    state::time_point last_requested{};
+    bool is_failing = false;  ///< The last poll failed.
+};
+
+/** New state and what to do. */
+struct poll_schedule_step {
+    poll_schedule_state state;
+    std::vector<schedule_action> actions;
+};
+
+/** A target that does not answer is polled again after this time, to confirm the failure soon. */
+inline constexpr std::chrono::milliseconds failing_poll_spacing{50};
+
+/** Applies one event. Pure. */
+poll_schedule_step step_poll_schedule(poll_schedule_state state, const schedule_event& event,
+                                      state::time_point now);
+
+/** When the next schedule_checked is due, provided nothing else happens. */
+state::time_point get_next_check(const poll_schedule_state& state, bool has_waiters);
+
+}  // namespace hornbeamhook::coordination
--- /dev/null
+++ b/src/proxy/fleet_control.h
@@ -0,0 +1,147 @@
+#pragma once
+
+#include <atomic>
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <optional>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "coordination/configuration_confirmation.h"
+#include "coordination/group_monitor.h"
+#include "coordination/membership.h"
+#include "protocol/peer_messages.h"
+#include "protocol/proxy_settings.h"
+#include "protocol/table_client.h"
+#include "proxy/audit_log.h"
+#include "proxy/control_traffic.h"
+#include "proxy/group_slot.h"
+#include "proxy/target_poller.h"
+#include "proxy/task_queue.h"
+#include "state/fleet_view.h"
+#include "transport/http_client.h"
+#include "transport/http_message.h"
+#include "transport/worker_pool.h"
+
+namespace hornbeamhook::proxy {
+
+/** Everything the control thread keeps of one polled group. */
+struct polled_group {
+    state::pool_description pool;
+    std::shared_ptr<group_slot> slot;
+    std::map<std::string, std::shared_ptr<target_poller>> pollers;
+    coordination::group_monitor_state monitor;
+    std::shared_ptr<const state::group_view> view;
+};
+
+/**
+ * The control thread and its helpers. All private state below `// control thread` is only touched
+ * by tasks that run on it.
+ */
+class fleet_control {
+public:
+    fleet_control(protocol::proxy_settings settings, std::uint64_t incarnation, audit_log& audit);
+    ~fleet_control();
+    fleet_control(const fleet_control&) = delete;
+    fleet_control& operator=(const fleet_control&) = delete;
+
+    /** Starts all threads. */
+    void start();
+
+    /** Ends all threads. Safe to call twice. */
+    void stop();
+
+    /** The newest snapshot. Thread safe. */
+    std::shared_ptr<const state::fleet_view> get_view() const { return view_.load(); }
+
+    /** The slot of a polled group, or null. Thread safe. */
+    std::shared_ptr<group_slot> find_slot(const std::string& pool) const;
+
+    /** See fleet_service. Thread safe. */
+    void report_primary(const std::string& pool, const state::primary_view& primary);
+
+    /** See fleet_service. Thread safe. */
+    transport::http_response handle(const transport::http_request& request);
+
+    /** See fleet_service. Thread safe. */
+    void begin_drain();
+
+private:
+    using slot_map = std::map<std::string, std::shared_ptr<group_slot>>;
+
+    // Any thread.
+    std::optional<nlohmann::json> ask_control(std::function<nlohmann::json()> question);
+    transport::http_response answer_exchange(const transport::http_request& request);
+    transport::http_response answer_configuration(const transport::http_request& request);
+    transport::http_response answer_status();
+
+    // Store thread.
+    void run_store();
+    void register_vm(bool is_leaving);
+    void read_head();
+    void read_vms();
+
+    // Worker threads.
+    void exchange_with(const coordination::send_digest& call);
+    void fetch_configuration(const state::member& peer, std::uint64_t after);
+
+    // Control thread.
+    void run_control();
+    void tick(state::time_point now);
+    void drop_views(state::time_point now);
+    void step_members(const coordination::membership_event& event);
+    void step_confirmation(const coordination::confirmation_event& event);
+    void adopt_changes(const std::vector<state::configuration_change>& changes);
+    void adopt_snapshot(const state::configuration& snapshot);
+    void set_configuration(state::configuration next);
+    void assign_homes();
+    void assign_groups();
+    void open_group(const state::pool_description& pool);
+    void configure_group(polled_group& group, const state::pool_description& pool);
+    void close_group(const std::string& pool);
+    void step_group(const std::string& pool, const coordination::group_event& event);
+    void set_primary(const std::string& pool, const state::primary_view& primary);
+    void publish();
+    void publish_slots();
+    nlohmann::json get_status() const;
+
+    const protocol::proxy_settings settings_;
+    const std::uint64_t incarnation_;
+    audit_log& audit_;
+    control_traffic traffic_;
+    transport::http_client http_;
+    protocol::table_client store_;
+    task_queue queue_;
+    std::unique_ptr<transport::worker_pool> workers_;
+    std::atomic<std::shared_ptr<const state::fleet_view>> view_;
+    std::atomic<std::shared_ptr<const slot_map>> slots_;
+    std::atomic<std::uint64_t> adopted_version_{0};
+    std::atomic<bool> is_leaving_{false};
+    std::mutex store_mutex_;
+    std::condition_variable store_changed_;
+    bool is_stopping_ = false;  ///< Guarded by store_mutex_.
+    bool is_registered_ = false;
+    std::thread store_thread_;
+    std::thread control_thread_;
+
+    // control thread
+    coordination::membership_state members_;
+    coordination::configuration_confirmation_state confirmation_;
+    std::shared_ptr<const state::configuration> config_;
+    std::deque<state::configuration_change> recent_changes_;
+    std::map<std::string, std::vector<state::member>> homes_;
+    std::map<std::string, polled_group> groups_;
+    /// Pollers of closed groups; joined when their thread ended, never while control waits.
+    std::map<std::string, state::primary_view> primaries_;
+    state::time_point next_exchange_{};
+    bool is_fetching_ = false;
+    bool is_dirty_ = true;
+    std::uint64_t pauses_seen_ = 0;
+};
+
+}  // namespace hornbeamhook::proxy
