--- a/src/proxy/fleet_control.h
+++ b/src/proxy/fleet_control.h
@@ -6,7 +6,6 @@
 #include <functional>
 #include <map>
 #include <memory>
-#include <mutex>
 #include <optional>
 #include <string>
 #include <thread>
@@ -21,6 +20,7 @@
 #include "proxy/audit_log.h"
 #include "proxy/control_traffic.h"
 #include "proxy/group_slot.h"
+#include "proxy/platform_sync.h"
 #include "proxy/target_poller.h"
 #include "proxy/task_queue.h"
 #include "state/fleet_view.h"
@@ -80,11 +80,11 @@
     transport::http_response answer_configuration(const transport::http_request& request);
     transport::http_response answer_status();
 
-    // Store thread.
-    void run_store();
-    void register_vm(bool is_leaving);
-    void read_head();
-    void read_vms();
+    // Thread of platform_sync.
+    platform_callbacks make_platform_callbacks();
+    void on_configuration(configuration_update update);
+    void on_vms(const std::vector<protocol::vm_entry>& vms);
+    void on_reachability(bool is_reachable);
 
     // Worker threads.
     void exchange_with(const coordination::send_digest& call);
@@ -115,18 +115,15 @@
     audit_log& audit_;
     control_traffic traffic_;
     transport::http_client http_;
-    protocol::table_client store_;
     task_queue queue_;
+    std::unique_ptr<platform_sync> platform_;
     std::unique_ptr<transport::worker_pool> workers_;
     std::atomic<std::shared_ptr<const state::fleet_view>> view_;
     std::atomic<std::shared_ptr<const slot_map>> slots_;
     std::atomic<std::uint64_t> adopted_version_{0};
-    std::atomic<bool> is_leaving_{false};
-    std::mutex store_mutex_;
-    std::condition_variable store_changed_;
-    bool is_stopping_ = false;  ///< Guarded by store_mutex_.
-    bool is_registered_ = false;
-    std::thread store_thread_;
+    std::atomic<bool> is_stopping_{false};
+    state::time_point store_asked_at_{};  ///< Only on the thread of platform_sync.
+    bool is_store_reachable_ = true;      ///< Only on the thread of platform_sync.
     std::thread control_thread_;
 
     // control thread
@@ -136,7 +133,6 @@
     std::deque<state::configuration_change> recent_changes_;
     std::map<std::string, std::vector<state::member>> homes_;
     std::map<std::string, polled_group> groups_;
-    /// Pollers of closed groups; joined when their thread ended, never while control waits.
     std::map<std::string, state::primary_view> primaries_;
     state::time_point next_exchange_{};
     bool is_fetching_ = false;
