--- /dev/null
+++ b/src/coordination/concurrency_limit.cpp
@@ -0,0 +1,61 @@
+#include "coordination/concurrency_limit.h"
+
+#include <algorithm>
+
+namespace hornbeamhook::coordination {
+
+namespace {
+
+using std::chrono::microseconds;
+
+constexpr double decrease_factor = 0.8;
+// Latency above this multiple of the floor means that statements wait inside the target.
+constexpr int latency_multiple = 3;
+// Below this the floor is mostly noise of scheduling and network.
+constexpr microseconds min_floor{2000};
+// The floor is measured anew after this time, so that a change of the workload is followed.
+constexpr std::chrono::seconds floor_window{30};
+// One decrease per burst: exchanges that started before it still report the old latency.
+constexpr std::chrono::milliseconds decrease_pause{100};
+constexpr int smoothing = 8;
+
+}  // namespace
+
+concurrency_limit::concurrency_limit(int slots, int quota)
+    : limit_(std::clamp(slots, 1, std::max(1, quota))), quota_(std::max(1, quota)) {}
+
+int concurrency_limit::get_limit() const {
+    return std::clamp(static_cast<int>(limit_), 1, quota_);
+}
+
+void concurrency_limit::set_quota(int quota) {
+    quota_ = std::max(1, quota);
+    limit_ = std::min(limit_, static_cast<double>(quota_));
+}
+
+void concurrency_limit::on_success(microseconds latency, int in_flight, state::time_point now) {
+    service_time_ += (latency - service_time_) / smoothing;
+    if (floor_.count() == 0 || latency < floor_ || now - floor_since_ > floor_window) {
+        floor_ = latency;
+        floor_since_ = now;
+    }
+    if (latency > std::max(floor_, min_floor) * latency_multiple) {
+        decrease(now);
+    } else if (in_flight >= get_limit()) {
+        limit_ = std::min(limit_ + 1.0 / limit_, static_cast<double>(quota_));
+    }
+}
+
+void concurrency_limit::on_failure(state::time_point now) {
+    decrease(now);
+}
+
+void concurrency_limit::decrease(state::time_point now) {
+    if (now - last_decrease_ < decrease_pause) {
+        return;
+    }
+    last_decrease_ = now;
+    limit_ = std::max(1.0, limit_ * decrease_factor);
+}
+
+}  // namespace hornbeamhook::coordination
--- /dev/null
+++ b/src/coordination/concurrency_limit.h
@@ -0,0 +1,45 @@
+#pragma once
+
+#include <chrono>
+
+#include "state/group_view.h"
+
+namespace hornbeamhook::coordination {
+
+/**
+ * Limit of statements in flight at one target: additive increase while the limit is used and
+ * latency stays near its floor, multiplicative decrease when latency rises or statements fail.
+ * Always within [1, quota]. Not thread safe.
+ */
+class concurrency_limit {
+public:
+    /** Starts at `slots` (within the bounds). */
+    concurrency_limit(int slots, int quota);
+
+    /** Statements that may be in flight. */
+    int get_limit() const;
+
+    /** Changes the upper bound, for example after a refused connection. */
+    void set_quota(int quota);
+
+    /** Accounts an exchange that took `latency` while `in_flight` were running. */
+    void on_success(std::chrono::microseconds latency, int in_flight, state::time_point now);
+
+    /** Accounts an exchange that was lost or came too late. */
+    void on_failure(state::time_point now);
+
+    /** Smoothed duration of an exchange; used to estimate waiting times. */
+    std::chrono::microseconds get_service_time() const { return service_time_; }
+
+private:
+    void decrease(state::time_point now);
+
+    double limit_;
+    int quota_;
+    std::chrono::microseconds service_time_{5000};
+    std::chrono::microseconds floor_{0};  ///< Lowest latency seen lately; 0 when none.
+    state::time_point floor_since_{};
+    state::time_point last_decrease_{};
+};
+
+}  // namespace hornbeamhook::coordination
--- /dev/null
+++ b/src/coordination/freshness.h
@@ -0,0 +1,53 @@
+#pragma once
+
+#include <chrono>
+#include <string>
+
+#include "coordination/read_requirement.h"
+#include "state/group_view.h"
+#include "state/target_status.h"
+
+namespace hornbeamhook::coordination {
+
+/** What to do with a read at its home. */
+enum class freshness_step {
+    serve,             ///< Run it; the answer still has to be checked against `required`.
+    wait_for_proof,    ///< No proof covers the requirement yet.
+    wait_for_replica,  ///< The proof is there and the target is behind it.
+    give_up,           ///< Let the entry send it elsewhere.
+};
+
+/** Points a target must cover to answer a read. */
+struct required_points {
+    state::log_point token_point;
+    state::log_point proof_point;  ///< Zero when no proof is needed.
+
+    auto operator<=>(const required_points&) const = default;
+
+    /** Whether a target with this status may answer. */
+    bool is_covered_by(const state::target_status& status) const {
+        return status.covers(token_point) && status.covers(proof_point);
+    }
+};
+
+/** The decision with the points to check on the connection that serves the read. */
+struct freshness_decision {
+    freshness_step step = freshness_step::give_up;
+    required_points required;
+
+    auto operator<=>(const freshness_decision&) const = default;
+};
+
+/**
+ * Decides on a read at `target`. The same rule holds for the primary: it too must reach the proof,
+ * because a primary that was replaced without knowing it would answer with old data.
+ * From `give_up_at` on no waiting is chosen.
+ */
+freshness_decision judge_freshness(const read_requirement& requirement,
+                                   const state::group_view& view, const std::string& target,
+                                   state::time_point now, state::time_point give_up_at);
+
+/** When to stop waiting for a replica: min(50 ms, a third of the remaining time) from `now`. */
+state::time_point get_catch_up_limit(state::time_point now, state::time_point deadline);
+
+}  // namespace hornbeamhook::coordination
--- /dev/null
+++ b/src/coordination/request_attempt.cpp
@@ -0,0 +1,127 @@
+#include "coordination/request_attempt.h"
+
+#include <algorithm>
+
+namespace hornbeamhook::coordination {
+
+namespace {
+
+using protocol::error_code;
+using state::outcome;
+using std::chrono::milliseconds;
+
+// Looking at the local view again costs nothing; a primary that was just adopted is used at once.
+constexpr milliseconds route_pause{10};
+// A home that refuses from its view does no work at a target; still its rate is bounded.
+constexpr int refusal_pause_min_ms = 20;
+constexpr int refusal_pause_max_ms = 100;
+constexpr int retry_pause_ms = 10;
+
+bool is_refusal(error_code code) {
+    return code == error_code::no_primary || code == error_code::not_home ||
+           code == error_code::draining;
+}
+
+milliseconds get_refusal_pause(int refusals, error_code code, double jitter) {
+    if (code != error_code::no_primary && refusals <= 1) {
+        return milliseconds(0);  // The view is refreshed by the answer; another home is tried.
+    }
+    const int bound = std::min(refusal_pause_max_ms, refusal_pause_min_ms * std::max(1, refusals));
+    return milliseconds(refusal_pause_min_ms +
+                        static_cast<int>(jitter * (bound - refusal_pause_min_ms + 1)));
+}
+
+attempt_decision finish(outcome end, error_code code) {
+    return {attempt_step::finish, end, code, milliseconds(0), false};
+}
+
+attempt_decision send_after(milliseconds pause, bool needs_budget) {
+    return {attempt_step::send, outcome::not_run, error_code::ok, pause, needs_budget};
+}
+
+/** A statement of the caller is final, whatever the fleet could do. */
+bool is_final(error_code code) {
+    return !protocol::is_retry_allowed(code);
+}
+
+attempt_decision judge_not_run(const request_attempt& attempt, const attempt_result& result,
+                               double jitter) {
+    const bool is_keyed_write = attempt.is_write && attempt.is_keyed;
+    if (attempt.is_write && !is_keyed_write && attempt.reached_target) {
+        // Without a key a request is never sent twice, even if the target says it did not run.
+        return finish(outcome::not_run, result.code);
+    }
+    if (is_refusal(result.code)) {
+        return send_after(get_refusal_pause(attempt.refusals, result.code, jitter), false);
+    }
+    if (!attempt.is_write && result.is_behind) {
+        return send_after(milliseconds(0), false);
+    }
+    if (attempt.is_write && result.code == error_code::overloaded) {
+        // There is no other place for a write; sending it again adds to the overload.
+        return give_up(attempt, error_code::overloaded);
+    }
+    return send_after(milliseconds(static_cast<int>(jitter * retry_pause_ms)), true);
+}
+
+}  // namespace
+
+request_attempt record_send(request_attempt attempt) {
+    ++attempt.sends;
+    return attempt;
+}
+
+attempt_decision give_up(const request_attempt& attempt, error_code code) {
+    if (attempt.may_have_run) {
+        return finish(outcome::unknown, error_code::outcome_unknown);
+    }
+    return finish(outcome::not_run, code);
+}
+
+std::pair<request_attempt, attempt_decision> judge_result(request_attempt attempt,
+                                                          const attempt_result& result,
+                                                          state::time_point now, double jitter) {
+    attempt.reached_target = attempt.reached_target || result.was_sent;
+    if (result.outcome == outcome::ok) {
+        return {attempt, finish(outcome::ok, error_code::ok)};
+    }
+    if (result.outcome == outcome::unknown) {
+        attempt.reached_target = true;
+        // A read has no effect, so it can be repeated; a write is open from now on.
+        attempt.may_have_run = attempt.is_write;
+        if (attempt.is_write && !attempt.is_keyed) {
+            return {attempt, finish(outcome::unknown, error_code::outcome_unknown)};
+        }
+        if (now >= attempt.deadline) {
+            return {attempt, give_up(attempt, error_code::deadline)};
+        }
+        return {attempt, send_after(milliseconds(static_cast<int>(jitter * retry_pause_ms)), true)};
+    }
+    if (result.code == error_code::key_reused) {
+        // The stored digest differs, so no send of this request can pass the unique key.
+        return {attempt, finish(outcome::not_run, error_code::key_reused)};
+    }
+    if (is_final(result.code)) {
+        // An earlier send with this key may still be on its way and succeed.
+        return {attempt, give_up(attempt, result.code)};
+    }
+    attempt.refusals += is_refusal(result.code) ? 1 : 0;
+    if (now >= attempt.deadline) {
+        return {attempt, give_up(attempt, result.code)};
+    }
+    attempt_decision decision = judge_not_run(attempt, result, jitter);
+    if (decision.step == attempt_step::send && now + decision.pause >= attempt.deadline) {
+        decision = give_up(attempt, result.code);
+    }
+    return {attempt, decision};
+}
+
+attempt_decision judge_missing_route(const request_attempt& attempt, state::time_point now) {
+    if (now + route_pause >= attempt.deadline) {
+        return give_up(attempt, attempt.is_write ? error_code::no_primary
+                                                 : error_code::unavailable);
+    }
+    return send_after(route_pause, false);
+}
+
+}  // namespace hornbeamhook::coordination
--- /dev/null
+++ b/src/coordination/request_attempt.h
@@ -0,0 +1,69 @@
+#pragma once
+
+#include <chrono>
+#include <utility>
+
+#include "protocol/error_code.h"
+#include "state/group_view.h"
+#include "state/outcome.h"
+
+namespace hornbeamhook::coordination {
+
+/** One request on its way through the entry, across all its sends. */
+struct request_attempt {
+    bool is_write = false;
+    bool is_keyed = false;
+    state::time_point deadline{};
+    int sends = 0;
+    int refusals = 0;            ///< Answers from homes that gave it to no target.
+    bool may_have_run = false;   ///< An earlier send ended with `unknown`.
+    bool reached_target = false; ///< Statement bytes of a send left for a target.
+
+    auto operator<=>(const request_attempt&) const = default;
+};
+
+/** How one send ended, as the home answered or the transport failed. */
+struct attempt_result {
+    state::outcome outcome = state::outcome::not_run;
+    protocol::error_code code = protocol::error_code::unavailable;
+    bool was_sent = false;   ///< Statement bytes left for a target, or may have.
+    bool is_behind = false;  ///< A replica did not reach the required point in time.
+
+    auto operator<=>(const attempt_result&) const = default;
+};
+
+/** What the entry does next. */
+enum class attempt_step {
+    send,    ///< Send it again after `pause`.
+    finish,  ///< Answer the caller.
+};
+
+/** The next step; outcome and code only for `finish`. */
+struct attempt_decision {
+    attempt_step step = attempt_step::finish;
+    state::outcome outcome = state::outcome::not_run;
+    protocol::error_code code = protocol::error_code::unavailable;
+    std::chrono::milliseconds pause{0};
+    bool needs_budget = false;  ///< Only with a retry from the retry budget; else see give_up().
+
+    auto operator<=>(const attempt_decision&) const = default;
+};
+
+/** The state after a send. */
+request_attempt record_send(request_attempt attempt);
+
+/** Judges how a send ended. `jitter` in [0, 1) spreads pauses. */
+std::pair<request_attempt, attempt_decision> judge_result(request_attempt attempt,
+                                                          const attempt_result& result,
+                                                          state::time_point now, double jitter);
+
+/**
+ * No route exists at the moment (no primary is known, no home is live): wait and look again, or
+ * answer when the deadline passed.
+ */
+attempt_decision judge_missing_route(const request_attempt& attempt, state::time_point now);
+
+/** The final answer when nothing is sent again; `code` says why. */
+attempt_decision give_up(const request_attempt& attempt, protocol::error_code code);
+
+}  // namespace hornbeamhook::coordination
--- /dev/null
+++ b/src/coordination/routing.cpp
@@ -0,0 +1,125 @@
+#include "coordination/routing.h"
+
+#include <algorithm>
+#include <functional>
+#include <optional>
+#include <tuple>
+#include <utility>
+
+namespace hornbeamhook::coordination {
+
+namespace {
+
+/** Sort key of a candidate; lower is better. */
+using route_rank = std::tuple<bool, bool, bool, int, std::uint64_t, std::size_t>;
+
+int get_distance(const state::member& from, const state::member& to) {
+    if (from.vm == to.vm) {
+        return 0;
+    }
+    if (from.data_center == to.data_center) {
+        return 1;
+    }
+    return from.place == to.place ? 2 : 3;
+}
+
+bool is_usable_home(const state::fleet_view& view, const state::member& home) {
+    if (home.vm == view.self.vm) {
+        return true;
+    }
+    return std::any_of(view.live_members.begin(), view.live_members.end(),
+                       [&](const state::member& live) {
+                           return live.vm == home.vm && live.state != state::member_state::leaving;
+                       });
+}
+
+bool is_known_to_fail(const state::fleet_view& view, const route_request& request,
+                      const std::string& target) {
+    const auto group = view.polled_groups.find(request.pool);
+    if (group == view.polled_groups.end() || !group->second) {
+        return false;
+    }
+    const auto it = group->second->targets.find(target);
+    return it != group->second->targets.end() && it->second.consecutive_failures > 0;
+}
+
+bool is_known_behind(const state::fleet_view& view, const route_request& request,
+                     const std::string& target) {
+    const auto group = view.polled_groups.find(request.pool);
+    if (group == view.polled_groups.end() || !group->second) {
+        return false;
+    }
+    const auto it = group->second->targets.find(target);
+    return it != group->second->targets.end() && it->second.status &&
+           !it->second.status->covers(request.required);
+}
+
+std::uint64_t mix(std::uint64_t spread, const std::string& name) {
+    std::uint64_t value = spread ^ std::hash<std::string>{}(name);
+    value ^= value >> 33U;
+    value *= 0xff51afd7ed558ccdULL;
+    value ^= value >> 33U;
+    return value;
+}
+
+}  // namespace
+
+std::optional<state::primary_view> find_primary(const state::fleet_view& view,
+                                                const std::string& pool) {
+    std::optional<state::primary_view> best;
+    if (const auto it = view.primaries.find(pool); it != view.primaries.end()) {
+        best = it->second;
+    }
+    const auto group = view.polled_groups.find(pool);
+    if (group != view.polled_groups.end() && group->second && group->second->primary &&
+        (!best || group->second->primary->term >= best->term)) {
+        best = group->second->primary;
+    }
+    return best;
+}
+
+std::vector<route_candidate> plan_route(const state::fleet_view& view,
+                                        const route_request& request) {
+    const state::pool_description* pool = view.config->find_pool(request.pool);
+    if (pool == nullptr) {
+        return {};
+    }
+    const std::optional<state::primary_view> primary = find_primary(view, request.pool);
+    const bool is_primary_only = request.is_write || request.must_use_primary;
+    std::vector<std::pair<route_rank, route_candidate>> ranked;
+    for (const state::target_description& target : pool->targets) {
+        const bool is_primary = primary && primary->target == target.name;
+        if (target.is_leaving || (is_primary_only && !is_primary)) {
+            continue;
+        }
+        const auto homes = view.homes.find(request.pool + "/" + target.name);
+        if (homes == view.homes.end()) {
+            continue;
+        }
+        const bool is_target_avoided = request.avoided.contains(target.name) ||
+                                       is_known_to_fail(view, request, target.name);
+        const bool is_behind = !is_primary && is_known_behind(view, request, target.name);
+        for (std::size_t i = 0; i < homes->second.size(); ++i) {
+            const state::member& home = homes->second[i];
+            if (!is_usable_home(view, home)) {
+                continue;
+            }
+            const bool is_avoided = is_target_avoided || request.avoided.contains(home.vm);
+            // Homes of one target share its load; a fixed first choice would idle the second.
+            const std::uint64_t turn = mix(request.spread, target.name + home.vm);
+            ranked.emplace_back(
+                route_rank{is_avoided, is_primary, is_behind, get_distance(view.self, home), turn,
+                           i},
+                route_candidate{target.name, is_primary, home, home.vm == view.self.vm});
+        }
+    }
+    std::sort(ranked.begin(), ranked.end());
+    std::vector<route_candidate> route;
+    route.reserve(ranked.size());
+    for (auto& [rank, candidate] : ranked) {
+        route.push_back(std::move(candidate));
+    }
+    return route;
+}
+
+}  // namespace hornbeamhook::coordination
--- /dev/null
+++ b/src/coordination/transaction_registry.cpp
@@ -0,0 +1,62 @@
+#include "coordination/transaction_registry.h"
+
+namespace hornbeamhook::coordination {
+
+std::uint64_t transaction_registry::open(const std::string& pool, const std::string& caller,
+                                         state::time_point now) {
+    const std::uint64_t number = next_number_++;
+    entries_.emplace(number, entry{pool, caller, now, now, true});
+    return number;
+}
+
+bool transaction_registry::is_past_limit(const entry& value, state::time_point now) const {
+    return now - value.opened >= limits_.total || now - value.last_used >= limits_.idle;
+}
+
+transaction_claim transaction_registry::claim(std::uint64_t number, const std::string& pool,
+                                              const std::string& caller, state::time_point now) {
+    const auto it = entries_.find(number);
+    if (it == entries_.end() || it->second.pool != pool || it->second.caller != caller) {
+        return transaction_claim::gone;
+    }
+    if (it->second.is_busy) {
+        return transaction_claim::busy;
+    }
+    if (is_past_limit(it->second, now)) {
+        return transaction_claim::gone;  // expire() removes it and ends it at the target.
+    }
+    it->second.is_busy = true;
+    return transaction_claim::granted;
+}
+
+void transaction_registry::release(std::uint64_t number, state::time_point now) {
+    const auto it = entries_.find(number);
+    if (it != entries_.end()) {
+        it->second.is_busy = false;
+        it->second.last_used = now;
+    }
+}
+
+void transaction_registry::close(std::uint64_t number) {
+    entries_.erase(number);
+}
+
+state::time_point transaction_registry::get_end(std::uint64_t number) const {
+    const auto it = entries_.find(number);
+    return it == entries_.end() ? state::time_point{} : it->second.opened + limits_.total;
+}
+
+std::vector<std::uint64_t> transaction_registry::expire(state::time_point now) {
+    std::vector<std::uint64_t> expired;
+    for (auto it = entries_.begin(); it != entries_.end();) {
+        if (!it->second.is_busy && is_past_limit(it->second, now)) {
+            expired.push_back(it->first);
+            it = entries_.erase(it);
+        } else {
+            ++it;
+        }
+    }
+    return expired;
+}
+
+}  // namespace hornbeamhook::coordination
--- /dev/null
+++ b/src/coordination/transaction_registry.h
@@ -0,0 +1,70 @@
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "state/group_view.h"
+
+namespace hornbeamhook::coordination {
+
+/** Answer to a wish to use an open transaction. */
+enum class transaction_claim {
+    granted,
+    gone,  ///< Never existed here, ended, or timed out.
+    busy,  ///< Another statement of the same transaction is running.
+};
+
+/** Time limits of open transactions. */
+struct transaction_limits {
+    std::chrono::milliseconds idle{5000};
+    std::chrono::milliseconds total{30000};
+};
+
+/** Open transactions of one home: who owns them, whether one is in use, when it ends. Not thread
+ * safe. */
+class transaction_registry {
+public:
+    explicit transaction_registry(transaction_limits limits) : limits_(limits) {}
+
+    /** Adds a transaction, in use by the request that opened it. Returns its number. */
+    std::uint64_t open(const std::string& pool, const std::string& caller, state::time_point now);
+
+    /** Claims a transaction for one request; only its own pool and caller may. */
+    transaction_claim claim(std::uint64_t number, const std::string& pool,
+                            const std::string& caller, state::time_point now);
+
+    /** Ends the use of a claimed transaction; its idle time starts. */
+    void release(std::uint64_t number, state::time_point now);
+
+    /** Removes a transaction. */
+    void close(std::uint64_t number);
+
+    /** Until when a claimed transaction may go on. */
+    state::time_point get_end(std::uint64_t number) const;
+
+    /** Removes and returns transactions that are past a limit and not in use. */
+    std::vector<std::uint64_t> expire(state::time_point now);
+
+    /** Open transactions. */
+    std::size_t get_size() const { return entries_.size(); }
+
+private:
+    struct entry {
+        std::string pool;
+        std::string caller;
+        state::time_point opened{};
+        state::time_point last_used{};
+        bool is_busy = true;
+    };
+
+    bool is_past_limit(const entry& value, state::time_point now) const;
+
+    transaction_limits limits_;
+    std::map<std::uint64_t, entry> entries_;
+    std::uint64_t next_number_ = 1;
+};
+
+}  // namespace hornbeamhook::coordination
