--- a/src/protocol/authenticated_text.cpp
+++ b/src/protocol/authenticated_text.cpp
@@ -5,7 +5,7 @@
 #include <array>
 #include <vector>
 
-#include "protocol/protocol_error.h"
+#include "protocol/caller_error.h"
 
 namespace hornbeamhook::protocol {
 
@@ -59,7 +59,7 @@
     return mac;
 }
 
-protocol_error make_error(const char* message) {
+caller_error make_error(const char* message) {
     return {error_code::bad_token, message};
 }
 
@@ -70,7 +70,7 @@
     key_bytes key{};
     if (keys.empty() || !read_key(keys.rbegin()->second, key)) {
         return leaf::new_error(
-            protocol_error{error_code::unavailable, "the configuration holds no usable token key"});
+            caller_error{error_code::unavailable, "the configuration holds no usable token key"});
     }
     const std::string& id = keys.rbegin()->first;
     const mac_bytes mac = compute_mac(purpose, id, payload, key);
--- a/src/protocol/authenticated_text.h
+++ b/src/protocol/authenticated_text.h
@@ -15,12 +15,12 @@
 /**
  * "<key id>.<base64 of payload>.<base64 of MAC>". The MAC (libsodium crypto_auth) covers
  * `purpose`, the key id and the payload, so that a text of one purpose is never accepted for
- * another. Fails with protocol_error when there is no usable key.
+ * another. Fails with caller_error when there is no usable key.
  */
 boost::leaf::result<std::string> sign_text(std::string_view purpose, std::string_view payload,
                                            const token_key_map& keys);
 
-/** The payload of `text`. Fails with protocol_error (bad_token) when it is malformed or forged. */
+/** The payload of `text`. Fails with caller_error (bad_token) when it is malformed or forged. */
 boost::leaf::result<std::string> verify_text(std::string_view purpose, std::string_view text,
                                              const token_key_map& keys);
 
--- a/src/protocol/caller_request.cpp
+++ b/src/protocol/caller_request.cpp
@@ -2,7 +2,7 @@
 
 #include <functional>
 
-#include "protocol/protocol_error.h"
+#include "protocol/caller_error.h"
 #include "protocol/sql_check.h"
 #include "protocol/statement_codec.h"
 #include "state/json_reader.h"
@@ -89,7 +89,7 @@
             return request;
         },
         [](const state::state_error& error) -> leaf::result<caller_request> {
-            return leaf::new_error(protocol_error{error_code::bad_request, error.message});
+            return leaf::new_error(caller_error{error_code::bad_request, error.message});
         });
 }
 
--- a/src/protocol/caller_request.h
+++ b/src/protocol/caller_request.h
@@ -22,20 +22,20 @@
     std::optional<std::chrono::milliseconds> deadline;  ///< Empty: the pool's default.
 };
 
-/** Parses `POST /v1/pools/{pool}/statements`. Fails with protocol_error. */
+/** Parses `POST /v1/pools/{pool}/statements`. Fails with caller_error. */
 boost::leaf::result<caller_request> parse_statement_request(std::string_view body);
 
-/** Parses `POST /v1/pools/{pool}/transactions`. Fails with protocol_error. */
+/** Parses `POST /v1/pools/{pool}/transactions`. Fails with caller_error. */
 boost::leaf::result<caller_request> parse_begin_request(std::string_view body);
 
-/** Parses `POST /v1/transactions/{id}/statements`. Fails with protocol_error. */
+/** Parses `POST /v1/transactions/{id}/statements`. Fails with caller_error. */
 boost::leaf::result<caller_request> parse_transaction_statement_request(std::string_view body,
                                                                         bool is_write);
 
-/** Parses the body of `.../commit`. Fails with protocol_error. */
+/** Parses the body of `.../commit`. Fails with caller_error. */
 boost::leaf::result<caller_request> parse_commit_request(std::string_view body);
 
-/** Parses the body of `.../rollback`. Fails with protocol_error. */
+/** Parses the body of `.../rollback`. Fails with caller_error. */
 boost::leaf::result<caller_request> parse_rollback_request(std::string_view body);
 
 }  // namespace hornbeamhook::protocol
--- a/src/protocol/protocol_error.h
+++ b/src/protocol/protocol_error.h
@@ -2,13 +2,10 @@
 
 #include <string>
 
-#include "protocol/error_code.h"
-
 namespace hornbeamhook::protocol {
 
-/** A message that was refused before anything ran. */
+/** A message that does not follow the protocol. `message` names the field and what is allowed. */
 struct protocol_error {
-    error_code code = error_code::bad_request;
     std::string message;
 
     bool operator==(const protocol_error&) const = default;
--- a/src/protocol/session_token.cpp
+++ b/src/protocol/session_token.cpp
@@ -4,7 +4,7 @@
 #include <limits>
 #include <utility>
 
-#include "protocol/protocol_error.h"
+#include "protocol/caller_error.h"
 #include "state/json_reader.h"
 
 namespace hornbeamhook::protocol {
@@ -54,18 +54,18 @@
         [&]() -> leaf::result<session_token> {
             BOOST_LEAF_AUTO(token, parse_payload(payload));
             if (token.pool != pool) {
-                return leaf::new_error(protocol_error{
+                return leaf::new_error(caller_error{
                     error_code::bad_token,
                     "token: belongs to pool \"" + token.pool + "\", not \"" + pool + "\""});
             }
             if (token.caller != caller) {
                 return leaf::new_error(
-                    protocol_error{error_code::bad_token, "token: belongs to another caller"});
+                    caller_error{error_code::bad_token, "token: belongs to another caller"});
             }
             return token;
         },
         [](const state::state_error& error) -> leaf::result<session_token> {
-            return leaf::new_error(protocol_error{error_code::bad_token, error.message});
+            return leaf::new_error(caller_error{error_code::bad_token, error.message});
         });
 }
 
--- a/src/protocol/session_token.h
+++ b/src/protocol/session_token.h
@@ -21,12 +21,12 @@
     auto operator<=>(const session_token&) const = default;
 };
 
-/** Signs the token. Fails with protocol_error when there is no key. */
+/** Signs the token. Fails with caller_error when there is no key. */
 boost::leaf::result<std::string> encode_session_token(const session_token& token,
                                                       const token_key_map& keys);
 
 /**
- * Verifies a token and that it belongs to `pool` and `caller`. Fails with protocol_error
+ * Verifies a token and that it belongs to `pool` and `caller`. Fails with caller_error
  * (bad_token).
  */
 boost::leaf::result<session_token> decode_session_token(const std::string& text,
--- a/src/protocol/sql_check.cpp
+++ b/src/protocol/sql_check.cpp
@@ -5,7 +5,7 @@
 #include <set>
 #include <string>
 
-#include "protocol/protocol_error.h"
+#include "protocol/caller_error.h"
 
 namespace hornbeamhook::protocol {
 
@@ -73,7 +73,7 @@
     return result;
 }
 
-protocol_error make_error(std::string message) {
+caller_error make_error(std::string message) {
     return {error_code::bad_request, "sql: " + std::move(message)};
 }
 
--- a/src/protocol/transaction_id.cpp
+++ b/src/protocol/transaction_id.cpp
@@ -2,7 +2,7 @@
 
 #include <limits>
 
-#include "protocol/protocol_error.h"
+#include "protocol/caller_error.h"
 #include "state/json_reader.h"
 
 namespace hornbeamhook::protocol {
@@ -48,13 +48,13 @@
             BOOST_LEAF_AUTO(payload, verify_text(purpose, text, keys));
             BOOST_LEAF_AUTO(id, parse_payload(payload));
             if (id.caller != caller) {
-                return leaf::new_error(protocol_error{error_code::forbidden,
+                return leaf::new_error(caller_error{error_code::forbidden,
                                                       "transaction: belongs to another caller"});
             }
             return id;
         },
         [](const state::state_error& error) -> leaf::result<transaction_id> {
-            return leaf::new_error(protocol_error{error_code::bad_token, error.message});
+            return leaf::new_error(caller_error{error_code::bad_token, error.message});
         });
 }
 
--- a/src/protocol/transaction_id.h
+++ b/src/protocol/transaction_id.h
@@ -21,11 +21,11 @@
     auto operator<=>(const transaction_id&) const = default;
 };
 
-/** Signs the id. The result can be part of a URL path. Fails with protocol_error. */
+/** Signs the id. The result can be part of a URL path. Fails with caller_error. */
 boost::leaf::result<std::string> encode_transaction_id(const transaction_id& id,
                                                        const token_key_map& keys);
 
-/** Verifies an id and that it belongs to `caller`. Fails with protocol_error. */
+/** Verifies an id and that it belongs to `caller`. Fails with caller_error. */
 boost::leaf::result<transaction_id> decode_transaction_id(const std::string& text,
                                                           const std::string& caller,
                                                           const token_key_map& keys);
