--- a/src/coordination/admission_queue.cpp
+++ b/src/coordination/admission_queue.cpp
@@ -13,18 +13,28 @@
 
 }  // namespace
 
-admission_verdict admission_queue::offer(admission_entry entry, const service_rate& rate,
-                                         state::time_point now) {
-    lane& own = lanes_[entry.is_write ? 1 : 0];
+admission_verdict admission_queue::judge(bool is_write, state::time_point deadline,
+                                         const service_rate& rate, state::time_point now) const {
+    const lane& own = lanes_[is_write ? 1 : 0];
     if (own.size >= length_) {
         return admission_verdict::full;
     }
     // The kinds take turns, so at most as many requests of the other kind go first.
-    const lane& other = lanes_[entry.is_write ? 0 : 1];
+    const lane& other = lanes_[is_write ? 0 : 1];
     const std::size_t ahead = own.size + std::min(other.size, own.size + 1);
-    if (now + estimate_wait(ahead, rate) + rate.service_time > entry.deadline) {
+    if (now + estimate_wait(ahead, rate) + rate.service_time > deadline) {
         return admission_verdict::too_late;
     }
+    return admission_verdict::queued;
+}
+
+admission_verdict admission_queue::offer(admission_entry entry, const service_rate& rate,
+                                         state::time_point now) {
+    const admission_verdict verdict = judge(entry.is_write, entry.deadline, rate, now);
+    if (verdict != admission_verdict::queued) {
+        return verdict;
+    }
+    lane& own = lanes_[entry.is_write ? 1 : 0];
     std::deque<admission_entry>& waiting = own.callers[entry.caller];
     if (waiting.empty()) {
         own.order.push_back(entry.caller);
--- a/src/coordination/admission_queue.h
+++ b/src/coordination/admission_queue.h
@@ -46,6 +46,10 @@
     /** `length` bounds each kind. */
     explicit admission_queue(std::size_t length) : length_(length) {}
 
+    /** What offer() would say of a request, without queueing it. */
+    admission_verdict judge(bool is_write, state::time_point deadline, const service_rate& rate,
+                            state::time_point now) const;
+
     /** Queues `entry`, or refuses it at once. */
     admission_verdict offer(admission_entry entry, const service_rate& rate,
                             state::time_point now);
--- a/src/coordination/concurrency_limit.h
+++ b/src/coordination/concurrency_limit.h
@@ -8,8 +8,9 @@
 
 /**
  * Limit of statements in flight at one target: additive increase while the limit is used and
- * latency stays near its floor, multiplicative decrease when latency rises or statements fail.
- * Always within [1, quota]. Not thread safe.
+ * smoothed latency stays near its floor, multiplicative decrease when it rises or statements fail.
+ * Always within [1, quota]; latency alone does not push it below half of the slots, because the
+ * two homes of a target together must keep its slots busy. Not thread safe.
  */
 class concurrency_limit {
 public:
@@ -32,12 +33,13 @@
     std::chrono::microseconds get_service_time() const { return service_time_; }
 
 private:
-    void decrease(state::time_point now);
+    void decrease(double lowest, state::time_point now);
 
     double limit_;
+    double latency_bound_;
     int quota_;
     std::chrono::microseconds service_time_{5000};
-    std::chrono::microseconds floor_{0};  ///< Lowest latency seen lately; 0 when none.
+    std::chrono::microseconds floor_{0};  ///< Lowest smoothed latency lately; 0 when none.
     state::time_point floor_since_{};
     state::time_point last_decrease_{};
 };
--- a/src/protocol/execute_message.cpp
+++ b/src/protocol/execute_message.cpp
@@ -120,6 +120,7 @@
                           {"code", to_string(answer.code)},
                           {"message", answer.message},
                           {"was_sent", answer.was_sent},
+                          {"is_behind", answer.is_behind},
                           {"results", to_json(answer.results)},
                           {"term", answer.point.term},
                           {"position", answer.point.position},
@@ -148,6 +149,7 @@
     answer.code = code.value_or(error_code::outcome_unknown);
     answer.message = reader.get_string("message");
     answer.was_sent = reader.get_boolean("was_sent");
+    answer.is_behind = reader.get_boolean("is_behind");
     const nlohmann::json* results = reader.get_array("results");
     answer.point.term = reader.get_integer("term", 0, max_counter);
     answer.point.position = reader.get_integer("position", 0, max_counter);
--- a/src/protocol/execute_message.h
+++ b/src/protocol/execute_message.h
@@ -56,6 +56,7 @@
     /// Whether bytes of the caller's statements left for a target; an unkeyed write is then
     /// never sent again, even if it is known not to have run.
     bool was_sent = false;
+    bool is_behind = false;  ///< The replica did not reach the required point in time.
     std::vector<transport::target_result> results;
     state::log_point point;  ///< Commit point of a write, log end seen by a read.
     std::string target;
--- a/src/protocol/sql_check.cpp
+++ b/src/protocol/sql_check.cpp
@@ -22,6 +22,9 @@
     "savepoint", "set",    "start",  "unlisten", "vacuum",  "checkpoint", "attach",
     "detach"};
 const std::set<std::string, std::less<>> read_words{"select", "values", "with", "table"};
+// A query can change rows through these ("WITH x AS (DELETE ...)", "SELECT ... INTO", "FOR UPDATE").
+const std::set<std::string, std::less<>> changing_words{"insert", "update", "delete", "merge",
+                                                        "into"};
 
 /** Walks over SQL text and skips comments, strings and quoted identifiers. */
 class sql_scanner {
@@ -80,34 +83,43 @@
 }  // namespace
 
 leaf::result<void> check_sql(std::string_view sql, bool is_write) {
+    std::string first;
     std::string word;
-    bool is_word_complete = false;
+    bool has_changing_word = false;
     bool has_ended = false;
     sql_scanner scanner(sql);
-    for (char c = scanner.next(); c != '\0'; c = scanner.next()) {
-        const bool is_space = std::isspace(static_cast<unsigned char>(c)) != 0;
+    char c = '\0';
+    do {
+        c = scanner.next();
+        const auto byte = static_cast<unsigned char>(c);
+        const bool is_space = c == '\0' || std::isspace(byte) != 0;
         if (has_ended && !is_space && c != ';') {
             return leaf::new_error(make_error("several statements in one text"));
         }
         has_ended = has_ended || c == ';';
-        if (!is_word_complete && std::isalpha(static_cast<unsigned char>(c)) != 0) {
-            word += static_cast<char>(std::tolower(static_cast<unsigned char>(c)));
-        } else if (!word.empty() || !is_space) {
-            // "(SELECT ...)" is a query as well.
-            is_word_complete = !word.empty() || c != '(';
+        if (std::isalnum(byte) != 0 || c == '_' || c == '$') {
+            word += static_cast<char>(std::tolower(byte));
+            continue;
         }
-    }
-    if (word.empty()) {
+        if (!word.empty()) {
+            first = first.empty() ? word : first;
+            has_changing_word = has_changing_word || changing_words.contains(word);
+            word.clear();
+        } else if (first.empty() && !is_space && c != '(') {
+            return leaf::new_error(make_error("does not start with a statement"));
+        }
+    } while (c != '\0');
+    if (first.empty()) {
         return leaf::new_error(make_error("does not start with a statement"));
     }
-    if (refused_words.contains(word)) {
-        return leaf::new_error(make_error("\"" + word +
+    if (refused_words.contains(first)) {
+        return leaf::new_error(make_error("\"" + first +
                                           "\" is not allowed; transactions and session state "
                                           "belong to the proxy"));
     }
-    if (!is_write && !read_words.contains(word)) {
-        return leaf::new_error(
-            make_error("a read starts with select, values, with or table, not \"" + word + "\""));
+    if (!is_write && (!read_words.contains(first) || has_changing_word)) {
+        return leaf::new_error(make_error(
+            "a read is a query that changes nothing; send statements that change rows as a write"));
     }
     if (lower(sql).find("hornbeamhook_") != std::string::npos) {
         return leaf::new_error(make_error("names starting with hornbeamhook_ are reserved"));
--- /dev/null
+++ b/src/proxy/home_runtime.cpp
@@ -0,0 +1,251 @@
+#include "proxy/home_runtime.h"
+
+#include <algorithm>
+#include <utility>
+#include <vector>
+
+#include "coordination/acknowledgement.h"
+#include "coordination/routing.h"
+#include "proxy/data_events.h"
+
+namespace hornbeamhook::proxy {
+
+namespace {
+
+using protocol::error_code;
+using protocol::execute_answer;
+using protocol::execute_operation;
+using protocol::execute_request;
+using state::outcome;
+
+// Started requests hold a place at a target, so few of them wait for a thread.
+constexpr std::size_t max_queued_exchanges = 1024;
+constexpr std::size_t max_queued_transaction_steps = 1024;
+
+bool is_new_work(execute_operation operation) {
+    return operation == execute_operation::statements || operation == execute_operation::begin;
+}
+
+/** The answer to a request whose commit is known, as soon as the view decides it. */
+std::optional<execute_answer> judge(const execute_answer& done, const state::group_view* view,
+                                    state::time_point now, state::time_point deadline) {
+    coordination::acknowledgement state = coordination::acknowledgement::pending;
+    if (view != nullptr) {
+        state = coordination::judge_acknowledgement(*view, done.point);
+    }
+    if (state == coordination::acknowledgement::acknowledged) {
+        return done;
+    }
+    const bool is_superseded = state == coordination::acknowledgement::superseded;
+    if (!is_superseded && view != nullptr && now < deadline) {
+        return std::nullopt;
+    }
+    execute_answer answer = done;
+    answer.outcome = outcome::unknown;
+    answer.code = error_code::outcome_unknown;
+    answer.results.clear();
+    answer.message = "no majority of the group has acknowledged the write in time";
+    if (is_superseded) {
+        answer.message = "the primary was replaced before the write was acknowledged";
+    } else if (view == nullptr) {
+        answer.message = "this proxy stopped polling the group before the write was acknowledged";
+    }
+    return answer;
+}
+
+}  // namespace
+
+home_runtime::home_runtime(const protocol::proxy_settings& settings, std::uint64_t incarnation,
+                           group_source& groups, session_source& sessions, data_metrics& metrics)
+    : settings_(settings),
+      incarnation_(incarnation),
+      groups_(groups),
+      sessions_(sessions),
+      metrics_(metrics),
+      executor_(sessions),
+      workers_(settings.worker_threads, max_queued_exchanges),
+      transaction_workers_(std::max(2, settings.worker_threads / 2), max_queued_transaction_steps),
+      waiter_(groups) {}
+
+home_runtime::~home_runtime() {
+    stop();
+}
+
+void home_runtime::stop() {
+    workers_.stop();
+    transaction_workers_.stop();
+    waiter_.stop();
+}
+
+execute_answer home_runtime::make_refusal(const execute_request& request, error_code code,
+                                          std::string message) const {
+    execute_answer answer;
+    answer.exchange_id = request.exchange_id;
+    answer.outcome = outcome::not_run;
+    answer.code = code;
+    answer.message = std::move(message);
+    answer.target = request.target;
+    answer.primary = coordination::find_primary(*groups_.get_view(), request.pool);
+    return answer;
+}
+
+bool home_runtime::is_home(const state::fleet_view& view, const execute_request& request) const {
+    if (settings_.layout == protocol::connection_layout::fixed_split) {
+        return true;
+    }
+    const auto homes = view.homes.find(request.pool + "/" + request.target);
+    return homes != view.homes.end() &&
+           std::any_of(homes->second.begin(), homes->second.end(),
+                       [&](const state::member& home) { return home.vm == settings_.vm; });
+}
+
+// Every refusal of check() is given before the request is queued, so nothing was sent for it.
+std::optional<execute_answer> home_runtime::check(const execute_request& request,
+                                                  state::target_description& target) const {
+    const std::shared_ptr<const state::fleet_view> view = groups_.get_view();
+    const state::pool_description* pool = view->config->find_pool(request.pool);
+    const state::target_description* found =
+        pool == nullptr ? nullptr : pool->find_target(request.target);
+    if (found == nullptr) {
+        return make_refusal(request, error_code::not_home, "the target is not configured here");
+    }
+    target = *found;
+    target.address = settings_.get_dial_address(target.address);
+    if (!is_new_work(request.operation) &&
+        request.operation != execute_operation::resolve_commit) {
+        return std::nullopt;
+    }
+    if (is_draining_) {
+        return make_refusal(request, error_code::draining, "this proxy is leaving");
+    }
+    if (!view->is_configuration_confirmed) {
+        return make_refusal(request, error_code::configuration_unconfirmed,
+                            "this proxy cannot confirm its configuration");
+    }
+    if (target.is_leaving) {
+        return make_refusal(request, error_code::not_home, "the target is leaving");
+    }
+    const auto group = view->polled_groups.find(request.pool);
+    if (!is_home(*view, request) || group == view->polled_groups.end() || !group->second) {
+        return make_refusal(request, error_code::not_home, "this proxy is no home of the target");
+    }
+    if (!request.is_write) {
+        return std::nullopt;
+    }
+    const std::optional<state::primary_view>& primary = group->second->primary;
+    if (!primary) {
+        return make_refusal(request, error_code::no_primary, "the group has no primary now");
+    }
+    if (primary->target != request.target) {
+        return make_refusal(request, error_code::not_home, "the target is not the primary");
+    }
+    if (std::find(view->paused_pools.begin(), view->paused_pools.end(), request.pool) !=
+        view->paused_pools.end()) {
+        return make_refusal(request, error_code::no_primary, "the primary is being changed");
+    }
+    return std::nullopt;
+}
+
+std::shared_ptr<target_lane> home_runtime::get_lane(const std::string& pool,
+                                                    const state::target_description& target) {
+    const int quota = sessions_.get_quota(pool, target);
+    const state::pool_description* description = nullptr;
+    const std::shared_ptr<const state::fleet_view> view = groups_.get_view();
+    description = view->config->find_pool(pool);
+    const std::size_t length =
+        description == nullptr ? 1 : static_cast<std::size_t>(description->queue_length);
+    const std::scoped_lock lock(mutex_);
+    std::shared_ptr<target_lane>& lane = lanes_[pool + "/" + target.name];
+    if (!lane) {
+        lane = std::make_shared<target_lane>(length, target.slots, quota);
+    }
+    lane->update(length, quota);
+    return lane;
+}
+
+void home_runtime::dispatch(const std::shared_ptr<target_lane>& lane) {
+    for (target_lane::start_function& start : lane->take(std::chrono::steady_clock::now())) {
+        // Requests are bounded by the limits of the lanes; a full pool runs them on this thread.
+        if (!workers_.try_submit(start)) {
+            start();
+        }
+    }
+}
+
+void home_runtime::expire_queues(state::time_point now) {
+    std::vector<std::shared_ptr<target_lane>> lanes;
+    {
+        const std::scoped_lock lock(mutex_);
+        for (const auto& [name, lane] : lanes_) {
+            lanes.push_back(lane);
+        }
+    }
+    for (const std::shared_ptr<target_lane>& lane : lanes) {
+        lane->expire(now);
+        dispatch(lane);
+    }
+}
+
+void home_runtime::report_failure(const execute_request& request, const execution& result) {
+    if (result.outcome == outcome::ok || result.code == error_code::statement_failed ||
+        result.is_behind) {
+        return;
+    }
+    metrics_.record_target_failure();
+    transport::log_event(event_target_failure, {{"pool", request.pool},
+                                                {"target", request.target},
+                                                {"outcome", std::string(to_string(result.outcome))},
+                                                {"code", std::string(to_string(result.code))},
+                                                {"message", result.message}});
+    groups_.report_target_failure(request.pool, request.target);
+    if (result.is_silent) {
+        sessions_.report_silent(request.pool, request.target);
+    }
+}
+
+void home_runtime::answer(const execute_request& request, execution result,
+                          state::time_point deadline, execute_responder respond) {
+    execute_answer answer;
+    answer.exchange_id = request.exchange_id;
+    answer.outcome = result.outcome;
+    answer.code = result.code;
+    answer.message = std::move(result.message);
+    answer.was_sent = result.was_sent;
+    answer.is_behind = result.is_behind;
+    answer.results = std::move(result.results);
+    answer.point = result.point;
+    answer.target = request.target;
+    answer.is_primary = result.is_primary;
+    answer.incarnation = incarnation_;
+    answer.transaction = request.transaction;
+    answer.primary = coordination::find_primary(*groups_.get_view(), request.pool);
+    if (result.is_primary_lost && answer.outcome == outcome::not_run) {
+        // not_run: judge_exchange_failure() showed it; the code lets the entry wait for a primary.
+        answer.code = error_code::no_primary;
+    }
+    if (!result.needs_acknowledgement) {
+        respond(std::move(answer));
+        return;
+    }
+    waiter_.wait(request.pool,
+                 [done = std::move(answer), deadline, respond = std::move(respond)](
+                     const state::group_view* view, state::time_point now) {
+                     std::optional<execute_answer> decided = judge(done, view, now, deadline);
+                     if (!decided) {
+                         return false;
+                     }
+                     respond(std::move(*decided));
+                     return true;
+                 });
+}
+
+void home_runtime::add_gauges(gauge_sample& gauges) {
+    const std::scoped_lock lock(mutex_);
+    for (const auto& [name, lane] : lanes_) {
+        gauges.queued_reads += lane->get_queued(false);
+        gauges.queued_writes += lane->get_queued(true);
+        gauges.exchanges_in_flight += static_cast<std::size_t>(lane->get_in_flight());
+    }
+}
+
+}  // namespace hornbeamhook::proxy
--- /dev/null
+++ b/src/proxy/home_runtime.h
@@ -0,0 +1,98 @@
+#pragma once
+
+#include <atomic>
+#include <functional>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <optional>
+#include <string>
+
+#include "protocol/execute_message.h"
+#include "protocol/proxy_settings.h"
+#include "proxy/data_metrics.h"
+#include "proxy/execution.h"
+#include "proxy/group_source.h"
+#include "proxy/group_waiter.h"
+#include "proxy/target_lane.h"
+#include "proxy/target_session.h"
+#include "transport/worker_pool.h"
+
+namespace hornbeamhook::proxy {
+
+/** Sends the answer of a home; called exactly once. */
+using execute_responder = std::function<void(protocol::execute_answer)>;
+
+/** What the home's services share: lanes, threads, checks and the wait for acknowledgements. */
+class home_runtime {
+public:
+    /** The references must outlive this. */
+    home_runtime(const protocol::proxy_settings& settings, std::uint64_t incarnation,
+                 group_source& groups, session_source& sessions, data_metrics& metrics);
+    ~home_runtime();
+    home_runtime(const home_runtime&) = delete;
+    home_runtime& operator=(const home_runtime&) = delete;
+
+    /** Ends the threads. Safe to call twice. */
+    void stop();
+
+    /** The target of a request, or why this home does not serve it. Thread safe. */
+    std::optional<protocol::execute_answer> check(const protocol::execute_request& request,
+                                                  state::target_description& target) const;
+
+    /** The lane of a target. Thread safe. */
+    std::shared_ptr<target_lane> get_lane(const std::string& pool,
+                                          const state::target_description& target);
+
+    /** Starts what the lane allows. Thread safe. */
+    void dispatch(const std::shared_ptr<target_lane>& lane);
+
+    /** Refuses waiting requests past their deadline. Thread safe. */
+    void expire_queues(state::time_point now);
+
+    /**
+     * Turns an execution into the answer, after the group acknowledged it where needed. Thread
+     * safe, does not block.
+     */
+    void answer(const protocol::execute_request& request, execution result,
+                state::time_point deadline, execute_responder respond);
+
+    /** Reports a failed exchange to the control side and to the pool of connections. */
+    void report_failure(const protocol::execute_request& request, const execution& result);
+
+    /** An answer that nothing ran. The caller of this function has to prove it. */
+    protocol::execute_answer make_refusal(const protocol::execute_request& request,
+                                          protocol::error_code code, std::string message) const;
+
+    /** New requests are refused from now on. Thread safe. */
+    void begin_drain() { is_draining_ = true; }
+
+    /** Sums over all lanes. Thread safe. */
+    void add_gauges(gauge_sample& gauges);
+
+    group_source& get_groups() { return groups_; }
+    session_source& get_sessions() { return sessions_; }
+    executor& get_executor() { return executor_; }
+    group_waiter& get_waiter() { return waiter_; }
+    transport::worker_pool& get_transaction_workers() { return transaction_workers_; }
+    std::uint64_t get_incarnation() const { return incarnation_; }
+    const protocol::proxy_settings& get_settings() const { return settings_; }
+
+private:
+    bool is_home(const state::fleet_view& view, const protocol::execute_request& request) const;
+
+    const protocol::proxy_settings& settings_;
+    const std::uint64_t incarnation_;
+    group_source& groups_;
+    session_source& sessions_;
+    data_metrics& metrics_;
+    executor executor_;
+    std::atomic<bool> is_draining_ = false;
+    std::mutex mutex_;
+    std::map<std::string, std::shared_ptr<target_lane>> lanes_;
+    transport::worker_pool workers_;
+    transport::worker_pool transaction_workers_;
+    group_waiter waiter_;
+};
+
+}  // namespace hornbeamhook::proxy
--- /dev/null
+++ b/src/proxy/transaction_service.cpp
@@ -0,0 +1,412 @@
+#include "proxy/transaction_service.h"
+
+#include <algorithm>
+#include <utility>
+#include <vector>
+
+#include "coordination/freshness.h"
+#include "coordination/read_requirement.h"
+#include "protocol/request_table.h"
+#include "protocol/target_calls.h"
+#include "proxy/data_events.h"
+
+namespace hornbeamhook::proxy {
+
+namespace {
+
+using coordination::exchange_phase;
+using protocol::error_code;
+using protocol::execute_answer;
+using protocol::execute_operation;
+using protocol::execute_request;
+using state::outcome;
+using transport::target_error;
+using transport::target_result;
+using transport::target_statement;
+
+// Ending a transaction must not hang on a silent connection; closing it has the same effect.
+constexpr std::chrono::milliseconds end_timeout{500};
+
+/** Gives the connection back clean, or closes it when that cannot be shown. */
+void reset_session(std::unique_ptr<target_session> session, bool needs_rollback) {
+    const state::time_point deadline = std::chrono::steady_clock::now() + end_timeout;
+    std::vector<target_statement> statements;
+    if (needs_rollback) {
+        statements.push_back({"ROLLBACK", {}});
+    }
+    statements.push_back({"DISCARD ALL", {}});
+    static_cast<void>(session->run(statements, deadline));
+}
+
+execution make_ok() {
+    execution result;
+    result.outcome = outcome::ok;
+    result.code = error_code::ok;
+    result.was_sent = true;
+    return result;
+}
+
+}  // namespace
+
+transaction_service::transaction_service(home_runtime& runtime)
+    : runtime_(runtime),
+      registry_({runtime.get_settings().transaction_idle_timeout,
+                 runtime.get_settings().transaction_total_timeout}) {}
+
+transaction_service::~transaction_service() = default;
+
+std::size_t transaction_service::get_open() const {
+    const std::scoped_lock lock(mutex_);
+    return registry_.get_size();
+}
+
+void transaction_service::handle(execute_request request, execute_responder respond) {
+    const state::time_point arrival = std::chrono::steady_clock::now();
+    const state::time_point deadline = arrival + request.deadline;
+    if (!exchanges_.try_add(request.exchange_id, arrival)) {
+        // The first copy may be running, so this is not `not_run`.
+        execute_answer answer =
+            runtime_.make_refusal(request, error_code::outcome_unknown, "duplicate exchange id");
+        answer.outcome = outcome::unknown;
+        answer.was_sent = true;
+        respond(std::move(answer));
+        return;
+    }
+    if (request.operation != execute_operation::begin &&
+        request.incarnation != runtime_.get_incarnation()) {
+        // not_run: the process that held the transaction is gone and its connection closed.
+        respond(runtime_.make_refusal(request, error_code::transaction_gone,
+                                      "the home of the transaction was restarted"));
+        return;
+    }
+    state::target_description target;
+    if (request.operation == execute_operation::begin) {
+        if (std::optional<execute_answer> refusal = runtime_.check(request, target)) {
+            respond(std::move(*refusal));
+            return;
+        }
+        if (!request.is_write) {
+            begin_read(request, target, arrival, deadline, respond);
+            return;
+        }
+    }
+    const auto task = [this, request, target, deadline, respond] {
+        run(request, target, deadline, respond);
+    };
+    if (!runtime_.get_transaction_workers().try_submit(task)) {
+        // not_run: the task was not queued.
+        respond(runtime_.make_refusal(request, error_code::overloaded,
+                                      "too many statements of transactions wait"));
+    }
+}
+
+void transaction_service::run(const execute_request& request,
+                              const state::target_description& target, state::time_point deadline,
+                              const execute_responder& respond) {
+    switch (request.operation) {
+        case execute_operation::begin:
+            begin(request, target, deadline, respond);
+            return;
+        case execute_operation::transaction_statements:
+            run_statements(request, deadline, respond);
+            return;
+        case execute_operation::commit:
+            commit(request, deadline, respond);
+            return;
+        case execute_operation::rollback:
+            rollback(request, deadline, respond);
+            return;
+        default:
+            // not_run: no such operation exists on a transaction.
+            respond(runtime_.make_refusal(request, error_code::bad_request,
+                                          "not an operation of a transaction"));
+            return;
+    }
+}
+
+void transaction_service::begin(const execute_request& request,
+                                const state::target_description& target,
+                                state::time_point deadline, const execute_responder& respond) {
+    if (!ensure_key_table(request, target, deadline)) {
+        // not_run: no transaction was opened.
+        respond(runtime_.make_refusal(request, error_code::no_primary,
+                                      "the table of idempotency keys cannot be created"));
+        return;
+    }
+    open(request, target, {request.required, {}}, deadline, respond);
+}
+
+void transaction_service::begin_read(const execute_request& request,
+                                     const state::target_description& target,
+                                     state::time_point arrival, state::time_point deadline,
+                                     const execute_responder& respond) {
+    const coordination::read_requirement requirement = coordination::make_read_requirement(
+        request.policy, request.must_be_fresh, request.required, arrival);
+    const state::time_point give_up_at = coordination::get_catch_up_limit(arrival, deadline);
+    runtime_.get_waiter().wait(
+        request.pool, [this, request, target, requirement, give_up_at, deadline, respond](
+                          const state::group_view* view, state::time_point now) {
+            coordination::freshness_decision decision;
+            if (view != nullptr) {
+                decision = coordination::judge_freshness(requirement, *view, target.name, now,
+                                                         give_up_at);
+            }
+            if (decision.step == coordination::freshness_step::wait_for_proof ||
+                decision.step == coordination::freshness_step::wait_for_replica) {
+                return false;
+            }
+            const auto task = [this, request, target, required = decision.required, deadline,
+                               respond] { open(request, target, required, deadline, respond); };
+            if (decision.step == coordination::freshness_step::give_up ||
+                !runtime_.get_transaction_workers().try_submit(task)) {
+                // not_run: no transaction was opened.
+                execute_answer answer = runtime_.make_refusal(
+                    request, error_code::unavailable, "the target did not reach the point");
+                answer.is_behind = true;
+                respond(std::move(answer));
+            }
+            return true;
+        });
+}
+
+bool transaction_service::has_room(const std::string& pool,
+                                   const state::target_description& target) {
+    const int quota = runtime_.get_sessions().get_quota(pool, target);
+    int open = 0;
+    const std::scoped_lock lock(mutex_);
+    for (const auto& [number, entry] : pinned_) {
+        open += entry->target.name == target.name && entry->target.address == target.address;
+    }
+    // One connection stays free for requests outside of transactions.
+    return open < std::max(1, quota - 1);
+}
+
+bool transaction_service::ensure_key_table(const execute_request& request,
+                                           const state::target_description& target,
+                                           state::time_point deadline) {
+    {
+        const std::scoped_lock lock(mutex_);
+        if (pools_with_table_.contains(request.pool)) {
+            return true;
+        }
+    }
+    session_result acquired =
+        runtime_.get_sessions().acquire(request.pool, target, true, deadline);
+    if (std::holds_alternative<target_error>(acquired)) {
+        return false;
+    }
+    exchange_result answer = std::get<std::unique_ptr<target_session>>(acquired)->run(
+        {protocol::make_create_request_table()}, deadline);
+    if (std::holds_alternative<target_error>(answer)) {
+        return false;
+    }
+    const std::scoped_lock lock(mutex_);
+    pools_with_table_.insert(request.pool);
+    return true;
+}
+
+// Every refusal of open() is given while no transaction of the caller exists, so nothing ran.
+void transaction_service::open(const execute_request& request,
+                               const state::target_description& target,
+                               const coordination::required_points& required,
+                               state::time_point deadline, const execute_responder& respond) {
+    if (!has_room(request.pool, target)) {
+        respond(runtime_.make_refusal(request, error_code::overloaded,
+                                      "too many transactions are open at the target"));
+        return;
+    }
+    session_result acquired =
+        runtime_.get_sessions().acquire(request.pool, target, true, deadline);
+    if (const auto* error = std::get_if<target_error>(&acquired)) {
+        execution failure = executor::make_failure(exchange_phase::opening, *error);
+        failure.is_primary_lost = request.is_write &&
+                                  error->kind != transport::target_failure_kind::connection_limit;
+        runtime_.report_failure(request, failure);
+        runtime_.answer(request, std::move(failure), deadline, respond);
+        return;
+    }
+    auto entry = std::make_shared<pinned>();
+    entry->session = std::move(std::get<std::unique_ptr<target_session>>(acquired));
+    entry->target = target;
+    entry->is_write = request.is_write;
+    entry->lane = runtime_.get_lane(request.pool, target);
+    exchange_result answer =
+        entry->session->run({{"BEGIN", {}}, protocol::make_status_statement()}, deadline);
+    if (const auto* error = std::get_if<target_error>(&answer)) {
+        execution failure = executor::make_failure(exchange_phase::statements, *error);
+        failure.was_sent = false;  // No statement of the caller was part of it.
+        runtime_.report_failure(request, failure);
+        runtime_.answer(request, std::move(failure), deadline, respond);
+        return;
+    }
+    state::target_status status;
+    const bool is_parsed = boost::leaf::try_handle_all(
+        [&]() -> boost::leaf::result<bool> {
+            BOOST_LEAF_ASSIGN(status, protocol::parse_status_result(
+                                          std::get<std::vector<target_result>>(answer)[1]));
+            return true;
+        },
+        [] { return false; });
+    const bool is_primary = is_parsed && status.is_unfenced_primary_of(status.follow_term);
+    if (!is_parsed || !required.is_covered_by(status) || (request.is_write && !is_primary)) {
+        reset_session(std::move(entry->session), true);
+        execute_answer refusal = runtime_.make_refusal(
+            request, request.is_write ? error_code::no_primary : error_code::unavailable,
+            "the target cannot serve the transaction");
+        refusal.is_behind = !request.is_write;
+        respond(std::move(refusal));
+        return;
+    }
+    std::uint64_t number = 0;
+    {
+        const std::scoped_lock lock(mutex_);
+        const state::time_point now = std::chrono::steady_clock::now();
+        number = registry_.open(request.pool, request.caller, now);
+        registry_.release(number, now);
+        pinned_.emplace(number, entry);
+    }
+    execution result = make_ok();
+    result.point = status.get_log_end();
+    result.is_primary = is_primary;
+    execute_request named = request;
+    named.transaction = number;
+    runtime_.answer(named, std::move(result), deadline, respond);
+}
+
+std::shared_ptr<transaction_service::pinned> transaction_service::claim(
+    const execute_request& request, const execute_responder& respond) {
+    coordination::transaction_claim verdict = coordination::transaction_claim::gone;
+    {
+        const std::scoped_lock lock(mutex_);
+        verdict = registry_.claim(request.transaction, request.pool, request.caller,
+                                  std::chrono::steady_clock::now());
+        if (verdict == coordination::transaction_claim::granted) {
+            return pinned_.at(request.transaction);
+        }
+    }
+    // not_run: the request got no connection.
+    if (verdict == coordination::transaction_claim::busy) {
+        respond(runtime_.make_refusal(request, error_code::bad_request,
+                                      "another statement of the transaction is running"));
+    } else {
+        respond(runtime_.make_refusal(request, error_code::transaction_gone,
+                                      "the transaction ended or was rolled back after a timeout"));
+    }
+    return nullptr;
+}
+
+void transaction_service::close(std::uint64_t number) {
+    const std::scoped_lock lock(mutex_);
+    registry_.close(number);
+    pinned_.erase(number);
+}
+
+void transaction_service::run_statements(const execute_request& request,
+                                         state::time_point deadline,
+                                         const execute_responder& respond) {
+    const std::shared_ptr<pinned> entry = claim(request, respond);
+    if (!entry) {
+        return;
+    }
+    state::time_point end = deadline;
+    {
+        const std::scoped_lock lock(mutex_);
+        end = std::min(deadline, registry_.get_end(request.transaction));
+    }
+    std::vector<target_statement> statements = request.statements;
+    statements.push_back(protocol::make_status_statement());
+    entry->lane->enter();
+    const state::time_point began = std::chrono::steady_clock::now();
+    exchange_result answer = entry->session->run(statements, end);
+    const state::time_point ended = std::chrono::steady_clock::now();
+    if (const auto* error = std::get_if<target_error>(&answer)) {
+        entry->lane->leave();
+        execution failure = executor::make_failure(exchange_phase::statements, *error);
+        failure.message += "; the transaction was rolled back";
+        if (failure.code != error_code::statement_failed) {
+            // The statement alone cannot be repeated, because the transaction is gone.
+            failure.code = error_code::transaction_gone;
+        }
+        close(request.transaction);
+        entry->session.reset();  // Closes the connection; the target rolls back.
+        runtime_.report_failure(request, failure);
+        runtime_.answer(request, std::move(failure), deadline, respond);
+        return;
+    }
+    entry->lane->finish(std::chrono::duration_cast<std::chrono::microseconds>(ended - began),
+                        ended);
+    auto& results = std::get<std::vector<target_result>>(answer);
+    execution result = make_ok();
+    result.is_primary = entry->is_write;
+    static_cast<void>(boost::leaf::try_handle_all(
+        [&]() -> boost::leaf::result<bool> {
+            BOOST_LEAF_AUTO(status, protocol::parse_status_result(results.back()));
+            result.point = status.get_log_end();  // Bounds what the statements saw.
+            return true;
+        },
+        [] { return false; }));
+    results.pop_back();
+    result.results = std::move(results);
+    {
+        const std::scoped_lock lock(mutex_);
+        registry_.release(request.transaction, ended);
+    }
+    runtime_.answer(request, std::move(result), deadline, respond);
+}
+
+void transaction_service::commit(const execute_request& request, state::time_point deadline,
+                                 const execute_responder& respond) {
+    const std::shared_ptr<pinned> entry = claim(request, respond);
+    if (!entry) {
+        return;
+    }
+    execution result;
+    if (entry->is_write) {
+        result = runtime_.get_executor().run_commit(*entry->session, request, entry->target,
+                                                    deadline);
+    } else {
+        // A transaction that only reads has no effect; ending it either way is a success.
+        result = make_ok();
+    }
+    close(request.transaction);
+    runtime_.report_failure(request, result);
+    const bool is_clean = result.outcome == outcome::ok && result.needs_acknowledgement &&
+                          !entry->session->is_broken();
+    if (is_clean || !entry->is_write) {
+        reset_session(std::move(entry->session), !entry->is_write);
+    }
+    entry->session.reset();
+    runtime_.answer(request, std::move(result), deadline, respond);
+}
+
+void transaction_service::rollback(const execute_request& request, state::time_point deadline,
+                                   const execute_responder& respond) {
+    const std::shared_ptr<pinned> entry = claim(request, respond);
+    if (!entry) {
+        return;
+    }
+    close(request.transaction);
+    reset_session(std::move(entry->session), true);
+    runtime_.answer(request, make_ok(), deadline, respond);
+}
+
+void transaction_service::expire(state::time_point now) {
+    std::vector<std::shared_ptr<pinned>> expired;
+    {
+        const std::scoped_lock lock(mutex_);
+        for (const std::uint64_t number : registry_.expire(now)) {
+            transport::log_event(event_transaction_expired,
+                                 {{"transaction", std::to_string(number)}});
+            expired.push_back(pinned_.at(number));
+            pinned_.erase(number);
+        }
+    }
+    for (const std::shared_ptr<pinned>& entry : expired) {
+        const auto task = [entry] { reset_session(std::move(entry->session), true); };
+        if (!runtime_.get_transaction_workers().try_submit(task)) {
+            entry->session.reset();  // Closing the connection rolls back as well.
+        }
+    }
+}
+
+}  // namespace hornbeamhook::proxy
--- /dev/null
+++ b/src/proxy/transaction_service.h
@@ -0,0 +1,78 @@
+#pragma once
+
+#include <map>
+#include <memory>
+#include <mutex>
+#include <set>
+#include <string>
+
+#include "coordination/transaction_registry.h"
+#include "proxy/exchange_log.h"
+#include "proxy/home_runtime.h"
+
+namespace hornbeamhook::proxy {
+
+/**
+ * Open transactions at their home. Each pins one connection until it ends; when this process dies,
+ * its connections close and the targets roll back.
+ */
+class transaction_service {
+public:
+    /** `runtime` must outlive this. */
+    explicit transaction_service(home_runtime& runtime);
+
+    /** Rolls back what is open. */
+    ~transaction_service();
+    transaction_service(const transaction_service&) = delete;
+    transaction_service& operator=(const transaction_service&) = delete;
+
+    /** Serves a request of a transaction; answers from any thread. Thread safe, does not block on a
+     * target. */
+    void handle(protocol::execute_request request, execute_responder respond);
+
+    /** Rolls back transactions past their idle or total time. Thread safe. */
+    void expire(state::time_point now);
+
+    /** Open transactions. Thread safe. */
+    std::size_t get_open() const;
+
+private:
+    struct pinned {
+        std::unique_ptr<target_session> session;
+        std::shared_ptr<target_lane> lane;
+        state::target_description target;
+        bool is_write = true;
+    };
+
+    void run(const protocol::execute_request& request, const state::target_description& target,
+             state::time_point deadline, const execute_responder& respond);
+    void begin(const protocol::execute_request& request, const state::target_description& target,
+               state::time_point deadline, const execute_responder& respond);
+    void begin_read(const protocol::execute_request& request,
+                    const state::target_description& target, state::time_point arrival,
+                    state::time_point deadline, const execute_responder& respond);
+    void open(const protocol::execute_request& request, const state::target_description& target,
+              const coordination::required_points& required, state::time_point deadline,
+              const execute_responder& respond);
+    void run_statements(const protocol::execute_request& request, state::time_point deadline,
+                        const execute_responder& respond);
+    void commit(const protocol::execute_request& request, state::time_point deadline,
+                const execute_responder& respond);
+    void rollback(const protocol::execute_request& request, state::time_point deadline,
+                  const execute_responder& respond);
+    std::shared_ptr<pinned> claim(const protocol::execute_request& request,
+                                  const execute_responder& respond);
+    void close(std::uint64_t number);
+    bool has_room(const std::string& pool, const state::target_description& target);
+    bool ensure_key_table(const protocol::execute_request& request,
+                          const state::target_description& target, state::time_point deadline);
+
+    home_runtime& runtime_;
+    exchange_log exchanges_;
+    mutable std::mutex mutex_;
+    coordination::transaction_registry registry_;
+    std::map<std::uint64_t, std::shared_ptr<pinned>> pinned_;
+    std::set<std::string> pools_with_table_;
+};
+
+}  // namespace hornbeamhook::proxy
