--- a/src/coordination/configuration_log.h
+++ b/src/coordination/configuration_log.h
@@ -47,6 +47,7 @@
 struct change_draft {
     state::configuration_change change;
     std::vector<object_base> bases;
+    std::vector<object_base> required;  ///< Pools that must still exist for new targets.
 
     bool operator==(const change_draft&) const = default;
 };
--- a/src/protocol/table_client.cpp
+++ b/src/protocol/table_client.cpp
@@ -171,6 +171,13 @@
 
 leaf::result<bool> table_client::commit(const std::vector<table_condition>& conditions,
                                         const std::vector<table_write>& writes) {
+    BOOST_LEAF_AUTO(version, commit_rows(conditions, writes));
+    return version.has_value();
+}
+
+leaf::result<std::optional<std::uint64_t>> table_client::commit_rows(
+    const std::vector<table_condition>& conditions, const std::vector<table_write>& writes) {
+    using row_version = std::optional<std::uint64_t>;
     json body{{"conditions", json::array()}, {"puts", json::array()}, {"deletes", json::array()}};
     for (const table_condition& condition : conditions) {
         json item{{"table", condition.table}, {"key", condition.key}};
@@ -190,13 +197,14 @@
     }
     BOOST_LEAF_AUTO(response, exchange(http_, make_call(address_, timeout_, "POST",
                                                         "/v1/table/transaction", dump(body))));
-    return parse_answer<bool>(response, true, [](const json& object) -> leaf::result<bool> {
-        json_reader reader(object, "answer");
-        const bool is_committed = reader.get_boolean("committed");
-        reader.has("version");
-        BOOST_LEAF_CHECK(reader.finish());
-        return is_committed;
-    });
+    return parse_answer<row_version>(
+        response, true, [](const json& object) -> leaf::result<row_version> {
+            json_reader reader(object, "answer");
+            const bool is_committed = reader.get_boolean("committed");
+            const std::uint64_t version = reader.get_integer("version", 0, max_counter);
+            BOOST_LEAF_CHECK(reader.finish());
+            return is_committed ? row_version(version) : row_version();
+        });
 }
 
 leaf::result<void> table_client::put_object(const std::string& name, const std::string& body) {
--- a/src/protocol/table_client.h
+++ b/src/protocol/table_client.h
@@ -75,6 +75,11 @@
     boost::leaf::result<bool> commit(const std::vector<table_condition>& conditions,
                                      const std::vector<table_write>& writes);
 
+    /** Like commit(), but returns the new version of all rows put, or empty when a condition does
+     * not hold. */
+    boost::leaf::result<std::optional<std::uint64_t>> commit_rows(
+        const std::vector<table_condition>& conditions, const std::vector<table_write>& writes);
+
     /** Stores an object. Fails with table_error. */
     boost::leaf::result<void> put_object(const std::string& name, const std::string& body);
 
--- a/src/state/configuration.h
+++ b/src/state/configuration.h
@@ -21,7 +21,7 @@
     int slots = 3;              ///< Statements the target runs at the same time.
     bool is_leaving = false;    ///< Gets no new work.
 
-    auto operator<=>(const target_description&) const = default;
+    bool operator==(const target_description&) const = default;
 };
 
 /** How old the data of a read may be. */
@@ -31,7 +31,7 @@
     kind policy = kind::own_writes;
     std::chrono::milliseconds max_age{0};  ///< Only for `max_age`.
 
-    auto operator<=>(const read_policy&) const = default;
+    bool operator==(const read_policy&) const = default;
 };
 
 /** A named pool: one database group and how callers use it. */
@@ -42,7 +42,7 @@
     std::chrono::milliseconds default_deadline{5000};
     std::vector<target_description> targets;  ///< Ordered by name.
 
-    auto operator<=>(const pool_description&) const = default;
+    bool operator==(const pool_description&) const = default;
 
     /** The target with this name, or null. */
     const target_description* find_target(const std::string& target) const;
@@ -57,7 +57,7 @@
     bool may_read = false;
     bool may_write = false;
 
-    auto operator<=>(const access_right&) const = default;
+    bool operator==(const access_right&) const = default;
 };
 
 /** A caller or operator, known by the hash of its credential. */
@@ -66,7 +66,7 @@
     std::string credential_hash;  ///< Hex of the keyed hash; the credential itself is never stored.
     std::vector<access_right> rights;
 
-    auto operator<=>(const principal&) const = default;
+    bool operator==(const principal&) const = default;
 
     /** Whether a right covers reading (or writing) in `pool`. */
     bool is_allowed(const std::string& pool, bool is_write) const;
@@ -77,7 +77,7 @@
     std::string id;
     std::string secret;  ///< Hex, 32 bytes.
 
-    auto operator<=>(const token_key&) const = default;
+    bool operator==(const token_key&) const = default;
 };
 
 /** The configuration of the whole fleet at one version. */
--- /dev/null
+++ b/tests/proxy/platform_sync_test.cpp
@@ -0,0 +1,152 @@
+#include "proxy/platform_sync.h"
+
+#include <gtest/gtest.h>
+
+#include <condition_variable>
+#include <mutex>
+
+#include "protocol/configuration_store.h"
+#include "support/configuration_samples.h"
+#include "support/platform_fixture.h"
+
+namespace hornbeamhook::proxy {
+namespace {
+
+using coordination::make_draft;
+using state::configuration;
+using std::chrono::milliseconds;
+using tests::make_change;
+using tests::make_pool;
+
+constexpr std::chrono::seconds wait_limit{20};
+
+class platform_sync_test : public tests::platform_fixture {
+protected:
+    platform_sync_test() : client_(settings_.listen_address, milliseconds(2000)), store_(client_) {}
+
+    protocol::proxy_settings make_settings() const {
+        protocol::proxy_settings settings;
+        settings.vm = "vm-1";
+        settings.place = "cairo";
+        settings.data_center = "cairo-1";
+        settings.advertise_address = "127.0.0.1:9";
+        settings.platform_address = settings_.listen_address;
+        settings.store_poll_interval = milliseconds(10);
+        settings.store_timeout = milliseconds(500);
+        return settings;
+    }
+
+    /** Records everything and adopts like the control thread does. */
+    platform_callbacks make_callbacks() {
+        return {.get_adopted_version =
+                    [this] {
+                        const std::scoped_lock lock(mutex_);
+                        ++polls_;
+                        return adopted_.version;
+                    },
+                .on_configuration =
+                    [this](const configuration_update& update) {
+                        change([&] {
+                            if (update.whole && update.whole->version > adopted_.version) {
+                                adopted_ = *update.whole;
+                                ++wholes_;
+                            }
+                            const std::uint64_t before = adopted_.version;
+                            adopted_ = coordination::adopt_changes(adopted_, update.changes).config;
+                            reverts_ += adopted_.version < before ? 1 : 0;
+                        });
+                    },
+                .on_head = [this](std::uint64_t head) { change([&] { head_ = head; }); },
+                .on_vms =
+                    [this](std::vector<protocol::vm_entry> vms) {
+                        change([&] { vms_ = std::move(vms); });
+                    },
+                .on_reachability =
+                    [this](bool is_reachable) { change([&] { is_reachable_ = is_reachable; }); }};
+    }
+
+    template <class Function>
+    void change(Function function) {
+        {
+            const std::scoped_lock lock(mutex_);
+            function();
+        }
+        has_changed_.notify_all();
+    }
+
+    template <class Condition>
+    bool wait_until(Condition condition) {
+        std::unique_lock lock(mutex_);
+        return has_changed_.wait_for(lock, wait_limit, condition);
+    }
+
+    void commit(int number) {
+        current_ = store_
+                       .commit(current_,
+                               make_draft(current_, make_change("id" + std::to_string(number),
+                                                                {make_pool("p", number)})),
+                               {}, std::chrono::steady_clock::now() + wait_limit)
+                       .config;
+    }
+
+    protocol::table_client client_;
+    protocol::configuration_store store_;
+    configuration current_;
+    std::mutex mutex_;
+    std::condition_variable has_changed_;
+    configuration adopted_;
+    std::uint64_t head_ = 0;
+    int polls_ = 0;
+    int wholes_ = 0;
+    int reverts_ = 0;
+    std::vector<protocol::vm_entry> vms_;
+    std::optional<bool> is_reachable_;
+};
+
+// Guards against a proxy that does not follow the log, or reads it whole each time.
+TEST_F(platform_sync_test, follows_the_log_and_lists_its_vm) {
+    commit(1);
+    platform_sync sync(make_settings(), make_callbacks());
+    sync.start();
+    EXPECT_TRUE(wait_until([&] { return adopted_.version == 1 && vms_.size() == 1; }));
+    for (int i = 2; i <= 5; ++i) {
+        commit(i);
+        EXPECT_TRUE(wait_until([&] { return adopted_.version == current_.version; }));
+    }
+    EXPECT_EQ(wholes_, 1);
+    EXPECT_EQ(reverts_, 0);
+    sync.announce_leaving();
+    EXPECT_TRUE(wait_until([&] { return vms_.size() == 1 && vms_[0].is_leaving; }));
+    sync.stop();
+    EXPECT_EQ(adopted_, current_);
+}
+
+// Guards against an outage that is not noticed, or after which changes are missed.
+TEST_F(platform_sync_test, catches_up_after_an_outage) {
+    platform_sync sync(make_settings(), make_callbacks());
+    sync.start();
+    EXPECT_TRUE(wait_until([&] { return is_reachable_ == true; }));
+    set_faults({{"outage", "refuse"}});
+    EXPECT_TRUE(wait_until([&] { return is_reachable_ == false; }));
+    set_faults({{"outage", "none"}});
+    for (int i = 1; i <= 3; ++i) {
+        commit(i);
+    }
+    EXPECT_TRUE(wait_until([&] { return is_reachable_ == true && adopted_.version == 3; }));
+    EXPECT_EQ(reverts_, 0);
+}
+
+// Guards against a proxy that reads the store although its relay does.
+TEST_F(platform_sync_test, reads_nothing_when_told_so) {
+    platform_sync sync(make_settings(), make_callbacks());
+    sync.set_reading(false);
+    sync.start();
+    commit(1);
+    sync.poll_now();
+    EXPECT_TRUE(wait_until([&] { return adopted_.version == 1; }));
+    sync.stop();
+    EXPECT_EQ(polls_, 1);
+}
+
+}  // namespace
+}  // namespace hornbeamhook::proxy
