--- a/src/proxy/platform_sync.cpp
+++ b/src/proxy/platform_sync.cpp
@@ -184,7 +184,12 @@
         const std::scoped_lock lock(mutex);
         self.is_leaving = is_leaving;
     }
-    const bool is_listed = std::find(list.begin(), list.end(), self) != list.end();
+    // An operator may have drained this VM, so a listed "leaving" is never turned back to "live".
+    const bool is_listed =
+        std::any_of(list.begin(), list.end(), [&](const protocol::vm_entry& entry) {
+            return entry.vm == self.vm && entry.address == self.address &&
+                   (entry.is_leaving || !self.is_leaving);
+        });
     callbacks.on_vms(std::move(list));
     if (!is_listed) {
         BOOST_LEAF_CHECK(client.put_vm(self));
--- a/src/proxy/platform_sync.h
+++ b/src/proxy/platform_sync.h
@@ -39,7 +39,8 @@
 
 /**
  * A thread that polls the head of the configuration log and the VM list each store_poll_interval.
- * It also registers this VM in the list, repeatedly until the list shows it.
+ * It also registers this VM in the list, repeatedly until the list shows it. An operator drains a
+ * VM by listing it as leaving; the receiver of on_vms acts on that.
  */
 class platform_sync {
 public:
--- a/src/proxy/usage_ledger.cpp
+++ b/src/proxy/usage_ledger.cpp
@@ -10,17 +10,24 @@
 // Callers beyond the limit of rows are counted together, so that totals stay right.
 constexpr const char* overflow_name = "(other)";
 
+/** A name as part of a row key, in which "/" separates the parts. */
+std::string make_part(std::string text) {
+    std::replace(text.begin(), text.end(), '/', '_');
+    return text.empty() ? "-" : text;
+}
+
 }  // namespace
 
 usage_ledger::usage_ledger(std::string place, std::string vm, std::uint64_t incarnation,
                            std::size_t max_rows)
-    : place_(std::move(place)),
-      vm_(std::move(vm)),
+    : place_(make_part(std::move(place))),
+      vm_(make_part(std::move(vm))),
       incarnation_(incarnation),
       max_rows_(max_rows) {}
 
 void usage_ledger::record(const usage_sample& sample, const std::string& hour) {
-    state::usage_key key{hour, sample.pool, sample.caller, place_, vm_, incarnation_};
+    state::usage_key key{hour,        make_part(sample.pool), make_part(sample.caller), place_, vm_,
+                         incarnation_};
     if (entries_.size() >= max_rows_ && !entries_.contains(key)) {
         key.pool = overflow_name;
         key.caller = overflow_name;
--- a/src/proxy/usage_recorder.cpp
+++ b/src/proxy/usage_recorder.cpp
@@ -26,7 +26,7 @@
 // One row needs about 1 KB; the bound holds a day of store outage at today's size.
 constexpr std::size_t max_rows = 20'000;
 // At the end of the process a lost answer is resolved by reading back and writing again.
-constexpr int last_attempts = 3;
+constexpr int last_attempts = 2;
 
 std::string get_hour() {
     const std::time_t now = std::time(nullptr);
--- a/src/state/usage_row.cpp
+++ b/src/state/usage_row.cpp
@@ -1,6 +1,5 @@
 #include "state/usage_row.h"
 
-#include <algorithm>
 #include <limits>
 
 #include "state/json_reader.h"
@@ -11,17 +10,11 @@
 
 constexpr std::int64_t max_counter = std::numeric_limits<std::int64_t>::max();
 
-/** "/" separates the parts of a row key. */
-std::string make_part(std::string text) {
-    std::replace(text.begin(), text.end(), '/', '_');
-    return text.empty() ? "-" : text;
-}
-
 }  // namespace
 
 std::string usage_key::get_row_key() const {
-    return make_part(hour) + "/" + make_part(pool) + "/" + make_part(caller) + "/" +
-           make_part(place) + "/" + make_part(vm) + "/" + std::to_string(incarnation);
+    return hour + "/" + pool + "/" + caller + "/" + place + "/" + vm + "/" +
+           std::to_string(incarnation);
 }
 
 boost::leaf::result<usage_row> parse_usage_row(const nlohmann::json& object) {
--- a/src/state/usage_row.h
+++ b/src/state/usage_row.h
@@ -21,7 +21,7 @@
 
     auto operator<=>(const usage_key&) const = default;
 
-    /** Key in the table service: the fields joined by "/". */
+    /** Key in the table service: the fields joined by "/". Precondition: no field contains "/". */
     std::string get_row_key() const;
 };
 
--- a/tests/proxy/platform_sync_test.cpp
+++ b/tests/proxy/platform_sync_test.cpp
@@ -136,6 +136,21 @@
     EXPECT_EQ(reverts_, 0);
 }
 
+// Guards against a proxy that cancels an operator's drain by registering itself again.
+TEST_F(platform_sync_test, keeps_a_drain_of_its_vm) {
+    platform_sync sync(make_settings(), make_callbacks());
+    sync.start();
+    EXPECT_TRUE(wait_until([&] { return vms_.size() == 1 && !vms_[0].is_leaving; }));
+    protocol::vm_entry drained = vms_[0];
+    drained.is_leaving = true;
+    EXPECT_TRUE(static_cast<bool>(client_.put_vm(drained)));
+    EXPECT_TRUE(wait_until([&] { return vms_.size() == 1 && vms_[0].is_leaving; }));
+    const int before = polls_;
+    EXPECT_TRUE(wait_until([&] { return polls_ >= before + 3; }));
+    sync.stop();
+    EXPECT_TRUE(vms_[0].is_leaving);
+}
+
 // Guards against a proxy that reads the store although its relay does.
 TEST_F(platform_sync_test, reads_nothing_when_told_so) {
     platform_sync sync(make_settings(), make_callbacks());
