Add the failover state machine and connect it to the fleet service

Suspicion, observer quorum, claims, fencing, promotion, adoption, hysteresis, planned changes, replacement of leaving primaries.

--- a/src/coordination/home_assignment.cpp
+++ b/src/coordination/home_assignment.cpp
@@ -63,6 +63,7 @@
     std::partial_sort(candidates.begin(), candidates.begin() + static_cast<std::ptrdiff_t>(taken),
                       candidates.end(), is_better);
     std::vector<member> homes;
+    homes.reserve(taken);
     for (std::size_t i = 0; i < taken; ++i) {
         homes.push_back(*candidates[i].value);
     }
@@ -79,6 +80,7 @@
         }
     }
     std::vector<std::pair<std::uint64_t, member>> ranked;
+    ranked.reserve(unique.size());
     for (auto& [vm, value] : unique) {
         ranked.emplace_back(get_rendezvous_weight(pool.name, vm), std::move(value));
     }
@@ -86,6 +88,7 @@
         return std::tie(right.first, left.second.vm) < std::tie(left.first, right.second.vm);
     });
     std::vector<member> pollers;
+    pollers.reserve(ranked.size());
     for (auto& [weight, value] : ranked) {
         pollers.push_back(std::move(value));
     }
--- a/src/coordination/poll_schedule.cpp
+++ b/src/coordination/poll_schedule.cpp
@@ -43,7 +43,7 @@
 void apply(poll_schedule_state& state, const poll_finished& event, time_point now,
            std::vector<schedule_action>& actions) {
     state.began_at.reset();
-    state.is_failing = !event.is_answered;
+    state.failures = event.is_answered ? 0 : state.failures + 1;
     // A failing target is not polled back to back, however many readers ask.
     if (state.is_queued && event.is_answered) {
         begin(state, now, actions);
@@ -60,8 +60,9 @@
 }  // namespace
 
 time_point get_next_check(const poll_schedule_state& state, bool has_waiters) {
-    if (state.is_failing) {
-        return state.last_began + failing_poll_spacing;
+    if (state.failures > 0) {
+        const bool is_quick = state.failures <= max_quick_failures;
+        return state.last_began + (is_quick ? failing_poll_spacing : state.heartbeat_interval);
     }
     if (state.is_queued) {
         return state.last_began;
@@ -76,7 +77,7 @@
                                       time_point now) {
     std::vector<schedule_action> actions;
     std::visit([&](const auto& value) { apply(state, value, now, actions); }, event);
-    return {std::move(state), std::move(actions)};
+    return {state, std::move(actions)};
 }
 
 }  // namespace hornbeamhook::coordination
--- a/src/coordination/poll_schedule.h
+++ b/src/coordination/poll_schedule.h
@@ -36,7 +36,7 @@
     bool is_queued = false;                     ///< A poll was requested after the last one began.
     state::time_point last_began{};
     state::time_point last_requested{};
-    bool is_failing = false;  ///< The last poll failed.
+    int failures = 0;  ///< In a row.
 };
 
 /** New state and what to do. */
@@ -47,6 +47,8 @@
 
 /** A target that does not answer is polled again after this time, to confirm the failure soon. */
 inline constexpr std::chrono::milliseconds failing_poll_spacing{50};
+/** After this many failures in a row the target is polled at the heartbeat interval again. */
+inline constexpr int max_quick_failures = 20;
 
 /** Applies one event. Pure. */
 poll_schedule_step step_poll_schedule(poll_schedule_state state, const schedule_event& event,
--- a/src/protocol/peer_messages.h
+++ b/src/protocol/peer_messages.h
@@ -2,9 +2,11 @@
 
 #include <boost/leaf.hpp>
 #include <nlohmann/json.hpp>
+#include <optional>
 #include <string>
 #include <vector>
 
+#include "coordination/failover.h"
 #include "state/configuration.h"
 #include "state/member.h"
 
@@ -37,4 +39,37 @@
 /** The inverse of parse_configuration_answer(). */
 nlohmann::json to_json(const configuration_answer& answer);
 
+/** Body of POST /internal/v1/observations and of its answer. */
+struct observation_message {
+    std::string pool;
+    /// Empty when the sender knows no primary or does not poll the group.
+    std::optional<coordination::primary_observation> observation;
+};
+
+/** Parses an observation. Fails with state_error. */
+boost::leaf::result<observation_message> parse_observation_message(const nlohmann::json& object);
+
+/** The inverse of parse_observation_message(). */
+nlohmann::json to_json(const observation_message& message);
+
+/** A promotion as audit details. */
+nlohmann::json to_json(const coordination::promotion_report& report);
+
+/** Body of POST /internal/v1/planned_change: either a new primary, or a notice to homes. */
+struct planned_change_message {
+    std::string pool;
+    std::string target;             ///< The new primary, or empty for a notice.
+    bool is_forwarded = false;      ///< Sent on by a proxy that does not poll the group.
+    std::optional<bool> is_paused;  ///< Notice: homes stop or resume admitting writes.
+
+    bool operator==(const planned_change_message&) const = default;
+};
+
+/** Parses a planned change. Fails with state_error. */
+boost::leaf::result<planned_change_message> parse_planned_change_message(
+    const nlohmann::json& object);
+
+/** The inverse of parse_planned_change_message(). */
+nlohmann::json to_json(const planned_change_message& message);
+
 }  // namespace hornbeamhook::protocol
--- a/src/proxy/fleet_control.cpp
+++ b/src/proxy/fleet_control.cpp
@@ -31,6 +31,18 @@
 constexpr std::size_t max_queued_calls = 64;
 /// Longest sleep of the control thread; all its deadlines are coarser.
 constexpr milliseconds tick_interval{50};
+/// Sleep of the control thread while a failover is under way.
+constexpr milliseconds quick_tick_interval{10};
+/// Threads for calls that a failover waits for; at most 5 other pollers are asked per group.
+constexpr std::size_t urgent_worker_count = 6;
+/// A poller that does not answer in this time is asked again.
+constexpr milliseconds observation_timeout{300};
+/// Writes resume by themselves after this time, in case the claimant dies meanwhile.
+constexpr milliseconds pause_limit{3000};
+/// A planned change ends within this time: 2 s to catch up, then a claim.
+constexpr milliseconds planned_change_timeout{6000};
+/// A leaving primary whose change failed is tried again after this time.
+constexpr milliseconds leave_check_interval{1000};
 /// A longer gap between two steps is treated as a pause of the process.
 constexpr milliseconds pause_threshold{1000};
 /// An exchange with a peer that takes longer is a failure.
@@ -61,6 +73,23 @@
     return make_error(400, "bad_request", message);
 }
 
+/** The parsed body, or empty with `message` set. */
+template <typename value_type, typename parser>
+std::optional<value_type> parse_body(const http_request& request, parser parse,
+                                     std::string& message) {
+    return leaf::try_handle_all(
+        [&]() -> leaf::result<std::optional<value_type>> {
+            BOOST_LEAF_AUTO(object, state::parse_json(request.body, "body"));
+            BOOST_LEAF_AUTO(value, parse(object));
+            return std::optional<value_type>(std::move(value));
+        },
+        [&](const state::state_error& error) -> std::optional<value_type> {
+            message = error.message;
+            return std::nullopt;
+        },
+        [] { return std::optional<value_type>(); });
+}
+
 bool is_same_secret(const std::string& left, const std::string& right) {
     return left.size() == right.size() &&
            sodium_memcmp(left.data(), right.data(), left.size()) == 0;
@@ -111,6 +140,8 @@
     confirmation_.last_contact = get_now();
     platform_ = std::make_unique<platform_sync>(settings_, make_platform_callbacks());
     workers_ = std::make_unique<transport::worker_pool>(worker_count, max_queued_calls);
+    urgent_workers_ =
+        std::make_unique<transport::worker_pool>(urgent_worker_count, max_queued_calls);
     control_thread_ = std::thread([this] { run_control(); });
     platform_->start();
 }
@@ -131,8 +162,10 @@
         }
     }
     groups_.clear();
-    if (workers_) {
-        workers_->stop();
+    for (const auto& pool : {workers_.get(), urgent_workers_.get()}) {
+        if (pool != nullptr) {
+            pool->stop();
+        }
     }
 }
 
@@ -183,6 +216,12 @@
     if (request.path == "/internal/v1/configuration" && request.method == "GET") {
         return answer_configuration(request);
     }
+    if (request.path == "/internal/v1/observations" && request.method == "POST") {
+        return answer_observation(request);
+    }
+    if (request.path == "/internal/v1/planned_change" && request.method == "POST") {
+        return answer_planned_change(request);
+    }
     if (request.path == "/internal/v1/status" && request.method == "GET") {
         return answer_status();
     }
@@ -191,17 +230,8 @@
 
 http_response fleet_control::answer_exchange(const http_request& request) {
     std::string message;
-    const std::optional<protocol::exchange_message> digest = leaf::try_handle_all(
-        [&]() -> leaf::result<std::optional<protocol::exchange_message>> {
-            BOOST_LEAF_AUTO(object, state::parse_json(request.body, "exchange"));
-            BOOST_LEAF_AUTO(value, protocol::parse_exchange_message(object));
-            return std::optional(std::move(value));
-        },
-        [&](const state::state_error& error) {
-            message = error.message;
-            return std::optional<protocol::exchange_message>();
-        },
-        [] { return std::optional<protocol::exchange_message>(); });
+    const auto digest =
+        parse_body<protocol::exchange_message>(request, protocol::parse_exchange_message, message);
     if (!digest) {
         return reject(request, message);
     }
@@ -249,6 +279,112 @@
     return response;
 }
 
+http_response fleet_control::answer_observation(const http_request& request) {
+    std::string error;
+    const auto question = parse_body<protocol::observation_message>(
+        request, protocol::parse_observation_message, error);
+    if (!question) {
+        return reject(request, error);
+    }
+    const std::optional<nlohmann::json> answer = ask_control([this, question]() -> nlohmann::json {
+        protocol::observation_message result{question->pool, {}};
+        const auto it = groups_.find(question->pool);
+        if (it != groups_.end()) {
+            if (question->observation) {
+                step_failover(it->second,
+                              coordination::observation_received{*question->observation});
+            }
+            // The next question should find an answer that is not older than this one.
+            it->second.slot->request_poll();
+            result.observation = get_observation(it->second.failover, get_now());
+        }
+        return to_json(result);
+    });
+    if (!answer) {
+        return make_error(503, "unavailable", "the control thread did not answer in time");
+    }
+    http_response response = make_json(200, *answer);
+    traffic_.observations.add(request.body.size() + response.body.size(), http_overhead);
+    return response;
+}
+
+http_response fleet_control::answer_planned_change(const http_request& request) {
+    std::string error;
+    const auto message = parse_body<protocol::planned_change_message>(
+        request, protocol::parse_planned_change_message, error);
+    if (!message) {
+        return reject(request, error);
+    }
+    if (message->is_paused) {
+        queue_.try_push([this, message] { set_paused(message->pool, *message->is_paused); });
+        return make_json(200, nlohmann::json::object());
+    }
+    return change_primary(*message);
+}
+
+http_response fleet_control::change_primary(const protocol::planned_change_message& message) {
+    const std::shared_ptr<const state::fleet_view> view = get_view();
+    const state::pool_description* pool = view->config->find_pool(message.pool);
+    if (pool == nullptr || pool->find_target(message.target) == nullptr) {
+        return make_error(404, "unknown_pool",
+                          "no target " + message.target + " in pool " + message.pool);
+    }
+    if (!view->polled_groups.contains(message.pool)) {
+        if (message.is_forwarded) {
+            return make_error(409, "not_home", "this proxy does not poll the group");
+        }
+        return forward_change(message);
+    }
+    const auto waiter = std::make_shared<std::promise<http_response>>();
+    std::future<http_response> answer = waiter->get_future();
+    const bool is_queued = queue_.try_push([this, message, waiter] {
+        const auto it = groups_.find(message.pool);
+        if (it == groups_.end()) {
+            waiter->set_value(make_error(409, "not_home", "this proxy does not poll the group"));
+            return;
+        }
+        it->second.change_waiters.push_back(waiter);
+        step_failover(it->second, coordination::change_requested{message.target});
+    });
+    if (!is_queued || answer.wait_for(planned_change_timeout) != std::future_status::ready) {
+        return make_error(504, "outcome_unknown", "the change did not end in time");
+    }
+    return answer.get();
+}
+
+http_response fleet_control::forward_change(protocol::planned_change_message message) {
+    const std::shared_ptr<const state::fleet_view> view = get_view();
+    const auto homes = view->homes.find(message.pool + "/" + message.target);
+    message.is_forwarded = true;
+    if (homes != view->homes.end()) {
+        for (const member& home : homes->second) {
+            transport::http_call call;
+            call.method = "POST";
+            call.address = settings_.get_dial_address(home.address);
+            call.target = "/internal/v1/planned_change";
+            call.body = to_json(message).dump();
+            call.fleet_secret = settings_.fleet_secret;
+            call.timeout = planned_change_timeout + exchange_timeout;
+            const std::optional<http_response> response = leaf::try_handle_all(
+                [&]() -> leaf::result<std::optional<http_response>> {
+                    BOOST_LEAF_AUTO(value, http_.call(call));
+                    return std::optional(std::move(value));
+                },
+                [&](const transport::transport_error& error) -> std::optional<http_response> {
+                    if (!error.was_sent) {
+                        return std::nullopt;
+                    }
+                    return make_error(504, "outcome_unknown", error.message);
+                },
+                [] { return std::optional<http_response>(); });
+            if (response) {
+                return *response;
+            }
+        }
+    }
+    return make_error(503, "unavailable", "no home of the target can be reached");
+}
+
 http_response fleet_control::answer_status() {
     const std::optional<nlohmann::json> answer =
         ask_control([this]() -> nlohmann::json { return get_status(); });
@@ -385,10 +521,61 @@
     queue_.push([this] { is_fetching_ = false; });
 }
 
+void fleet_control::ask_observation(const member& peer,
+                                    const protocol::observation_message& question) {
+    transport::http_call call;
+    call.method = "POST";
+    call.address = settings_.get_dial_address(peer.address);
+    call.target = "/internal/v1/observations";
+    call.body = to_json(question).dump();
+    call.fleet_secret = settings_.fleet_secret;
+    call.timeout = observation_timeout;
+    call.connect_timeout = observation_timeout;
+    protocol::observation_message answer;
+    leaf::try_handle_all(
+        [&]() -> leaf::result<void> {
+            BOOST_LEAF_AUTO(response, http_.call(call));
+            traffic_.observations.add(call.body.size() + response.body.size(), http_overhead);
+            BOOST_LEAF_AUTO(object, state::parse_json(response.body, "observations"));
+            BOOST_LEAF_ASSIGN(answer, protocol::parse_observation_message(object));
+            return {};
+        },
+        [&](const transport::transport_error&) {
+            traffic_.observations.add(call.body.size(), http_overhead);
+        },
+        [] {});
+    queue_.push([this, key = question.pool + "/" + peer.vm, pool = question.pool, answer] {
+        asked_.erase(key);
+        const auto it = groups_.find(pool);
+        if (it != groups_.end() && answer.observation) {
+            step_failover(it->second, coordination::observation_received{*answer.observation});
+        }
+    });
+}
+
+void fleet_control::send_pause(const member& peer, const std::string& pool, bool is_paused) {
+    transport::http_call call;
+    call.method = "POST";
+    call.address = settings_.get_dial_address(peer.address);
+    call.target = "/internal/v1/planned_change";
+    call.body = to_json(protocol::planned_change_message{pool, "", false, is_paused}).dump();
+    call.fleet_secret = settings_.fleet_secret;
+    call.timeout = observation_timeout;
+    call.connect_timeout = observation_timeout;
+    // A lost notice costs some writes an `unknown`; the fence keeps the change safe.
+    leaf::try_handle_all(
+        [&]() -> leaf::result<void> {
+            BOOST_LEAF_CHECK(http_.call(call));
+            return {};
+        },
+        [] {});
+}
+
 void fleet_control::run_control() {
     time_point last_step = get_now();
     while (true) {
-        std::deque<std::function<void()>> tasks = queue_.take_all(last_step + tick_interval);
+        std::deque<std::function<void()>> tasks =
+            queue_.take_all(last_step + (is_failing_over_ ? quick_tick_interval : tick_interval));
         const time_point now = get_now();
         if (is_stopping_) {
             return;
@@ -412,6 +599,17 @@
 }
 
 void fleet_control::tick(time_point now) {
+    is_failing_over_ = false;
+    for (auto& [pool, group] : groups_) {
+        if (get_next_check(group.failover, now) <= now + quick_tick_interval) {
+            step_failover(group, coordination::failover_checked{});
+            is_failing_over_ = true;
+        }
+        replace_leaving_primary(group, now);
+    }
+    const std::size_t resumed =
+        std::erase_if(paused_until_, [&](const auto& entry) { return entry.second <= now; });
+    is_dirty_ = is_dirty_ || resumed > 0;
     if (now >= next_exchange_) {
         next_exchange_ = now + settings_.exchange_interval;
         step_members(coordination::exchange_due{});
@@ -423,6 +621,7 @@
     ++pauses_seen_;
     for (auto& [pool, group] : groups_) {
         step_group(pool, coordination::views_dropped{});
+        step_failover(group, coordination::claim_dropped{});
         group.slot->request_poll();
     }
     // What was heard before the pause may have been overtaken by now.
@@ -533,6 +732,7 @@
         } else if (it->second.pool != pool) {
             configure_group(it->second, pool);
         }
+        assign_pollers(groups_.at(name), pollers);
     }
     std::vector<std::string> closed;
     for (const auto& [name, group] : groups_) {
@@ -550,6 +750,9 @@
     polled_group& group = groups_[pool.name];
     group.slot = std::make_shared<group_slot>();
     group.monitor.view.pool = pool.name;
+    group.failover.vm = settings_.vm;
+    group.failover.incarnation = incarnation_;
+    group.failover.random = members_.random ^ coordination::get_rendezvous_weight(pool.name, "");
     log_event(event_group_opened, {{"pool", pool.name}});
     configure_group(group, pool);
 }
@@ -575,7 +778,11 @@
                     queue_.try_push(
                         [this, name, polled = std::move(polled)] { step_group(name, polled); });
                 },
-                [](term_result) {}, traffic_);
+                [this, name = pool.name](term_result result) {
+                    queue_.try_push(
+                        [this, name, result = std::move(result)] { end_term_call(name, result); });
+                },
+                traffic_);
         }
         list.push_back(poller);
     }
@@ -594,6 +801,8 @@
 void fleet_control::close_group(const std::string& pool) {
     const auto it = groups_.find(pool);
     log_event(event_group_closed, {{"pool", pool}});
+    // Others take over what this proxy had begun; they see the same statuses.
+    step_failover(it->second, coordination::claim_dropped{});
     it->second.slot->close();
     for (auto& [target, poller] : it->second.pollers) {
         poller->stop();
@@ -624,6 +833,162 @@
             is_dirty_ = true;
         }
     }
+    coordination::group_evidence evidence = get_evidence(group.monitor, get_now());
+    if (evidence != group.failover.evidence ||
+        group.failover.phase != coordination::failover_phase::watching) {
+        step_failover(group, coordination::evidence_updated{std::move(evidence)});
+    }
+}
+
+void fleet_control::step_failover(polled_group& group, const coordination::failover_event& event) {
+    const coordination::failover_phase before = group.failover.phase;
+    coordination::failover_step step =
+        coordination::step_failover(std::move(group.failover), event, get_now());
+    group.failover = std::move(step.state);
+    if (before != group.failover.phase) {
+        log_event(event_failover_phase, {{"pool", group.pool.name},
+                                         {"phase", coordination::to_string(group.failover.phase)},
+                                         {"reason", coordination::to_string(group.failover.reason)},
+                                         {"term", std::to_string(group.failover.term)}});
+        is_failing_over_ = true;
+    }
+    for (const coordination::failover_action& action : step.actions) {
+        std::visit([&](const auto& value) { act(group, value); }, action);
+    }
+}
+
+void fleet_control::act(polled_group& group, const coordination::ask_observations& action) {
+    for (const member& peer : group.ranked_pollers) {
+        const std::string key = group.pool.name + "/" + peer.vm;
+        if (peer.vm == settings_.vm || asked_.contains(key)) {
+            continue;
+        }
+        const protocol::observation_message question{group.pool.name, action.own};
+        if (urgent_workers_->try_submit(
+                [this, peer, question] { ask_observation(peer, question); })) {
+            asked_.insert(key);
+        }
+    }
+}
+
+void fleet_control::act(polled_group& group, const coordination::poll_targets& /*action*/) {
+    group.slot->request_poll();
+}
+
+void fleet_control::act(polled_group& group, const coordination::send_term_call& action) {
+    const auto it = group.pollers.find(action.target);
+    if (it != group.pollers.end() && it->second) {
+        it->second->submit({action.is_promote, action.term, action.claimant});
+    }
+}
+
+void fleet_control::act(polled_group& group, const coordination::pause_writes& action) {
+    set_paused(group.pool.name, action.is_paused);
+    for (const member& peer : group.ranked_pollers) {
+        if (peer.vm != settings_.vm) {
+            urgent_workers_->try_submit(
+                [this, peer, pool = group.pool.name, is_paused = action.is_paused] {
+                    send_pause(peer, pool, is_paused);
+                });
+        }
+    }
+}
+
+void fleet_control::act(polled_group& group, const coordination::change_finished& action) {
+    log_event(event_planned_change_ended, {{"pool", group.pool.name},
+                                           {"is_done", action.is_done ? "true" : "false"},
+                                           {"message", action.message}});
+    const http_response response = action.is_done ? make_json(200, {{"message", action.message}})
+                                                  : make_error(409, "unavailable", action.message);
+    for (const auto& waiter : std::exchange(group.change_waiters, {})) {
+        waiter->set_value(response);
+    }
+}
+
+void fleet_control::act(polled_group& group, const coordination::promotion_finished& action) {
+    group.last_promotion = protocol::to_json(action.report);
+    log_event(event_promotion_finished,
+              {{"pool", group.pool.name}, {"report", group.last_promotion.dump()}});
+    audit_.append({"promotion", group.pool.name, coordination::to_string(action.report.reason),
+                   group.last_promotion});
+}
+
+void fleet_control::end_term_call(const std::string& pool, const term_result& result) {
+    const auto it = groups_.find(pool);
+    if (it == groups_.end()) {
+        return;
+    }
+    coordination::term_call_ended event;
+    event.target = result.target;
+    event.is_promote = result.command.is_promote;
+    event.term = result.command.term;
+    event.claimant = result.command.claimant;
+    event.status = result.status;
+    if (result.outcome == term_result::kind::accepted) {
+        event.outcome = coordination::call_outcome::accepted;
+    } else if (result.outcome == term_result::kind::refused) {
+        event.outcome = coordination::call_outcome::refused;
+    }
+    step_failover(it->second, event);
+    if (result.status) {
+        step_group(pool, coordination::poll_answered{result.target, result.began, result.ended,
+                                                     *result.status});
+    }
+}
+
+void fleet_control::assign_pollers(polled_group& group, const std::vector<member>& pollers) {
+    group.ranked_pollers = pollers;
+    coordination::pollers_assigned event;
+    std::map<std::string, int> pollers_by_place;
+    for (const member& poller : pollers) {
+        event.vms.push_back(poller.vm);
+        ++pollers_by_place[poller.place];
+    }
+    for (const state::target_description& target : group.pool.targets) {
+        // A leaving target becomes primary only when no other one is as far.
+        event.preference[target.name] = target.is_leaving ? -1 : pollers_by_place[target.place];
+    }
+    event.is_only_proxy = members_.others.empty();
+    step_failover(group, event);
+}
+
+void fleet_control::replace_leaving_primary(polled_group& group, time_point now) {
+    if (now < group.next_leave_check) {
+        return;
+    }
+    group.next_leave_check = now + leave_check_interval;
+    const std::optional<state::primary_view>& primary = group.monitor.view.primary;
+    if (!primary || group.ranked_pollers.empty() ||
+        group.ranked_pollers.front().vm != settings_.vm) {
+        return;
+    }
+    const state::target_description* leaving = group.pool.find_target(primary->target);
+    if (leaving == nullptr || !leaving->is_leaving) {
+        return;
+    }
+    const std::string* best = nullptr;
+    state::log_point furthest;
+    for (const auto& [name, status] : group.failover.evidence.answers) {
+        const state::target_description* target = group.pool.find_target(name);
+        if (target == nullptr || target->is_leaving ||
+            (best != nullptr && status.get_log_end() <= furthest)) {
+            continue;
+        }
+        best = &name;
+        furthest = status.get_log_end();
+    }
+    if (best != nullptr) {
+        step_failover(group, coordination::change_requested{std::string(*best)});
+    }
+}
+
+void fleet_control::set_paused(const std::string& pool, bool is_paused) {
+    if (is_paused) {
+        paused_until_[pool] = get_now() + pause_limit;
+    } else {
+        paused_until_.erase(pool);
+    }
+    publish();
 }
 
 void fleet_control::set_primary(const std::string& pool, const state::primary_view& primary) {
@@ -647,6 +1012,9 @@
         }
     }
     next->primaries = primaries_;
+    for (const auto& [pool, until] : paused_until_) {
+        next->paused_pools.push_back(pool);
+    }
     next->is_configuration_confirmed = confirmation_.is_confirmed;
     next->is_draining = members_.self.state == state::member_state::leaving;
     view_.store(std::move(next));
@@ -677,7 +1045,10 @@
             targets[target] = {{"failures", view.consecutive_failures},
                                {"status", view.status ? to_json(*view.status) : nullptr}};
         }
-        groups[name] = {{"targets", std::move(targets)}, {"primary", nullptr}};
+        groups[name] = {{"targets", std::move(targets)},
+                        {"primary", nullptr},
+                        {"phase", coordination::to_string(group.failover.phase)},
+                        {"last_promotion", group.last_promotion}};
         if (group.monitor.view.primary) {
             groups[name]["primary"] = {{"target", group.monitor.view.primary->target},
                                        {"term", group.monitor.view.primary->term}};
--- a/src/proxy/fleet_control.h
+++ b/src/proxy/fleet_control.h
@@ -4,14 +4,17 @@
 #include <cstdint>
 #include <deque>
 #include <functional>
+#include <future>
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <thread>
 #include <vector>
 
 #include "coordination/configuration_confirmation.h"
+#include "coordination/failover.h"
 #include "coordination/group_monitor.h"
 #include "coordination/membership.h"
 #include "protocol/peer_messages.h"
@@ -37,6 +40,11 @@
     std::map<std::string, std::shared_ptr<target_poller>> pollers;
     coordination::group_monitor_state monitor;
     std::shared_ptr<const state::group_view> view;
+    std::vector<state::member> ranked_pollers;
+    coordination::failover_state failover;
+    state::time_point next_leave_check{};  ///< When to look for a leaving primary again.
+    std::vector<std::shared_ptr<std::promise<transport::http_response>>> change_waiters;
+    nlohmann::json last_promotion;  ///< For /internal/v1/status.
 };
 
 /**
@@ -78,6 +86,10 @@
     std::optional<nlohmann::json> ask_control(std::function<nlohmann::json()> question);
     transport::http_response answer_exchange(const transport::http_request& request);
     transport::http_response answer_configuration(const transport::http_request& request);
+    transport::http_response answer_observation(const transport::http_request& request);
+    transport::http_response answer_planned_change(const transport::http_request& request);
+    transport::http_response change_primary(const protocol::planned_change_message& message);
+    transport::http_response forward_change(protocol::planned_change_message message);
     transport::http_response answer_status();
 
     // Thread of platform_sync.
@@ -89,6 +101,8 @@
     // Worker threads.
     void exchange_with(const coordination::send_digest& call);
     void fetch_configuration(const state::member& peer, std::uint64_t after);
+    void ask_observation(const state::member& peer, const protocol::observation_message& question);
+    void send_pause(const state::member& peer, const std::string& pool, bool is_paused);
 
     // Control thread.
     void run_control();
@@ -105,6 +119,17 @@
     void configure_group(polled_group& group, const state::pool_description& pool);
     void close_group(const std::string& pool);
     void step_group(const std::string& pool, const coordination::group_event& event);
+    void step_failover(polled_group& group, const coordination::failover_event& event);
+    void act(polled_group& group, const coordination::ask_observations& action);
+    void act(polled_group& group, const coordination::poll_targets& action);
+    void act(polled_group& group, const coordination::send_term_call& action);
+    void act(polled_group& group, const coordination::pause_writes& action);
+    void act(polled_group& group, const coordination::change_finished& action);
+    void act(polled_group& group, const coordination::promotion_finished& action);
+    void end_term_call(const std::string& pool, const term_result& result);
+    void assign_pollers(polled_group& group, const std::vector<state::member>& pollers);
+    void replace_leaving_primary(polled_group& group, state::time_point now);
+    void set_paused(const std::string& pool, bool is_paused);
     void set_primary(const std::string& pool, const state::primary_view& primary);
     void publish();
     void publish_slots();
@@ -118,6 +143,8 @@
     task_queue queue_;
     std::unique_ptr<platform_sync> platform_;
     std::unique_ptr<transport::worker_pool> workers_;
+    /// Calls a failover waits for; separate, so that exchanges with dead peers do not delay them.
+    std::unique_ptr<transport::worker_pool> urgent_workers_;
     std::atomic<std::shared_ptr<const state::fleet_view>> view_;
     std::atomic<std::shared_ptr<const slot_map>> slots_;
     std::atomic<std::uint64_t> adopted_version_{0};
@@ -134,7 +161,10 @@
     std::map<std::string, std::vector<state::member>> homes_;
     std::map<std::string, polled_group> groups_;
     std::map<std::string, state::primary_view> primaries_;
+    std::map<std::string, state::time_point> paused_until_;  ///< Per pool.
+    std::set<std::string> asked_;                            ///< "pool/vm" of questions under way.
     state::time_point next_exchange_{};
+    bool is_failing_over_ = false;  ///< Some group needs quick steps.
     bool is_fetching_ = false;
     bool is_dirty_ = true;
     std::uint64_t pauses_seen_ = 0;
--- a/src/proxy/fleet_events.h
+++ b/src/proxy/fleet_events.h
@@ -21,5 +21,9 @@
 inline constexpr transport::event_type event_store_reachable{2009, "store_reachable"};
 inline constexpr transport::event_type event_message_rejected{2010, "message_rejected",
                                                               transport::event_severity::warning};
+inline constexpr transport::event_type event_failover_phase{2011, "failover_phase"};
+inline constexpr transport::event_type event_planned_change_ended{2012, "planned_change_ended"};
+inline constexpr transport::event_type event_promotion_finished{2013, "promotion_finished",
+                                                                transport::event_severity::warning};
 
 }  // namespace hornbeamhook::proxy
--- a/src/proxy/target_poller.cpp
+++ b/src/proxy/target_poller.cpp
@@ -71,9 +71,9 @@
 void target_poller::request() {
     {
         const std::scoped_lock lock(mutex_);
-        coordination::poll_schedule_step step =
-            step_poll_schedule(std::move(schedule_), coordination::poll_requested{}, get_now());
-        schedule_ = std::move(step.state);
+        const coordination::poll_schedule_step step =
+            step_poll_schedule(schedule_, coordination::poll_requested{}, get_now());
+        schedule_ = step.state;
         must_begin_ = must_begin_ || !step.actions.empty();
     }
     changed_.notify_one();
@@ -103,9 +103,9 @@
         }
         const bool has_waiters = waiters_->load(std::memory_order_relaxed) > 0;
         if (!must_begin_) {
-            coordination::poll_schedule_step step = step_poll_schedule(
-                std::move(schedule_), coordination::schedule_checked{has_waiters}, get_now());
-            schedule_ = std::move(step.state);
+            const coordination::poll_schedule_step step = step_poll_schedule(
+                schedule_, coordination::schedule_checked{has_waiters}, get_now());
+            schedule_ = step.state;
             must_begin_ = !step.actions.empty();
         }
         if (!must_begin_) {
@@ -130,9 +130,9 @@
     const bool is_answered = std::holds_alternative<coordination::poll_answered>(event);
     on_event_(std::move(event));
     const std::scoped_lock lock(mutex_);
-    coordination::poll_schedule_step step = step_poll_schedule(
-        std::move(schedule_), coordination::poll_finished{is_answered}, get_now());
-    schedule_ = std::move(step.state);
+    const coordination::poll_schedule_step step =
+        step_poll_schedule(schedule_, coordination::poll_finished{is_answered}, get_now());
+    schedule_ = step.state;
     must_begin_ = must_begin_ || !step.actions.empty();
 }
 
