--- a/src/coordination/admission_queue.h
+++ b/src/coordination/admission_queue.h
@@ -51,8 +51,7 @@
                             state::time_point now) const;
 
     /** Queues `entry`, or refuses it at once. */
-    admission_verdict offer(admission_entry entry, const service_rate& rate,
-                            state::time_point now);
+    admission_verdict offer(admission_entry entry, const service_rate& rate, state::time_point now);
 
     /**
      * Takes the next request that can still meet its deadline. Requests that no longer can are
--- a/src/coordination/concurrency_limit.cpp
+++ b/src/coordination/concurrency_limit.cpp
@@ -37,8 +37,8 @@
 }
 
 void concurrency_limit::on_success(microseconds latency, int in_flight, state::time_point now) {
-    service_time_ = floor_.count() == 0 ? latency
-                                        : service_time_ + (latency - service_time_) / smoothing;
+    service_time_ =
+        floor_.count() == 0 ? latency : service_time_ + (latency - service_time_) / smoothing;
     if (floor_.count() == 0 || service_time_ < floor_ || now - floor_since_ > floor_window) {
         floor_ = std::max(service_time_, microseconds(1));
         floor_since_ = now;
--- a/src/coordination/exchange_failure.h
+++ b/src/coordination/exchange_failure.h
@@ -18,7 +18,7 @@
 struct failure_verdict {
     state::outcome outcome = state::outcome::unknown;
     protocol::error_code code = protocol::error_code::outcome_unknown;
-    bool was_sent = false;       ///< Statement bytes may have left.
+    bool was_sent = false;         ///< Statement bytes may have left.
     bool is_primary_lost = false;  ///< The target does not act as primary.
 
     auto operator<=>(const failure_verdict&) const = default;
--- a/src/coordination/request_attempt.cpp
+++ b/src/coordination/request_attempt.cpp
@@ -97,9 +97,10 @@
         }
         return {attempt, send_after(milliseconds(static_cast<int>(jitter * retry_pause_ms)), true)};
     }
-    if (result.code == error_code::key_reused) {
-        // The stored digest differs, so no send of this request can pass the unique key.
-        return {attempt, finish(outcome::not_run, error_code::key_reused)};
+    if (result.code == error_code::key_reused || result.code == error_code::transaction_gone) {
+        // The key is taken by another request, or to prevent this commit, and the group has
+        // acknowledged that; no earlier send can pass the unique constraint any more.
+        return {attempt, finish(outcome::not_run, result.code)};
     }
     if (is_final(result.code)) {
         // An earlier send with this key may still be on its way and succeed.
@@ -118,8 +119,8 @@
 
 attempt_decision judge_missing_route(const request_attempt& attempt, state::time_point now) {
     if (now + route_pause >= attempt.deadline) {
-        return give_up(attempt, attempt.is_write ? error_code::no_primary
-                                                 : error_code::unavailable);
+        return give_up(attempt,
+                       attempt.is_write ? error_code::no_primary : error_code::unavailable);
     }
     return send_after(route_pause, false);
 }
--- a/src/coordination/request_attempt.h
+++ b/src/coordination/request_attempt.h
@@ -15,9 +15,9 @@
     bool is_keyed = false;
     state::time_point deadline{};
     int sends = 0;
-    int refusals = 0;            ///< Answers from homes that gave it to no target.
-    bool may_have_run = false;   ///< An earlier send ended with `unknown`.
-    bool reached_target = false; ///< Statement bytes of a send left for a target.
+    int refusals = 0;             ///< Answers from homes that gave it to no target.
+    bool may_have_run = false;    ///< An earlier send ended with `unknown`.
+    bool reached_target = false;  ///< Statement bytes of a send left for a target.
 
     auto operator<=>(const request_attempt&) const = default;
 };
--- a/src/coordination/routing.cpp
+++ b/src/coordination/routing.cpp
@@ -96,8 +96,8 @@
         if (homes == view.homes.end()) {
             continue;
         }
-        const bool is_target_avoided = request.avoided.contains(target.name) ||
-                                       is_known_to_fail(view, request, target.name);
+        const bool is_target_avoided =
+            request.avoided.contains(target.name) || is_known_to_fail(view, request, target.name);
         const bool is_behind = !is_primary && is_known_behind(view, request, target.name);
         for (std::size_t i = 0; i < homes->second.size(); ++i) {
             const state::member& home = homes->second[i];
--- a/src/protocol/caller_request.cpp
+++ b/src/protocol/caller_request.cpp
@@ -44,11 +44,10 @@
     if (chosen != 1) {
         fields.fail("", "exactly one of own_writes, max_age_ms and strict is allowed");
     }
-    leaf::try_handle_all([&]() -> leaf::result<void> { return fields.finish(); },
-                         [&](const state::state_error& error) {
-                             reader.fail("read_policy", error.message);
-                         },
-                         [&] { reader.fail("read_policy", "invalid"); });
+    leaf::try_handle_all(
+        [&]() -> leaf::result<void> { return fields.finish(); },
+        [&](const state::state_error& error) { reader.fail("read_policy", error.message); },
+        [&] { reader.fail("read_policy", "invalid"); });
     return policy;
 }
 
--- a/src/protocol/execute_message.cpp
+++ b/src/protocol/execute_message.cpp
@@ -115,19 +115,14 @@
 }
 
 std::string to_text(const execute_answer& answer) {
-    nlohmann::json object{{"exchange_id", answer.exchange_id},
-                          {"outcome", state::to_string(answer.outcome)},
-                          {"code", to_string(answer.code)},
-                          {"message", answer.message},
-                          {"was_sent", answer.was_sent},
-                          {"is_behind", answer.is_behind},
-                          {"results", to_json(answer.results)},
-                          {"term", answer.point.term},
-                          {"position", answer.point.position},
-                          {"target", answer.target},
-                          {"is_primary", answer.is_primary},
-                          {"incarnation", answer.incarnation},
-                          {"transaction", answer.transaction}};
+    nlohmann::json object{
+        {"exchange_id", answer.exchange_id},  {"outcome", state::to_string(answer.outcome)},
+        {"code", to_string(answer.code)},     {"message", answer.message},
+        {"was_sent", answer.was_sent},        {"is_behind", answer.is_behind},
+        {"results", to_json(answer.results)}, {"term", answer.point.term},
+        {"position", answer.point.position},  {"target", answer.target},
+        {"is_primary", answer.is_primary},    {"incarnation", answer.incarnation},
+        {"transaction", answer.transaction}};
     if (answer.primary) {
         object["primary"] = {{"target", answer.primary->target}, {"term", answer.primary->term}};
     }
--- a/src/protocol/sql_check.cpp
+++ b/src/protocol/sql_check.cpp
@@ -16,13 +16,14 @@
 // A COMMIT inside a keyed write would separate its effect from its key, and session settings would
 // reach the next user of the connection.
 const std::set<std::string, std::less<>> refused_words{
-    "abort",    "begin",   "close",  "cluster",  "commit",  "copy",       "deallocate",
-    "declare",  "discard", "end",    "execute",  "fetch",   "listen",     "load",
-    "move",     "notify",  "pragma", "prepare",  "release", "reset",      "rollback",
-    "savepoint", "set",    "start",  "unlisten", "vacuum",  "checkpoint", "attach",
-    "detach"};
+    "abort",      "begin",   "close",      "cluster",   "commit",  "copy",
+    "deallocate", "declare", "discard",    "end",       "execute", "fetch",
+    "listen",     "load",    "move",       "notify",    "pragma",  "prepare",
+    "release",    "reset",   "rollback",   "savepoint", "set",     "start",
+    "unlisten",   "vacuum",  "checkpoint", "attach",    "detach"};
 const std::set<std::string, std::less<>> read_words{"select", "values", "with", "table"};
-// A query can change rows through these ("WITH x AS (DELETE ...)", "SELECT ... INTO", "FOR UPDATE").
+// A query can change rows through these ("WITH x AS (DELETE ...)", "SELECT ... INTO", "FOR
+// UPDATE").
 const std::set<std::string, std::less<>> changing_words{"insert", "update", "delete", "merge",
                                                         "into"};
 
--- a/src/protocol/statement_codec.cpp
+++ b/src/protocol/statement_codec.cpp
@@ -103,8 +103,8 @@
         read_parameters(entry, statement);
         leaf::try_handle_all([&]() -> leaf::result<void> { return entry.finish(); },
                              [&](const state::state_error& error) {
-                                 reader.fail(field, "entry " + std::to_string(i) + ": " +
-                                                        error.message);
+                                 reader.fail(field,
+                                             "entry " + std::to_string(i) + ": " + error.message);
                              },
                              [&] { reader.fail(field, "invalid"); });
         statements.push_back(std::move(statement));
--- a/src/protocol/transaction_id.cpp
+++ b/src/protocol/transaction_id.cpp
@@ -33,9 +33,8 @@
 
 leaf::result<std::string> encode_transaction_id(const transaction_id& id,
                                                 const token_key_map& keys) {
-    const nlohmann::json object{{"v", id.home_vm},     {"a", id.home_address},
-                                {"i", id.incarnation}, {"n", id.number},
-                                {"p", id.pool},        {"c", id.caller},
+    const nlohmann::json object{{"v", id.home_vm}, {"a", id.home_address}, {"i", id.incarnation},
+                                {"n", id.number},  {"p", id.pool},         {"c", id.caller},
                                 {"w", id.is_write}};
     return sign_text(purpose, object.dump(), keys);
 }
@@ -48,8 +47,8 @@
             BOOST_LEAF_AUTO(payload, verify_text(purpose, text, keys));
             BOOST_LEAF_AUTO(id, parse_payload(payload));
             if (id.caller != caller) {
-                return leaf::new_error(caller_error{error_code::forbidden,
-                                                      "transaction: belongs to another caller"});
+                return leaf::new_error(
+                    caller_error{error_code::forbidden, "transaction: belongs to another caller"});
             }
             return id;
         },
--- a/src/proxy/data_metrics.cpp
+++ b/src/proxy/data_metrics.cpp
@@ -67,17 +67,16 @@
         add_gauge(registry, "hornbeamhook_live_members", "Proxies seen as live.").Add({});
     prometheus::Gauge& ready =
         add_gauge(registry, "hornbeamhook_ready", "1 when callers may be sent here.").Add({});
-    prometheus::Gauge& start_time = add_gauge(registry, "process_start_time_seconds",
-                                              "Start time since the epoch in seconds.")
-                                        .Add({});
+    prometheus::Gauge& start_time =
+        add_gauge(registry, "process_start_time_seconds", "Start time since the epoch in seconds.")
+            .Add({});
     gauge_family& build =
         add_gauge(registry, "hornbeamhook_build_info", "Always 1, with the version as label.");
 };
 
 data_metrics::data_metrics() : implementation_(std::make_unique<implementation>()) {
-    implementation_->start_time.Set(std::chrono::duration<double>(
-                                        std::chrono::system_clock::now().time_since_epoch())
-                                        .count());
+    implementation_->start_time.Set(
+        std::chrono::duration<double>(std::chrono::system_clock::now().time_since_epoch()).count());
     implementation_->build.Add({{"version", HORNBEAMHOOK_VERSION}}).Set(1);
 }
 
@@ -93,8 +92,7 @@
     implementation_->durations.Add({{"kind", kind}}, get_buckets())
         .Observe(std::chrono::duration<double>(sample.latency).count());
     if (!sample.is_write && sample.was_served) {
-        implementation_->reads
-            .Add({{"role", sample.was_served_by_replica ? "replica" : "primary"}})
+        implementation_->reads.Add({{"role", sample.was_served_by_replica ? "replica" : "primary"}})
             .Increment();
     }
 }
--- a/src/proxy/data_metrics.h
+++ b/src/proxy/data_metrics.h
@@ -16,7 +16,7 @@
     state::outcome outcome = state::outcome::not_run;
     protocol::error_code code = protocol::error_code::ok;
     std::chrono::microseconds latency{0};
-    bool was_served = false;          ///< A target answered it.
+    bool was_served = false;  ///< A target answered it.
     bool was_served_by_replica = false;
 };
 
--- a/src/proxy/entry_service.cpp
+++ b/src/proxy/entry_service.cpp
@@ -127,8 +127,8 @@
 leaf::result<void> entry_service::authorise(const state::principal& caller, const std::string& pool,
                                             bool is_write) {
     if (!caller.is_allowed(pool, is_write)) {
-        audit_denial(caller.name, std::string(is_write ? "write" : "read") +
-                                      " not allowed in pool " + pool);
+        audit_denial(caller.name,
+                     std::string(is_write ? "write" : "read") + " not allowed in pool " + pool);
         return refuse(error_code::forbidden, "caller \"" + caller.name + "\" may not " +
                                                  (is_write ? "write" : "read") + " in pool \"" +
                                                  pool + "\"");
@@ -165,7 +165,8 @@
     } else {
         BOOST_LEAF_ASSIGN(result.body, protocol::parse_statement_request(request.body));
         // The pool is part of the digest, so that a key cannot match a request to another pool.
-        result.digest = protocol::hash_text(pool + "\n" + to_json(result.body.statements).dump());
+        result.digest =
+            protocol::hash_text(pool + "\n" + protocol::to_json(result.body.statements).dump());
     }
     result.policy = result.body.policy.value_or(description->default_read_policy);
     result.attempt.deadline =
@@ -221,8 +222,8 @@
         parts.size() == 4 && parts[1] == "transactions" &&
         (parts[3] == "statements" || parts[3] == "commit" || parts[3] == "rollback");
     if (request.method != "POST" || (!is_pool_path && !is_transaction_path)) {
-        return refuse(error_code::bad_request, "no such request: " + request.method + " " +
-                                                   request.path.substr(0, 80));
+        return refuse(error_code::bad_request,
+                      "no such request: " + request.method + " " + request.path.substr(0, 80));
     }
     if (is_pool_path) {
         BOOST_LEAF_CHECK(read_pool_request(config, request, parts[2], parts[3], *result));
@@ -247,10 +248,11 @@
 void entry_service::handle(const transport::http_request& request,
                            transport::http_responder respond) {
     if (request.body.size() > parts_.settings.max_request_bytes) {
-        respond(to_response({.code = error_code::too_large,
-                             .message = "body: more than " +
-                                        std::to_string(parts_.settings.max_request_bytes) +
-                                        " bytes"}));
+        caller_answer answer;
+        answer.code = error_code::too_large;
+        answer.message =
+            "body: more than " + std::to_string(parts_.settings.max_request_bytes) + " bytes";
+        respond(to_response(answer));
         return;
     }
     // not_run: a request that is not accepted was not routed to any home.
@@ -277,7 +279,9 @@
             return {};
         },
         refuse_with,
-        [&] { refuse_with({error_code::bad_request, "the request cannot be parsed"}); });
+        [&] {
+            refuse_with({error_code::bad_request, "the request cannot be parsed"});
+        });
 }
 
 void entry_service::submit(const shared_request& request) {
@@ -306,13 +310,13 @@
 
 void entry_service::step(const shared_request& request) {
     const state::time_point now = std::chrono::steady_clock::now();
-    const std::shared_ptr<const state::fleet_view> view = parts_.groups.get_view();
+    const std::shared_ptr<const state::fleet_view> view = get_routing_view(request->pool);
     coordination::route_request wanted;
     wanted.pool = request->pool;
     wanted.is_write = request->body.is_write;
-    wanted.must_use_primary = request->is_primary_preferred ||
-                              (request->policy.policy == state::read_policy::kind::own_writes &&
-                               !request->has_token);
+    wanted.must_use_primary =
+        request->is_primary_preferred ||
+        (request->policy.policy == state::read_policy::kind::own_writes && !request->has_token);
     wanted.required = request->token.point;
     wanted.avoided = avoided_.get(now);
     wanted.avoided.insert(request->avoided.begin(), request->avoided.end());
@@ -325,6 +329,21 @@
     send(request, route.front());
 }
 
+std::shared_ptr<const state::fleet_view> entry_service::get_routing_view(
+    const std::string& pool) const {
+    std::shared_ptr<const state::fleet_view> view = parts_.groups.get_view();
+    const state::pool_description* description = view->config->find_pool(pool);
+    if (parts_.settings.layout == protocol::connection_layout::homes || description == nullptr) {
+        return view;
+    }
+    // With a fixed split every proxy serves every target itself.
+    auto split = std::make_shared<state::fleet_view>(*view);
+    for (const state::target_description& target : description->targets) {
+        split->homes[pool + "/" + target.name] = {view->self};
+    }
+    return split;
+}
+
 milliseconds entry_service::get_send_deadline(const entry_request& request) const {
     const milliseconds left = std::max(milliseconds(1), get_time_left(request));
     const bool may_repeat = !request.attempt.is_write || request.attempt.is_keyed;
@@ -397,13 +416,6 @@
     execute_answer answer = leaf::try_handle_all(
         [&]() -> leaf::result<execute_answer> {
             BOOST_LEAF_AUTO(response, client_.call(call));
-            if (response.status == 503 && response.body.empty()) {
-                // not_run: the home's server refused the message before it was handled.
-                execute_answer refused;
-                refused.code = error_code::overloaded;
-                refused.message = "the home refused the message";
-                return refused;
-            }
             BOOST_LEAF_AUTO(parsed, protocol::parse_execute_answer(response.body));
             if (parsed.exchange_id != message.exchange_id) {
                 transport::log_event(event_exchange_mismatch, {{"sent", message.exchange_id},
@@ -442,6 +454,11 @@
         avoided_.add(candidate.target, overload_pause, now);
     }
     request->is_primary_preferred = request->is_primary_preferred || answer.is_behind;
+    if (request->operation == execute_operation::begin && answer.outcome == outcome::ok) {
+        request->transaction = {candidate.home.vm,     candidate.home.address, answer.incarnation,
+                                answer.transaction,    request->pool,          request->caller,
+                                request->body.is_write};
+    }
     const coordination::attempt_result result{answer.outcome, answer.code, answer.was_sent,
                                               answer.is_behind};
     auto [attempt, decision] =
@@ -526,12 +543,12 @@
         schedule(request, milliseconds(0));
         return;
     }
-    const outcome end = answer.outcome;
+    outcome end = answer.outcome;
     error_code code = answer.code;
-    if (end == outcome::not_run && code == error_code::unavailable &&
-        request->operation == execute_operation::rollback) {
-        // not_run is all that can be said; the transaction ends by its idle timeout anyway.
-        code = error_code::transaction_gone;
+    if (request->operation == execute_operation::rollback && end == outcome::unknown) {
+        // Nobody asked for a commit, so the transaction can only end in a rollback.
+        end = outcome::ok;
+        code = error_code::ok;
     }
     request->last = std::move(answer);
     finish(request, end, code);
@@ -557,12 +574,14 @@
         has_token = true;
     } else {
         answer.message = last.message.empty() ? std::string(to_string(code)) : last.message;
-        if (end == outcome::unknown && request->attempt.is_write) {
+        // A statement of an open transaction has no effect before the commit.
+        if (end == outcome::unknown && request->attempt.is_write &&
+            request->operation != execute_operation::transaction_statements) {
             token = protocol::mark_uncertain(token, request->body.idempotency_key);
             has_token = true;
-            transport::log_event(event_outcome_unknown, {{"pool", request->pool},
-                                                         {"caller", request->caller},
-                                                         {"message", last.message}});
+            transport::log_event(
+                event_outcome_unknown,
+                {{"pool", request->pool}, {"caller", request->caller}, {"message", last.message}});
         }
     }
     static_cast<void>(leaf::try_handle_all(
@@ -572,9 +591,8 @@
                                   protocol::encode_session_token(token, config.token_keys));
             }
             if (end == outcome::ok && request->operation == execute_operation::begin) {
-                BOOST_LEAF_ASSIGN(
-                    answer.transaction,
-                    protocol::encode_transaction_id(request->transaction, config.token_keys));
+                BOOST_LEAF_ASSIGN(answer.transaction, protocol::encode_transaction_id(
+                                                          request->transaction, config.token_keys));
             }
             return true;
         },
--- a/src/proxy/entry_service.h
+++ b/src/proxy/entry_service.h
@@ -82,13 +82,13 @@
     void run(const shared_request& request);
     void step(const shared_request& request);
     void step_transaction(const shared_request& request);
+    std::shared_ptr<const state::fleet_view> get_routing_view(const std::string& pool) const;
     void send(const shared_request& request, const coordination::route_candidate& candidate);
     void call_home(const shared_request& request, const std::string& address,
                    const std::string& path, const protocol::execute_request& message,
                    std::chrono::milliseconds timeout,
                    const std::function<void(protocol::execute_answer)>& done);
-    protocol::execute_request make_message(const entry_request& request,
-                                           const std::string& target,
+    protocol::execute_request make_message(const entry_request& request, const std::string& target,
                                            std::chrono::milliseconds deadline);
     std::chrono::milliseconds get_send_deadline(const entry_request& request) const;
     void on_answer(const shared_request& request, const coordination::route_candidate& candidate,
--- a/src/proxy/exchange_log.cpp
+++ b/src/proxy/exchange_log.cpp
@@ -10,8 +10,7 @@
 
 bool exchange_log::try_add(const std::string& id, state::time_point now) {
     const std::scoped_lock lock(mutex_);
-    while (!order_.empty() &&
-           (now - order_.front().first > retention || order_.size() > max_ids)) {
+    while (!order_.empty() && (now - order_.front().first > retention || order_.size() > max_ids)) {
         ids_.erase(order_.front().second);
         order_.pop_front();
     }
--- a/src/proxy/execution.cpp
+++ b/src/proxy/execution.cpp
@@ -120,8 +120,7 @@
     return result;
 }
 
-execution executor::finish_commit(target_session& session,
-                                  std::vector<target_statement> statements,
+execution executor::finish_commit(target_session& session, std::vector<target_statement> statements,
                                   std::size_t commit_index, state::time_point deadline) {
     statements.push_back({"COMMIT", {}});
     statements.push_back(protocol::make_last_commit_statement());
@@ -156,13 +155,12 @@
     const bool is_keyed = !request.idempotency_key.empty();
     std::vector<target_statement> statements{{"BEGIN", {}}};
     if (is_keyed) {
-        statements.push_back(protocol::make_insert_request(
-            request.caller, request.idempotency_key, request.digest, get_wall_clock_ms()));
+        statements.push_back(protocol::make_insert_request(request.caller, request.idempotency_key,
+                                                           request.digest, get_wall_clock_ms()));
     }
     const std::size_t first = statements.size();
     statements.insert(statements.end(), request.statements.begin(), request.statements.end());
-    exchange_result answer =
-        session.run(statements, get_statement_deadline(request, deadline));
+    exchange_result answer = session.run(statements, get_statement_deadline(request, deadline));
     if (const auto* error = std::get_if<target_error>(&answer)) {
         result = make_failure(exchange_phase::statements, *error);
         const bool is_insert = is_keyed && error->kind == target_failure_kind::sql_error &&
@@ -182,9 +180,9 @@
         return write_step::done;
     }
     auto& results = std::get<std::vector<target_result>>(answer);
-    std::vector<target_result> own(std::make_move_iterator(results.begin() +
-                                                           static_cast<std::ptrdiff_t>(first)),
-                                   std::make_move_iterator(results.end()));
+    std::vector<target_result> own(
+        std::make_move_iterator(results.begin() + static_cast<std::ptrdiff_t>(first)),
+        std::make_move_iterator(results.end()));
     std::vector<target_statement> ending;
     if (request.operation == execute_operation::resolve_commit) {
         ending.push_back(protocol::make_prevent_commit(request.caller, request.idempotency_key));
@@ -198,9 +196,8 @@
     return write_step::done;
 }
 
-bool executor::create_table(const execute_request& request,
-                            const state::target_description& target, state::time_point deadline,
-                            execution& failure) {
+bool executor::create_table(const execute_request& request, const state::target_description& target,
+                            state::time_point deadline, execution& failure) {
     session_result acquired = sessions_.acquire(request.pool, target, true, deadline);
     if (const auto* error = std::get_if<target_error>(&acquired)) {
         failure = make_failure(exchange_phase::opening, *error);
@@ -270,8 +267,7 @@
 }
 
 execution executor::run_write(const execute_request& request,
-                              const state::target_description& target,
-                              state::time_point deadline) {
+                              const state::target_description& target, state::time_point deadline) {
     execution result;
     for (int i = 0; i < max_write_steps; ++i) {
         switch (try_write(request, target, deadline, result)) {
@@ -305,10 +301,10 @@
         return finish_commit(session, {}, 0, deadline);
     }
     // The key is inserted by the transaction itself, so that it commits with its effects.
-    exchange_result answer = session.run(
-        {protocol::make_insert_request(request.caller, request.idempotency_key, request.digest,
-                                       get_wall_clock_ms())},
-        deadline);
+    exchange_result answer =
+        session.run({protocol::make_insert_request(request.caller, request.idempotency_key,
+                                                   request.digest, get_wall_clock_ms())},
+                    deadline);
     if (const auto* error = std::get_if<target_error>(&answer)) {
         if (error->sqlstate == protocol::sqlstate_unique_violation) {
             return read_stored(request, target, deadline);
@@ -321,10 +317,9 @@
         }
         return failure;
     }
-    return finish_commit(session,
-                         {protocol::make_update_request(request.caller, request.idempotency_key,
-                                                        {})},
-                         1, deadline);
+    return finish_commit(
+        session, {protocol::make_update_request(request.caller, request.idempotency_key, {})}, 1,
+        deadline);
 }
 
 }  // namespace hornbeamhook::proxy
--- a/src/proxy/execution.h
+++ b/src/proxy/execution.h
@@ -35,8 +35,7 @@
     /** A read as one exchange; its answer is discarded when the target is behind `required`. */
     execution run_read(const protocol::execute_request& request,
                        const state::target_description& target,
-                       const coordination::required_points& required,
-                       state::time_point deadline);
+                       const coordination::required_points& required, state::time_point deadline);
 
     /** A write in one database transaction, with its idempotency key when there is one. */
     execution run_write(const protocol::execute_request& request,
--- a/src/proxy/home_runtime.cpp
+++ b/src/proxy/home_runtime.cpp
@@ -111,8 +111,7 @@
     }
     target = *found;
     target.address = settings_.get_dial_address(target.address);
-    if (!is_new_work(request.operation) &&
-        request.operation != execute_operation::resolve_commit) {
+    if (!is_new_work(request.operation) && request.operation != execute_operation::resolve_commit) {
         return std::nullopt;
     }
     if (is_draining_) {
@@ -227,16 +226,15 @@
         respond(std::move(answer));
         return;
     }
-    waiter_.wait(request.pool,
-                 [done = std::move(answer), deadline, respond = std::move(respond)](
-                     const state::group_view* view, state::time_point now) {
-                     std::optional<execute_answer> decided = judge(done, view, now, deadline);
-                     if (!decided) {
-                         return false;
-                     }
-                     respond(std::move(*decided));
-                     return true;
-                 });
+    waiter_.wait(request.pool, [done = std::move(answer), deadline, respond = std::move(respond)](
+                                   const state::group_view* view, state::time_point now) {
+        std::optional<execute_answer> decided = judge(done, view, now, deadline);
+        if (!decided) {
+            return false;
+        }
+        respond(std::move(*decided));
+        return true;
+    });
 }
 
 void home_runtime::add_gauges(gauge_sample& gauges) {
--- a/src/proxy/home_service.cpp
+++ b/src/proxy/home_service.cpp
@@ -77,8 +77,7 @@
     const std::shared_ptr<const state::fleet_view> fleet = runtime_.get_groups().get_view();
     const auto group = fleet->polled_groups.find(request->pool);
     const bool is_primary = group != fleet->polled_groups.end() && group->second &&
-                            group->second->primary &&
-                            group->second->primary->target == target.name;
+                            group->second->primary && group->second->primary->target == target.name;
     // There is nothing better than the primary, so a read there waits up to its deadline.
     const state::time_point give_up_at =
         is_primary ? deadline : coordination::get_catch_up_limit(arrival, deadline);
@@ -92,8 +91,8 @@
                                               "this proxy does not poll the group"));
                 return true;
             }
-            const coordination::freshness_decision decision = coordination::judge_freshness(
-                requirement, *view, target.name, now, give_up_at);
+            const coordination::freshness_decision decision =
+                coordination::judge_freshness(requirement, *view, target.name, now, give_up_at);
             switch (decision.step) {
                 case coordination::freshness_step::wait_for_proof:
                 case coordination::freshness_step::wait_for_replica:
@@ -115,8 +114,8 @@
 
 void home_service::admit(std::shared_ptr<const execute_request> request,
                          const state::target_description& target,
-                         const coordination::required_points& required,
-                         state::time_point deadline, execute_responder respond) {
+                         const coordination::required_points& required, state::time_point deadline,
+                         execute_responder respond) {
     const std::shared_ptr<target_lane> lane = runtime_.get_lane(request->pool, target);
     const auto start = [this, request, target, required, deadline, lane, respond] {
         const state::time_point began = std::chrono::steady_clock::now();
@@ -136,9 +135,10 @@
         const state::time_point ended = std::chrono::steady_clock::now();
         const bool was_answered = result.outcome == outcome::ok || result.is_behind ||
                                   result.code == error_code::statement_failed;
-        lane->finish(was_answered ? std::optional(std::chrono::duration_cast<
-                                        std::chrono::microseconds>(ended - began))
-                                  : std::nullopt,
+        lane->finish(was_answered
+                         ? std::optional(
+                               std::chrono::duration_cast<std::chrono::microseconds>(ended - began))
+                         : std::nullopt,
                      ended);
         runtime_.dispatch(lane);
         runtime_.report_failure(*request, result);
@@ -146,8 +146,8 @@
     };
     const auto refuse = [this, request, respond](lane_refusal reason) {
         // not_run: the lane hands out a request either to start or to refuse, never to both.
-        respond(runtime_.make_refusal(*request, get_refusal_code(reason),
-                                      get_refusal_text(reason)));
+        respond(
+            runtime_.make_refusal(*request, get_refusal_code(reason), get_refusal_text(reason)));
     };
     lane->offer({0, request->caller, request->is_write, deadline}, start, refuse,
                 std::chrono::steady_clock::now());
@@ -158,9 +158,9 @@
     const std::int64_t now_ms = std::chrono::duration_cast<std::chrono::milliseconds>(
                                     std::chrono::system_clock::now().time_since_epoch())
                                     .count();
-    const std::int64_t retention_ms = std::chrono::duration_cast<std::chrono::milliseconds>(
-                                          runtime_.get_settings().key_retention)
-                                          .count();
+    const std::int64_t retention_ms =
+        std::chrono::duration_cast<std::chrono::milliseconds>(runtime_.get_settings().key_retention)
+            .count();
     const std::shared_ptr<const state::fleet_view> view = runtime_.get_groups().get_view();
     for (const auto& [pool, group] : view->polled_groups) {
         const state::pool_description* description = view->config->find_pool(pool);
--- a/src/proxy/target_lane.h
+++ b/src/proxy/target_lane.h
@@ -65,8 +65,7 @@
     };
 
     coordination::service_rate get_rate() const;
-    void refuse_all(const std::vector<coordination::admission_entry>& entries,
-                    lane_refusal reason);
+    void refuse_all(const std::vector<coordination::admission_entry>& entries, lane_refusal reason);
 
     std::mutex mutex_;
     coordination::admission_queue queue_;
--- a/src/proxy/target_session.h
+++ b/src/proxy/target_session.h
@@ -52,9 +52,8 @@
      * Takes a connection to a target of `pool`. Before a write an idle connection is probed; a
      * read probes it in its own exchange. Blocks until `deadline` at most.
      */
-    virtual session_result acquire(const std::string& pool,
-                                   const state::target_description& target, bool is_write,
-                                   state::time_point deadline) = 0;
+    virtual session_result acquire(const std::string& pool, const state::target_description& target,
+                                   bool is_write, state::time_point deadline) = 0;
 
     /** Connections this process may open to the target at the moment. */
     virtual int get_quota(const std::string& pool, const state::target_description& target) = 0;
--- a/src/proxy/transaction_service.cpp
+++ b/src/proxy/transaction_service.cpp
@@ -125,8 +125,8 @@
 }
 
 void transaction_service::begin(const execute_request& request,
-                                const state::target_description& target,
-                                state::time_point deadline, const execute_responder& respond) {
+                                const state::target_description& target, state::time_point deadline,
+                                const execute_responder& respond) {
     if (!ensure_key_table(request, target, deadline)) {
         // not_run: no transaction was opened.
         respond(runtime_.make_refusal(request, error_code::no_primary,
@@ -148,8 +148,8 @@
                           const state::group_view* view, state::time_point now) {
             coordination::freshness_decision decision;
             if (view != nullptr) {
-                decision = coordination::judge_freshness(requirement, *view, target.name, now,
-                                                         give_up_at);
+                decision =
+                    coordination::judge_freshness(requirement, *view, target.name, now, give_up_at);
             }
             if (decision.step == coordination::freshness_step::wait_for_proof ||
                 decision.step == coordination::freshness_step::wait_for_replica) {
@@ -160,8 +160,8 @@
             if (decision.step == coordination::freshness_step::give_up ||
                 !runtime_.get_transaction_workers().try_submit(task)) {
                 // not_run: no transaction was opened.
-                execute_answer answer = runtime_.make_refusal(
-                    request, error_code::unavailable, "the target did not reach the point");
+                execute_answer answer = runtime_.make_refusal(request, error_code::unavailable,
+                                                              "the target did not reach the point");
                 answer.is_behind = true;
                 respond(std::move(answer));
             }
@@ -190,8 +190,7 @@
             return true;
         }
     }
-    session_result acquired =
-        runtime_.get_sessions().acquire(request.pool, target, true, deadline);
+    session_result acquired = runtime_.get_sessions().acquire(request.pool, target, true, deadline);
     if (std::holds_alternative<target_error>(acquired)) {
         return false;
     }
@@ -215,12 +214,11 @@
                                       "too many transactions are open at the target"));
         return;
     }
-    session_result acquired =
-        runtime_.get_sessions().acquire(request.pool, target, true, deadline);
+    session_result acquired = runtime_.get_sessions().acquire(request.pool, target, true, deadline);
     if (const auto* error = std::get_if<target_error>(&acquired)) {
         execution failure = executor::make_failure(exchange_phase::opening, *error);
-        failure.is_primary_lost = request.is_write &&
-                                  error->kind != transport::target_failure_kind::connection_limit;
+        failure.is_primary_lost =
+            request.is_write && error->kind != transport::target_failure_kind::connection_limit;
         runtime_.report_failure(request, failure);
         runtime_.answer(request, std::move(failure), deadline, respond);
         return;
@@ -301,8 +299,7 @@
     pinned_.erase(number);
 }
 
-void transaction_service::run_statements(const execute_request& request,
-                                         state::time_point deadline,
+void transaction_service::run_statements(const execute_request& request, state::time_point deadline,
                                          const execute_responder& respond) {
     const std::shared_ptr<pinned> entry = claim(request, respond);
     if (!entry) {
@@ -362,8 +359,8 @@
     }
     execution result;
     if (entry->is_write) {
-        result = runtime_.get_executor().run_commit(*entry->session, request, entry->target,
-                                                    deadline);
+        result =
+            runtime_.get_executor().run_commit(*entry->session, request, entry->target, deadline);
     } else {
         // A transaction that only reads has no effect; ending it either way is a success.
         result = make_ok();
