--- a/src/coordination/configuration_confirmation.cpp
+++ b/src/coordination/configuration_confirmation.cpp
@@ -50,7 +50,7 @@
         state.is_confirmed = is_confirmed;
         actions.emplace_back(confirmation_changed{is_confirmed});
     }
-    return {std::move(state), std::move(actions)};
+    return {state, std::move(actions)};
 }
 
 }  // namespace hornbeamhook::coordination
--- a/src/proxy/fleet_control.cpp
+++ b/src/proxy/fleet_control.cpp
@@ -652,8 +652,8 @@
 
 void fleet_control::step_confirmation(const coordination::confirmation_event& event) {
     coordination::configuration_confirmation_step step =
-        coordination::step_configuration_confirmation(std::move(confirmation_), event, get_now());
-    confirmation_ = std::move(step.state);
+        coordination::step_configuration_confirmation(confirmation_, event, get_now());
+    confirmation_ = step.state;
     for (const coordination::confirmation_action& action : step.actions) {
         const auto& changed = std::get<coordination::confirmation_changed>(action);
         log_event(event_confirmation_changed,
