Add hornbeamhook-load

The load tool drives simulated callers with roaming sessions, keyed and unkeyed writes, three read policies and transactions, closed or open loop, and checks its own history.

--- /dev/null
+++ b/src/load/fleet_reader.h
@@ -0,0 +1,48 @@
+#pragma once
+
+#include <boost/leaf.hpp>
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <nlohmann/json.hpp>
+#include <string>
+
+#include "load/caller_client.h"
+#include "load/final_state.h"
+#include "load/load_settings.h"
+#include "load/load_tables.h"
+
+namespace hornbeamhook::load {
+
+/** Prepares the tables of a run and reads all their rows strictly afterwards. */
+class fleet_reader {
+public:
+    /** All references must outlive this. */
+    fleet_reader(const load_settings& settings, const load_tables& tables, caller_client& client);
+
+    /** Creates and fills the tables of one pool. Fails with load_error. */
+    boost::leaf::result<void> prepare(const std::string& pool);
+
+    /** Reads all rows of one pool strictly. Fails with load_error. */
+    boost::leaf::result<final_state> read(const std::string& pool);
+
+private:
+    using row_handler = std::function<void(const api_result& result, std::size_t row)>;
+
+    boost::leaf::result<api_answer> repeat(const std::string& pool, const nlohmann::json& body);
+    boost::leaf::result<std::size_t> read_page(const std::string& pool, const std::string& echo,
+                                               const nlohmann::json& statements,
+                                               const row_handler& handle);
+    boost::leaf::result<void> read_numbered(
+        const std::string& pool,
+        const std::function<nlohmann::json(const std::string&, std::int64_t)>& make_statements,
+        const row_handler& handle);
+
+    const load_settings& settings_;
+    const load_tables& tables_;
+    caller_client& client_;
+    std::uint64_t next_echo_ = 0;
+    std::size_t next_proxy_ = 0;
+};
+
+}  // namespace hornbeamhook::load
