--- a/src/load/load_report.cpp
+++ b/src/load/load_report.cpp
@@ -1,12 +1,13 @@
 #include "load/load_report.h"
 
 #include <algorithm>
-#include <cmath>
 #include <iomanip>
 #include <map>
 #include <sstream>
 #include <vector>
 
+#include "load/latency_summary.h"
+
 namespace hornbeamhook::load {
 
 namespace {
@@ -14,27 +15,6 @@
 using float_milliseconds = std::chrono::duration<double, std::milli>;
 using float_seconds = std::chrono::duration<double>;
 
-double round_to_thousandths(double value) {
-    return std::round(value * 1000) / 1000;
-}
-
-double get_percentile(const std::vector<double>& sorted, double share) {
-    if (sorted.empty()) {
-        return 0;
-    }
-    const auto index = static_cast<std::size_t>(std::ceil(share * sorted.size()));
-    return round_to_thousandths(sorted[std::clamp<std::size_t>(index, 1, sorted.size()) - 1]);
-}
-
-nlohmann::json to_percentiles(std::vector<double> values) {
-    std::ranges::sort(values);
-    return {{"count", values.size()},
-            {"p50", get_percentile(values, 0.50)},
-            {"p90", get_percentile(values, 0.90)},
-            {"p99", get_percentile(values, 0.99)},
-            {"max", values.empty() ? 0 : round_to_thousandths(values.back())}};
-}
-
 std::string get_policy_name(const state::read_policy& policy) {
     switch (policy.policy) {
         case state::read_policy::kind::strict:
@@ -115,7 +95,7 @@
     report["operations"] = {{"completed", good}, {"refused", refused}, {"unknown", unknown}};
     report["latency_ms"] = nlohmann::json::object();
     for (auto& [name, values] : latencies) {
-        report["latency_ms"][name] = to_percentiles(std::move(values));
+        report["latency_ms"][name] = summarise_latencies(std::move(values));
     }
 }
 
--- a/src/main/hornbeamhook_load.cpp
+++ b/src/main/hornbeamhook_load.cpp
@@ -7,6 +7,7 @@
 #include <random>
 #include <sstream>
 
+#include "load/direct_run.h"
 #include "load/load_error.h"
 #include "load/load_events.h"
 #include "load/load_report.h"
@@ -63,6 +64,12 @@
     return {};
 }
 
+/** A different run each time, also with the same seed, so that tables are never shared. */
+std::string make_run_name(std::uint64_t seed) {
+    std::random_device device;
+    return "r" + std::to_string(device()) + "x" + std::to_string(seed);
+}
+
 leaf::result<load::load_settings> read_settings(const cxxopts::ParseResult& arguments) {
     BOOST_LEAF_AUTO(text, read_file("settings", arguments["settings"].as<std::string>()));
     BOOST_LEAF_AUTO(object, state::parse_json(text, "settings"));
@@ -74,9 +81,9 @@
     }
     BOOST_LEAF_AUTO(workload_object, state::parse_json(workload_text, "workload"));
     BOOST_LEAF_ASSIGN(settings.mix, load::parse_workload(workload_object));
-    std::random_device device;
-    settings.seed = arguments.count("seed") > 0 ? arguments["seed"].as<std::uint64_t>() : device();
-    settings.run = "r" + std::to_string(device()) + "x" + std::to_string(settings.seed);
+    settings.seed = arguments.count("seed") > 0 ? arguments["seed"].as<std::uint64_t>()
+                                                : std::random_device()();
+    settings.run = make_run_name(settings.seed);
     settings.clients = arguments["clients"].as<int>();
     if (arguments.count("rate") > 0) {
         settings.rate = arguments["rate"].as<double>();
@@ -93,6 +100,20 @@
     return settings;
 }
 
+leaf::result<int> execute_direct(const cxxopts::ParseResult& arguments) {
+    load::direct_settings settings;
+    settings.address = arguments["direct"].as<std::string>();
+    settings.clients = arguments["clients"].as<int>();
+    settings.duration = get_seconds(arguments, "duration");
+    settings.run = make_run_name(0);
+    BOOST_LEAF_AUTO(report, load::run_direct(settings));
+    if (arguments.count("report-json") > 0) {
+        std::ofstream(arguments["report-json"].as<std::string>()) << report.dump(2) << "\n";
+    }
+    std::cout << report.dump(2) << "\n";
+    return 0;
+}
+
 leaf::result<int> execute(const cxxopts::ParseResult& arguments) {
     BOOST_LEAF_AUTO(settings, read_settings(arguments));
     std::cout << "seed=" << settings.seed << " run=" << settings.run << std::endl;
@@ -128,6 +149,8 @@
         "deadline-ms", "Deadline of one request", cxxopts::value<int>()->default_value("4000"))(
         "no-retry", "Callers do not repeat refused requests")(
         "seed", "Seed of the workload; default: random", cxxopts::value<std::uint64_t>())(
+        "direct", "Baseline: reads from the target at this address, without a proxy",
+        cxxopts::value<std::string>())(
         "kill-primary-at", "Second at which the control interface asks for a primary's loss",
         cxxopts::value<double>())("report-json", "File for the report",
                                   cxxopts::value<std::string>())("version", "Print the version")(
@@ -146,12 +169,14 @@
         std::cout << HORNBEAMHOOK_VERSION << "\n";
         return 0;
     }
-    if (arguments.count("settings") == 0) {
+    if (arguments.count("settings") + arguments.count("direct") == 0) {
         std::cerr << "settings: missing; allowed: --settings FILE\n";
         return exit_bad_usage;
     }
     return leaf::try_handle_all(
-        [&]() -> leaf::result<int> { return execute(arguments); },
+        [&]() -> leaf::result<int> {
+            return arguments.count("direct") > 0 ? execute_direct(arguments) : execute(arguments);
+        },
         [](const state::state_error& error) {
             std::cerr << error.message << "\n";
             return exit_bad_usage;
