--- a/src/load/event_log.cpp
+++ b/src/load/event_log.cpp
@@ -76,7 +76,10 @@
         const std::scoped_lock lock(mutex_);
         return {200, nlohmann::json{{"phase", to_text(phase_)},
                                     {"is_kill_primary_due", is_kill_primary_due_},
-                                    {"events", events_.size()}}
+                                    {"events", events_.size()},
+                                    {"completed", progress_.completed.load()},
+                                    {"refused", progress_.refused.load()},
+                                    {"unknown", progress_.unknown.load()}}
                          .dump()};
     }
     return {404, nlohmann::json{{"error", "no such resource: " + request.path}}.dump()};
--- a/src/load/event_log.h
+++ b/src/load/event_log.h
@@ -5,6 +5,7 @@
 #include <vector>
 
 #include "load/event_record.h"
+#include "load/progress_counters.h"
 #include "transport/http_message.h"
 
 namespace hornbeamhook::load {
@@ -15,6 +16,9 @@
     /** Phases a script can wait for. */
     enum class phase { preparing, running, checking, finished };
 
+    /** `progress` must outlive this. */
+    explicit event_log(const progress_counters& progress) : progress_(progress) {}
+
     /**
      * Answers `POST /control/events` (`{"kind","pool","target","version","label","at_ns",
      * "effective_ns"}`, times of the monotonic clock) and `GET /control/state`.
@@ -28,6 +32,7 @@
 private:
     transport::http_response add(const std::string& body);
 
+    const progress_counters& progress_;
     mutable std::mutex mutex_;
     phase phase_ = phase::preparing;
     bool is_kill_primary_due_ = false;
--- a/src/load/history_checker.cpp
+++ b/src/load/history_checker.cpp
@@ -238,9 +238,11 @@
                 const std::int64_t entries = find_count(pool.entries_by_item, item);
                 if (version != entries) {
                     // Each write adds one row and raises the version once, in one transaction.
-                    add(violation_kind::mixed_transactions, name + "/" + item + " has version " +
-                                                                std::to_string(version) + " and " +
-                                                                std::to_string(entries) + " rows");
+                    std::string text = name;
+                    text.append("/").append(item).append(" has version ");
+                    text.append(std::to_string(version)).append(" and ");
+                    text.append(std::to_string(entries)).append(" rows");
+                    add(violation_kind::mixed_transactions, std::move(text));
                 }
             }
             if (pool.balance_sum != pool.expected_balance_sum) {
--- a/src/load/latency_summary.cpp
+++ b/src/load/latency_summary.cpp
@@ -11,7 +11,8 @@
     if (sorted.empty()) {
         return 0;
     }
-    const auto index = static_cast<std::size_t>(std::ceil(share * static_cast<double>(sorted.size())));
+    const auto index =
+        static_cast<std::size_t>(std::ceil(share * static_cast<double>(sorted.size())));
     return round_to_thousandths(sorted[std::clamp<std::size_t>(index, 1, sorted.size()) - 1]);
 }
 
--- a/src/load/load_run.cpp
+++ b/src/load/load_run.cpp
@@ -28,7 +28,11 @@
 }  // namespace
 
 load_run::load_run(load_settings settings)
-    : settings_(std::move(settings)), tables_(settings_.run), client_(settings_.credential) {}
+    : settings_(std::move(settings)),
+      tables_(settings_.run),
+      client_(settings_.credential),
+      proxies_(settings_.proxies),
+      events_(progress_) {}
 
 leaf::result<nlohmann::json> load_run::run() {
     start_control();
@@ -37,7 +41,8 @@
         BOOST_LEAF_CHECK(reader.prepare(pool));
     }
     for (int i = 0; i < settings_.clients; ++i) {
-        sessions_.push_back(std::make_unique<session>(i, settings_, tables_, client_, progress_));
+        sessions_.push_back(
+            std::make_unique<session>(i, settings_, tables_, client_, proxies_, progress_));
     }
     transport::log_event(run_started, {{"deployment", settings_.deployment},
                                        {"seed", std::to_string(settings_.seed)},
--- a/src/load/load_run.h
+++ b/src/load/load_run.h
@@ -14,6 +14,7 @@
 #include "load/load_settings.h"
 #include "load/load_tables.h"
 #include "load/progress_counters.h"
+#include "load/proxy_directory.h"
 #include "load/session.h"
 #include "transport/http_server.h"
 
@@ -39,6 +40,7 @@
     const load_settings settings_;
     const load_tables tables_;
     caller_client client_;
+    proxy_directory proxies_;
     progress_counters progress_;
     event_log events_;
     std::unique_ptr<transport::http_server> control_;
--- a/src/load/session.cpp
+++ b/src/load/session.cpp
@@ -48,11 +48,12 @@
 }  // namespace
 
 session::session(std::uint32_t number, const load_settings& settings, const load_tables& tables,
-                 caller_client& client, progress_counters& progress)
+                 caller_client& client, proxy_directory& proxies, progress_counters& progress)
     : number_(number),
       settings_(settings),
       tables_(tables),
       client_(client),
+      proxies_(proxies),
       progress_(progress),
       random_(settings.seed * 1'000'003 + number) {
     const std::vector<double> weights = get_weights(settings.mix);
@@ -91,18 +92,17 @@
     return settings_.run + "s" + std::to_string(number_) + "m" + std::to_string(next_marker_++);
 }
 
-const proxy_endpoint& session::choose_proxy() {
+std::size_t session::choose_proxy() {
     const bool is_roaming =
         std::uniform_real_distribution<>(0, 1)(random_) < settings_.mix.roam_share;
-    return settings_.proxies[is_roaming ? random_() % settings_.proxies.size() : own_proxy_];
+    const std::size_t wanted = is_roaming ? random_() % proxies_.get_size() : own_proxy_;
+    return proxies_.find_usable(wanted, steady_clock::now());
 }
 
-void session::leave_proxy(const proxy_endpoint& proxy, const api_answer& answer) {
-    // A balancer would send the caller elsewhere after a failed connection or a draining proxy.
-    const bool has_failed = answer.code.starts_with("transport_") || answer.code == "draining" ||
-                            answer.code == "configuration_unconfirmed";
-    if (has_failed && &proxy == &settings_.proxies[own_proxy_]) {
-        own_proxy_ = random_() % settings_.proxies.size();
+void session::leave_proxy(std::size_t proxy, const api_answer& answer) {
+    if (answer.code.starts_with("transport_") || answer.code == "draining" ||
+        answer.code == "configuration_unconfirmed") {
+        proxies_.avoid(proxy, steady_clock::now());
     }
 }
 
@@ -110,7 +110,8 @@
                                nlohmann::json body, const std::string& expected_echo,
                                bool is_in_transaction) {
     body["deadline_ms"] = settings_.deadline.count();
-    const proxy_endpoint& proxy = choose_proxy();
+    const std::size_t index = choose_proxy();
+    const proxy_endpoint& proxy = proxies_.get(index);
     attempt result;
     result.begin = steady_clock::now();
     result.answer = client_.post(proxy.address, path, body, settings_.deadline);
@@ -125,7 +126,7 @@
                                     is_in_transaction, answer.configuration_version});
     } else {
         count(answer);
-        leave_proxy(proxy, answer);
+        leave_proxy(index, answer);
     }
     return result;
 }
--- a/src/load/session.h
+++ b/src/load/session.h
@@ -11,6 +11,7 @@
 #include "load/load_settings.h"
 #include "load/load_tables.h"
 #include "load/progress_counters.h"
+#include "load/proxy_directory.h"
 #include "load/run_statistics.h"
 
 namespace hornbeamhook::load {
@@ -20,7 +21,7 @@
 public:
     /** All references must outlive the session. */
     session(std::uint32_t number, const load_settings& settings, const load_tables& tables,
-            caller_client& client, progress_counters& progress);
+            caller_client& client, proxy_directory& proxies, progress_counters& progress);
 
     /** Runs one random operation of the workload. `scheduled` is when it should have begun. */
     void run_operation(time_point scheduled);
@@ -38,8 +39,8 @@
 
     const workload_operation& choose_operation(std::size_t& index);
     std::string make_marker();
-    const proxy_endpoint& choose_proxy();
-    void leave_proxy(const proxy_endpoint& proxy, const api_answer& answer);
+    std::size_t choose_proxy();
+    void leave_proxy(std::size_t proxy, const api_answer& answer);
     attempt send(const std::string& pool, const std::string& path, nlohmann::json body,
                  const std::string& expected_echo, bool is_in_transaction);
     void count(const api_answer& answer);
@@ -63,6 +64,7 @@
     const load_settings& settings_;
     const load_tables& tables_;
     caller_client& client_;
+    proxy_directory& proxies_;
     progress_counters& progress_;
     std::mt19937_64 random_;
     std::discrete_distribution<std::size_t> mix_;
