--- a/src/state/latency_histogram.cpp
+++ b/src/state/latency_histogram.cpp
@@ -14,8 +14,8 @@
 
 namespace {
 
-// Six buckets per factor of ten, from 100 us to 100 s; steps are at most 50 %.
-constexpr std::array<double, 6> steps{1, 1.5, 2, 3, 5, 7};
+// Six buckets per factor of ten, from 100 us to 100 s; no bound is over 50 % above the one before.
+constexpr std::array<double, 6> steps{1, 1.5, 2.2, 3.2, 4.7, 7};
 constexpr int decades = 6;
 constexpr std::int64_t first_bound_us = 100;
 constexpr std::size_t bucket_count = steps.size() * decades + 1;
