--- a/src/standin/target/sql_connection.cpp
+++ b/src/standin/target/sql_connection.cpp
@@ -158,6 +158,7 @@
 void sql_connection::call_function(sqlite3_context* context, int count, sqlite3_value** values) {
     auto* function = static_cast<registered_function*>(sqlite3_user_data(context));
     std::vector<std::string> arguments;
+    arguments.reserve(static_cast<std::size_t>(count));
     for (int i = 0; i < count; ++i) {
         arguments.push_back(get_text(values[i]));
     }
@@ -247,6 +248,7 @@
 std::vector<std::string> sql_connection::get_columns(const statement& value) {
     std::vector<std::string> columns;
     const int count = sqlite3_column_count(value.handle);
+    columns.reserve(static_cast<std::size_t>(count));
     for (int column = 0; column < count; ++column) {
         columns.emplace_back(sqlite3_column_name(value.handle, column));
     }
--- a/tests/support/target_group.h
+++ b/tests/support/target_group.h
@@ -161,12 +161,28 @@
     std::vector<std::unique_ptr<standin::target::target_server>> servers_;
 };
 
-/** Calls fence or promote; the error's SQLSTATE, or empty. */
+/**
+ * Calls fence or promote; the error's SQLSTATE, or empty after success. Repeats the call, which is
+ * idempotent, when the target closed the connection because it was discarding a tail.
+ */
 inline std::string call(target_group& group, int index, const std::string& function,
                         state::term_number term, const std::string& claimant) {
-    const auto connection = connect(group.get_address(index));
-    return run(*connection, {{"SELECT " + function + "($1, $2)", {std::to_string(term), claimant}}})
-        .get_sqlstate();
+    std::string sqlstate = "no answer";
+    eventually([&] {
+        const open_outcome outcome = open(group.get_address(index));
+        if (!outcome.connection) {
+            return false;
+        }
+        const exchange_outcome answer =
+            run(*outcome.connection,
+                {{"SELECT " + function + "($1, $2)", {std::to_string(term), claimant}}});
+        if (answer.error && answer.error->kind != transport::target_failure_kind::sql_error) {
+            return false;
+        }
+        sqlstate = answer.get_sqlstate();
+        return true;
+    });
+    return sqlstate;
 }
 
 inline std::string fence(target_group& group, int index, state::term_number term,
