--- a/tests/coordination/failover_exploration_test.cpp
+++ b/tests/coordination/failover_exploration_test.cpp
@@ -136,6 +136,7 @@
         return stops_early && result.violations > 0;
     };
     std::vector<std::thread> threads;
+    threads.reserve(thread_count);
     for (int i = 0; i < thread_count; ++i) {
         threads.emplace_back([&] {
             for (int run = next++; run < runs && !is_over(); run = next++) {
--- /dev/null
+++ b/tests/coordination/home_assignment_test.cpp
@@ -0,0 +1,164 @@
+#include "coordination/home_assignment.h"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <iostream>
+#include <random>
+#include <set>
+
+#include "support/seed.h"
+
+namespace hornbeamhook::coordination {
+namespace {
+
+using state::member;
+
+constexpr int homes_per_target = 2;
+
+member make_member(int number, const std::string& place, const std::string& data_center) {
+    member value;
+    value.vm = "vm" + std::to_string(number);
+    value.place = place;
+    value.data_center = data_center;
+    return value;
+}
+
+state::target_description make_target(int number) {
+    state::target_description target;
+    target.name = "t" + std::to_string(number);
+    target.place = "cairo";
+    target.data_center = "cairo-1";
+    return target;
+}
+
+std::vector<std::string> get_vms(const state::target_description& target,
+                                 const std::vector<member>& members) {
+    std::vector<std::string> vms;
+    for (const member& value : get_homes("ledger", target, members, homes_per_target)) {
+        vms.push_back(value.vm);
+    }
+    return vms;
+}
+
+std::vector<member> without(const std::vector<member>& members, std::size_t index) {
+    std::vector<member> rest = members;
+    rest.erase(rest.begin() + static_cast<std::ptrdiff_t>(index));
+    return rest;
+}
+
+// Guards against homes far from the target while near proxies live.
+TEST(home_assignment, prefers_data_centre_then_place_then_any) {
+    const member near = make_member(1, "cairo", "cairo-1");
+    const member same_place = make_member(2, "cairo", "cairo-2");
+    const member far = make_member(3, "aswan", "aswan-1");
+    // Data centres may have the same name in several places.
+    const member twin = make_member(4, "aswan", "cairo-1");
+    const state::target_description target = make_target(1);
+    EXPECT_EQ(get_vms(target, {far, twin, same_place, near}),
+              (std::vector<std::string>{"vm1", "vm2"}));
+    EXPECT_EQ(get_vms(target, {far, same_place}), (std::vector<std::string>{"vm2", "vm3"}));
+    EXPECT_EQ(get_vms(target, {far}), (std::vector<std::string>{"vm3"}));
+    EXPECT_TRUE(get_vms(target, {}).empty());
+}
+
+// Guards against weights that differ between builds: a fleet is upgraded one proxy at a time.
+TEST(home_assignment, weights_are_stable) {
+    EXPECT_EQ(get_rendezvous_weight("ledger/a", "vm1"), get_rendezvous_weight("ledger/a", "vm1"));
+    EXPECT_NE(get_rendezvous_weight("ledger/a", "vm1"), get_rendezvous_weight("ledger/a", "vm2"));
+    EXPECT_NE(get_rendezvous_weight("ledger/a", "vm1"), get_rendezvous_weight("ledger/avm", "1"));
+}
+
+// Guards against a member change that moves homes of targets it does not concern.
+TEST(home_assignment, a_member_change_moves_only_its_own_homes) {
+    constexpr int target_count = 2000;
+    for (const int size : {3, 8, 40}) {
+        std::vector<member> members;
+        for (int i = 0; i < size; ++i) {
+            members.push_back(make_member(i, "cairo", "cairo-1"));
+        }
+        int moved = 0;
+        int wrong = 0;
+        for (int t = 0; t < target_count; ++t) {
+            const std::vector<std::string> before = get_vms(make_target(t), members);
+            const std::vector<std::string> after = get_vms(make_target(t), without(members, 0));
+            for (const std::string& vm : before) {
+                const bool is_kept = std::ranges::find(after, vm) != after.end();
+                moved += is_kept ? 0 : 1;
+                wrong += !is_kept && vm != "vm0" ? 1 : 0;
+            }
+        }
+        const double share = static_cast<double>(moved) / (target_count * homes_per_target);
+        std::cout << "share of homes moved by the loss of 1 of " << size << " members: " << share
+                  << '\n';
+        EXPECT_EQ(wrong, 0);
+        // A fair hash gives each member 1/size of the homes; a fifth covers its variance here.
+        EXPECT_NEAR(share, 1.0 / size, 0.2 / size);
+    }
+}
+
+// Guards against proxies that together open more connections than a target allows while their
+// member views differ by one member.
+TEST(home_assignment, views_that_differ_by_one_member_stay_within_the_limit) {
+    const std::uint64_t seed = tests::get_seed();
+    std::mt19937_64 random(seed);
+    int exceeded = 0;
+    int cases = 0;
+    int exceeded_by_two = 0;
+    for (int i = 0; i < 5000; ++i) {
+        std::vector<member> members;
+        const int size = 2 + static_cast<int>(random() % 8);
+        for (int j = 0; j < size; ++j) {
+            members.push_back(make_member(static_cast<int>(random() % 100'000),
+                                          random() % 3 != 0 ? "cairo" : "aswan",
+                                          random() % 2 != 0 ? "cairo-1" : "cairo-2"));
+        }
+        const int limit = 10 + static_cast<int>(random() % 40);
+        const int reserved = 6;
+        const int quota = get_home_quota(limit, reserved, homes_per_target);
+        const state::target_description target = make_target(i);
+        const auto count_connections = [&](const std::vector<std::vector<member>>& views) {
+            std::set<std::string> homes;
+            for (const std::vector<member>& view : views) {
+                for (const std::string& vm : get_vms(target, view)) {
+                    homes.insert(vm);
+                }
+            }
+            return static_cast<int>(homes.size()) * quota;
+        };
+        const std::size_t first = random() % members.size();
+        ++cases;
+        exceeded += count_connections({members, without(members, first)}) > limit - reserved;
+        const std::vector<member> fewer = without(members, first);
+        const std::vector<member> fewest = without(fewer, random() % fewer.size());
+        exceeded_by_two += count_connections({members, fewest}) > limit - reserved;
+    }
+    std::cout << "views that differ by one member: " << exceeded << " of " << cases
+              << " cases above the limit; by two members: " << exceeded_by_two << '\n';
+    EXPECT_EQ(exceeded, 0);
+}
+
+// Guards against ranks that differ between proxies, so that two claim at once.
+TEST(home_assignment, all_proxies_rank_the_pollers_alike) {
+    state::pool_description pool;
+    pool.name = "ledger";
+    pool.targets = {make_target(1), make_target(2), make_target(3)};
+    std::vector<member> members;
+    for (int i = 0; i < 9; ++i) {
+        members.push_back(make_member(i, i % 2 == 0 ? "cairo" : "aswan", "cairo-1"));
+    }
+    const std::vector<member> pollers = get_pollers(pool, members, homes_per_target);
+    std::ranges::reverse(members);
+    EXPECT_EQ(pollers, get_pollers(pool, members, homes_per_target));
+    EXPECT_GE(pollers.size(), 2U);
+    EXPECT_LE(pollers.size(), 6U);
+    for (const state::target_description& target : pool.targets) {
+        for (const std::string& vm : get_vms(target, members)) {
+            EXPECT_TRUE(
+                std::ranges::any_of(pollers, [&](const member& value) { return value.vm == vm; }));
+        }
+    }
+}
+
+}  // namespace
+}  // namespace hornbeamhook::coordination
--- /dev/null
+++ b/tests/coordination/poll_schedule_test.cpp
@@ -0,0 +1,83 @@
+#include "coordination/poll_schedule.h"
+
+#include <gtest/gtest.h>
+
+namespace hornbeamhook::coordination {
+namespace {
+
+using state::time_point;
+using std::chrono::milliseconds;
+
+const time_point start{std::chrono::hours(1)};
+
+class poll_schedule_test : public ::testing::Test {
+protected:
+    bool step(const schedule_event& event, int ms) {
+        poll_schedule_step result = step_poll_schedule(schedule_, event, start + milliseconds(ms));
+        schedule_ = result.state;
+        return !result.actions.empty();
+    }
+
+    poll_schedule_state schedule_;
+};
+
+// Guards against more than one poll in flight and more than one queued, however many ask.
+TEST_F(poll_schedule_test, requests_during_a_poll_are_batched_into_one) {
+    EXPECT_TRUE(step(poll_requested{}, 0));
+    for (int i = 0; i < 100; ++i) {
+        EXPECT_FALSE(step(poll_requested{}, 1));
+        EXPECT_FALSE(step(schedule_checked{true}, 1));
+    }
+    EXPECT_TRUE(step(poll_finished{true}, 2)) << "begins after all those requests";
+    EXPECT_FALSE(step(poll_finished{true}, 3));
+}
+
+// Guards against an idle target that is polled too often or never.
+TEST_F(poll_schedule_test, idle_targets_are_polled_at_the_heartbeat_interval) {
+    EXPECT_TRUE(step(schedule_checked{}, 0));
+    EXPECT_FALSE(step(poll_finished{true}, 1));
+    EXPECT_FALSE(step(schedule_checked{}, 249));
+    EXPECT_TRUE(step(schedule_checked{}, 250));
+}
+
+// Guards against a waiting reader that sees a replica catch up only at the next heartbeat, and
+// against polls back to back for as long as it waits.
+TEST_F(poll_schedule_test, polls_repeat_ever_more_slowly_while_readers_wait) {
+    EXPECT_TRUE(step(poll_requested{}, 0));
+    int polls = 0;
+    int last_gap = 0;
+    int last = 0;
+    step(poll_finished{true}, 0);
+    for (int ms = 1; ms <= 1000; ++ms) {
+        if (step(schedule_checked{true}, ms)) {
+            ++polls;
+            last_gap = ms - last;
+            last = ms;
+            step(poll_finished{true}, ms);
+        }
+    }
+    EXPECT_GE(polls, 40);
+    EXPECT_LE(polls, 100);
+    EXPECT_EQ(last_gap, 25);
+}
+
+// Guards against a dead target that costs a poll every 50 ms for ever.
+TEST_F(poll_schedule_test, failing_targets_are_confirmed_quickly_and_then_left_alone) {
+    EXPECT_TRUE(step(schedule_checked{}, 0));
+    step(poll_finished{false}, 1);
+    EXPECT_FALSE(step(poll_requested{}, 2) && step(poll_requested{}, 2));
+    int polls = 0;
+    for (int ms = 3; ms <= 10'000; ++ms) {
+        if (!schedule_.began_at && step(schedule_checked{true}, ms)) {
+            ++polls;
+        }
+        if (schedule_.began_at) {
+            step(poll_finished{false}, ms);
+        }
+    }
+    EXPECT_GE(polls, 20);
+    EXPECT_LE(polls, 20 + 10'000 / 250);
+}
+
+}  // namespace
+}  // namespace hornbeamhook::coordination
--- a/tests/support/group_simulation.h
+++ b/tests/support/group_simulation.h
@@ -81,7 +81,7 @@
     }
 
     int pick(int limit) { return static_cast<int>(random_() % static_cast<unsigned>(limit)); }
-    bool chance(double share) { return share > 0 && (random_() % 1'000'000) < share * 1e6; }
+    bool chance(double share) { return static_cast<double>(random_() % 1'000'000) < share * 1e6; }
 
     // Faults.
     void crash_target(std::size_t t) { is_down_[t] = true; }
