--- a/src/proxy/transaction_service.cpp
+++ b/src/proxy/transaction_service.cpp
@@ -348,7 +348,9 @@
         const std::scoped_lock lock(mutex_);
         registry_.release(request.transaction, ended);
     }
-    runtime_.answer(request, std::move(result), deadline, respond);
+    execute_request named = request;
+    named.target = entry->target.name;
+    runtime_.answer(named, std::move(result), deadline, respond);
 }
 
 void transaction_service::commit(const execute_request& request, state::time_point deadline,
@@ -373,7 +375,9 @@
         reset_session(std::move(entry->session), !entry->is_write);
     }
     entry->session.reset();
-    runtime_.answer(request, std::move(result), deadline, respond);
+    execute_request named = request;
+    named.target = entry->target.name;
+    runtime_.answer(named, std::move(result), deadline, respond);
 }
 
 void transaction_service::rollback(const execute_request& request, state::time_point deadline,
