--- a/src/proxy/proxy_server.cpp
+++ b/src/proxy/proxy_server.cpp
@@ -29,8 +29,6 @@
 namespace {
 
 using protocol::execute_answer;
-using protocol::execute_operation;
-using protocol::execute_request;
 using std::chrono::milliseconds;
 using transport::http_request;
 using transport::http_responder;
