--- a/scripts/fleet.py
+++ b/scripts/fleet.py
@@ -54,7 +54,8 @@
     },
 }
 PROXY_COUNT = 8
-CONNECT_DELAY_MS = 10
+CONNECT_COST_MS = 10
+STATEMENT_COST_US = 500
 DATA_CENTERS_PER_PLACE = 2
 
 
@@ -340,18 +341,21 @@
 
     def make_target_settings(self, name):
         target = self.targets[name]
-        first = target["name"] == self.plan["places"][0]
+        places = self.plan["places"]
+        # Primaries are spread over the places, so that no place sees only local writes.
+        primary = places[self.pools.index(target["pool"]) % len(places)]
         settings = {
             "name": target["name"],
             "listen_address": target["address"],
             "control_address": target["control_address"],
             "replication_address": target["replication_address"],
-            "peers": target["peers"],
+            "peers": [{"name": peer, "address": link} for peer, link in target["peers"].items()],
+            "initial_primary": primary,
             "slots": self.plan["slots"],
             "connection_limit": self.plan["connection_limit"],
-            "connect_delay_ms": CONNECT_DELAY_MS,
+            "connect_cost_ms": CONNECT_COST_MS,
+            "statement_cost_us": STATEMENT_COST_US,
             "replication_lag_ms": self.lag_ms,
-            "is_first_primary": first,
             "data_directory": os.path.join(self.directory, "data", name),
         }
         os.makedirs(settings["data_directory"], exist_ok=True)
