Keep HTTP connections open between exchanges

Pistache closes a connection after each answer unless the request carries Connection: keep-alive, which libcurl does not send by itself. Every exchange between proxies paid a handshake.

--- a/src/transport/http_client.cpp
+++ b/src/transport/http_client.cpp
@@ -151,6 +151,8 @@
     curl_slist* headers = nullptr;
     headers = curl_slist_append(headers, "Content-Type: application/json");
     headers = curl_slist_append(headers, "Expect:");
+    // Pistache closes a connection after each answer unless the request asks to keep it.
+    headers = curl_slist_append(headers, "Connection: keep-alive");
     if (!request.authorization.empty()) {
         headers = curl_slist_append(headers, ("Authorization: " + request.authorization).c_str());
     }
