Test the decisions of the data path; mix the routing spread fully

Cause: the new routing test found that consecutive spread values always chose the same one of two equal replicas, because one multiplication moves all hashes by the same amount.

--- a/src/coordination/routing.cpp
+++ b/src/coordination/routing.cpp
@@ -55,10 +55,13 @@
 }
 
 std::uint64_t mix(std::uint64_t spread, const std::string& name) {
-    std::uint64_t value = spread ^ std::hash<std::string>{}(name);
-    value ^= value >> 33U;
-    value *= 0xff51afd7ed558ccdULL;
-    value ^= value >> 33U;
+    // Two rounds: after one, consecutive numbers would move all names by the same amount.
+    std::uint64_t value = spread * 0x9e3779b97f4a7c15ULL ^ std::hash<std::string>{}(name);
+    for (int round = 0; round < 2; ++round) {
+        value ^= value >> 33U;
+        value *= 0xff51afd7ed558ccdULL;
+        value ^= value >> 29U;
+    }
     return value;
 }
 
--- /dev/null
+++ b/tests/coordination/routing_test.cpp
@@ -0,0 +1,164 @@
+#include "coordination/routing.h"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <memory>
+
+namespace hornbeamhook::coordination {
+namespace {
+
+state::member make_member(const std::string& vm, const std::string& place) {
+    state::member result;
+    result.vm = vm;
+    result.address = vm + ":1";
+    result.place = place;
+    result.data_center = place + "-1";
+    return result;
+}
+
+/** Three targets in three places, each with one home there; the entry is in place a. */
+class routing : public testing::Test {
+protected:
+    routing() {
+        for (const char* place : {"a", "b", "c"}) {
+            const state::member home = make_member(std::string("vm_") + place, place);
+            view.live_members.push_back(home);
+            pool.targets.push_back(
+                {std::string("t_") + place, "x:1", place, std::string(place) + "-1", 20, 3, false});
+            view.homes[std::string("p/t_") + place] = {home};
+        }
+        pool.name = "p";
+        view.self = make_member("entry", "a");
+        view.live_members.push_back(view.self);
+        view.primaries["p"] = {"t_a", 3};
+        publish();
+    }
+
+    void publish() {
+        auto config = std::make_shared<state::configuration>();
+        config->version = 1;
+        config->pools["p"] = pool;
+        view.config = config;
+    }
+
+    std::vector<std::string> get_targets(const route_request& request) const {
+        std::vector<std::string> names;
+        for (const route_candidate& candidate : plan_route(view, request)) {
+            names.push_back(candidate.target);
+        }
+        return names;
+    }
+
+    state::pool_description pool;
+    state::fleet_view view;
+};
+
+using names = std::vector<std::string>;
+
+// Guards against a write sent to a replica.
+TEST_F(routing, writes_go_to_the_primary_only) {
+    EXPECT_EQ(get_targets({.pool = "p", .is_write = true}), names{"t_a"});
+    EXPECT_EQ(get_targets({.pool = "p", .must_use_primary = true}), names{"t_a"});
+    view.primaries.clear();
+    EXPECT_EQ(get_targets({.pool = "p", .is_write = true}), names{});
+}
+
+// Guards against reads that load the primary while replicas are there.
+TEST_F(routing, reads_use_the_primary_last) {
+    for (std::uint64_t spread = 0; spread < 50; ++spread) {
+        const names route = get_targets({.pool = "p", .spread = spread});
+        ASSERT_EQ(route.size(), 3U);
+        EXPECT_EQ(route.back(), "t_a");
+    }
+}
+
+// Guards against reads that cross regions needlessly.
+TEST_F(routing, reads_prefer_the_nearest_replica) {
+    view.primaries["p"] = {"t_c", 3};
+    for (std::uint64_t spread = 0; spread < 50; ++spread) {
+        EXPECT_EQ(get_targets({.pool = "p", .spread = spread}), (names{"t_a", "t_b", "t_c"}));
+    }
+}
+
+// Guards against all reads on one of several equal replicas.
+TEST_F(routing, spread_divides_equal_replicas) {
+    std::set<std::string> first;
+    for (std::uint64_t spread = 0; spread < 50; ++spread) {
+        first.insert(get_targets({.pool = "p", .spread = spread}).front());
+    }
+    EXPECT_EQ(first, (std::set<std::string>{"t_b", "t_c"}));
+}
+
+// Guards against new work for what is leaving.
+TEST_F(routing, leaving_targets_and_proxies_get_nothing) {
+    pool.targets[1].is_leaving = true;
+    publish();
+    EXPECT_EQ(get_targets({.pool = "p"}), (names{"t_c", "t_a"}));
+    view.live_members[2].state = state::member_state::leaving;
+    EXPECT_EQ(get_targets({.pool = "p"}), names{"t_a"});
+    view.live_members.erase(view.live_members.begin());
+    EXPECT_EQ(get_targets({.pool = "p"}), names{});
+}
+
+// Guards against a leaving primary that goes on taking writes.
+TEST_F(routing, leaving_primary_gets_no_writes) {
+    pool.targets[0].is_leaving = true;
+    publish();
+    EXPECT_EQ(get_targets({.pool = "p", .is_write = true}), names{});
+}
+
+// Guards against a retry at the place that just failed, and against having no way left.
+TEST_F(routing, avoided_targets_and_homes_come_last) {
+    EXPECT_EQ(get_targets({.pool = "p", .avoided = {"t_b", "vm_c"}}).front(), "t_a");
+    EXPECT_EQ(get_targets({.pool = "p", .avoided = {"t_a", "t_b", "t_c"}}).size(), 3U);
+}
+
+// Guards against a replica that is known to be behind the session, or known to fail.
+TEST_F(routing, replicas_known_to_be_behind_come_after_others) {
+    auto group = std::make_shared<state::group_view>();
+    state::target_status behind;
+    behind.follow_term = 3;
+    behind.position = 5;
+    state::target_status ahead = behind;
+    ahead.position = 50;
+    group->targets["t_b"].status = behind;
+    group->targets["t_c"].status = ahead;
+    group->primary = state::primary_view{"t_a", 3};
+    view.polled_groups["p"] = group;
+    EXPECT_EQ(get_targets({.pool = "p", .required = {3, 10}}), (names{"t_c", "t_b", "t_a"}));
+    auto failing = std::make_shared<state::group_view>(*group);
+    failing->targets["t_c"].consecutive_failures = 1;
+    view.polled_groups["p"] = failing;
+    EXPECT_EQ(get_targets({.pool = "p", .required = {3, 1}}), (names{"t_b", "t_a", "t_c"}));
+}
+
+// Guards against an old primary that is preferred to a newer one.
+TEST_F(routing, newest_term_names_the_primary) {
+    auto group = std::make_shared<state::group_view>();
+    group->primary = state::primary_view{"t_b", 5};
+    view.polled_groups["p"] = group;
+    EXPECT_EQ(find_primary(view, "p")->target, "t_b");
+    view.primaries["p"] = {"t_c", 6};
+    EXPECT_EQ(find_primary(view, "p")->target, "t_c");
+    EXPECT_FALSE(find_primary(view, "other"));
+}
+
+// Guards against an extra hop when this proxy is a home itself.
+TEST_F(routing, own_home_is_preferred) {
+    view.homes["p/t_a"].push_back(view.self);
+    for (std::uint64_t spread = 0; spread < 20; ++spread) {
+        const std::vector<route_candidate> route =
+            plan_route(view, {.pool = "p", .is_write = true, .spread = spread});
+        ASSERT_EQ(route.size(), 2U);
+        EXPECT_TRUE(route.front().is_self);
+    }
+}
+
+// Guards against a crash on a pool that was removed meanwhile.
+TEST_F(routing, unknown_pool_has_no_route) {
+    EXPECT_EQ(get_targets({.pool = "q"}), names{});
+}
+
+}  // namespace
+}  // namespace hornbeamhook::coordination
