--- a/src/proxy/execution.cpp
+++ b/src/proxy/execution.cpp
@@ -77,7 +77,6 @@
         result.message += " (SQLSTATE " + error.sqlstate + ")";
     }
     result.is_primary_lost = verdict.is_primary_lost;
-    result.is_silent = error.kind == target_failure_kind::timeout;
     return result;
 }
 
@@ -85,7 +84,7 @@
                              const state::target_description& target,
                              const coordination::required_points& required,
                              state::time_point deadline) {
-    session_result acquired = sessions_.acquire(request.pool, target, false, deadline);
+    session_result acquired = sessions_.acquire(request.pool, target, deadline);
     if (const auto* error = std::get_if<target_error>(&acquired)) {
         return make_failure(exchange_phase::opening, *error);
     }
@@ -144,7 +143,7 @@
 executor::write_step executor::try_write(const execute_request& request,
                                          const state::target_description& target,
                                          state::time_point deadline, execution& result) {
-    session_result acquired = sessions_.acquire(request.pool, target, true, deadline);
+    session_result acquired = sessions_.acquire(request.pool, target, deadline);
     if (const auto* error = std::get_if<target_error>(&acquired)) {
         result = make_failure(exchange_phase::opening, *error);
         // Without a connection the primary serves nobody; the entry waits for a new one.
@@ -198,7 +197,7 @@
 
 bool executor::create_table(const execute_request& request, const state::target_description& target,
                             state::time_point deadline, execution& failure) {
-    session_result acquired = sessions_.acquire(request.pool, target, true, deadline);
+    session_result acquired = sessions_.acquire(request.pool, target, deadline);
     if (const auto* error = std::get_if<target_error>(&acquired)) {
         failure = make_failure(exchange_phase::opening, *error);
         return false;
@@ -221,7 +220,7 @@
     // a majority nothing is known about it, so every failure here is `unknown`.
     execution unknown = make_end(outcome::unknown, error_code::outcome_unknown,
                                  "the key exists, its result could not be read", true);
-    session_result acquired = sessions_.acquire(request.pool, target, true, deadline);
+    session_result acquired = sessions_.acquire(request.pool, target, deadline);
     if (std::holds_alternative<target_error>(acquired)) {
         return unknown;
     }
--- a/src/proxy/execution.h
+++ b/src/proxy/execution.h
@@ -18,7 +18,6 @@
     bool was_sent = false;
     bool is_behind = false;
     bool is_primary_lost = false;
-    bool is_silent = false;  ///< The connection did not answer in time.
     std::vector<transport::target_result> results;
     state::log_point point;
     bool is_primary = false;
--- a/src/proxy/home_runtime.cpp
+++ b/src/proxy/home_runtime.cpp
@@ -197,9 +197,6 @@
                                                 {"code", std::string(to_string(result.code))},
                                                 {"message", result.message}});
     groups_.report_target_failure(request.pool, request.target);
-    if (result.is_silent) {
-        sessions_.report_silent(request.pool, request.target);
-    }
 }
 
 void home_runtime::answer(const execute_request& request, execution result,
--- a/src/proxy/home_service.cpp
+++ b/src/proxy/home_service.cpp
@@ -176,7 +176,7 @@
         state::target_description target = *primary;
         target.address = runtime_.get_settings().get_dial_address(target.address);
         const state::time_point deadline = std::chrono::steady_clock::now() + prune_timeout;
-        session_result acquired = runtime_.get_sessions().acquire(pool, target, true, deadline);
+        session_result acquired = runtime_.get_sessions().acquire(pool, target, deadline);
         if (auto* session = std::get_if<std::unique_ptr<target_session>>(&acquired)) {
             // A failure leaves old keys for the next round; they do no harm.
             static_cast<void>(
--- a/src/proxy/proxy_server.cpp
+++ b/src/proxy/proxy_server.cpp
@@ -193,7 +193,7 @@
             transactions.expire(now);
         }
         if (count % ticks_per_maintenance == 0) {
-            sessions.maintain(now);
+            sessions.maintain();
         }
         lock.lock();
     }
--- a/src/proxy/target_session.h
+++ b/src/proxy/target_session.h
@@ -49,17 +49,14 @@
     session_source& operator=(const session_source&) = delete;
 
     /**
-     * Takes a connection to a target of `pool`. Before a write an idle connection is probed; a
-     * read probes it in its own exchange. Blocks until `deadline` at most.
+     * Takes a connection to a target of `pool`; one that was idle for long answered a probe.
+     * Blocks until `deadline` at most.
      */
     virtual session_result acquire(const std::string& pool, const state::target_description& target,
-                                   bool is_write, state::time_point deadline) = 0;
+                                   state::time_point deadline) = 0;
 
     /** Connections this process may open to the target at the moment. */
     virtual int get_quota(const std::string& pool, const state::target_description& target) = 0;
-
-    /** Tests or closes idle connections to the target after one proved silent. */
-    virtual void report_silent(const std::string& pool, const std::string& target) = 0;
 };
 
 }  // namespace hornbeamhook::proxy
--- a/src/proxy/transaction_service.cpp
+++ b/src/proxy/transaction_service.cpp
@@ -190,7 +190,7 @@
             return true;
         }
     }
-    session_result acquired = runtime_.get_sessions().acquire(request.pool, target, true, deadline);
+    session_result acquired = runtime_.get_sessions().acquire(request.pool, target, deadline);
     if (std::holds_alternative<target_error>(acquired)) {
         return false;
     }
@@ -214,7 +214,7 @@
                                       "too many transactions are open at the target"));
         return;
     }
-    session_result acquired = runtime_.get_sessions().acquire(request.pool, target, true, deadline);
+    session_result acquired = runtime_.get_sessions().acquire(request.pool, target, deadline);
     if (const auto* error = std::get_if<target_error>(&acquired)) {
         execution failure = executor::make_failure(exchange_phase::opening, *error);
         failure.is_primary_lost =
