Keep time for acknowledgements, queue transactions at their target, limit JSON nesting

Change: no commit is sent without time for the acknowledgement; transactions wait for a place and count as load while they are open; JSON deeper than 64 levels is refused.

--- a/src/proxy/execution.cpp
+++ b/src/proxy/execution.cpp
@@ -142,8 +142,9 @@
 
 executor::write_step executor::try_write(const execute_request& request,
                                          const state::target_description& target,
-                                         state::time_point deadline, execution& result) {
-    session_result acquired = sessions_.acquire(request.pool, target, deadline);
+                                         state::time_point commit_by, state::time_point deadline,
+                                         execution& result) {
+    session_result acquired = sessions_.acquire(request.pool, target, commit_by);
     if (const auto* error = std::get_if<target_error>(&acquired)) {
         result = make_failure(exchange_phase::opening, *error);
         // Without a connection the primary serves nobody; the entry waits for a new one.
@@ -159,7 +160,7 @@
     }
     const std::size_t first = statements.size();
     statements.insert(statements.end(), request.statements.begin(), request.statements.end());
-    exchange_result answer = session.run(statements, get_statement_deadline(request, deadline));
+    exchange_result answer = session.run(statements, get_statement_deadline(request, commit_by));
     if (const auto* error = std::get_if<target_error>(&answer)) {
         result = make_failure(exchange_phase::statements, *error);
         const bool is_insert = is_keyed && error->kind == target_failure_kind::sql_error &&
@@ -172,7 +173,7 @@
         }
         return write_step::done;
     }
-    if (std::chrono::steady_clock::now() >= deadline) {
+    if (std::chrono::steady_clock::now() >= commit_by) {
         // not_run: COMMIT is not sent; the session closes its connection with the transaction open.
         result = make_end(outcome::not_run, error_code::deadline,
                           "the deadline passed before the commit", true);
@@ -266,10 +267,11 @@
 }
 
 execution executor::run_write(const execute_request& request,
-                              const state::target_description& target, state::time_point deadline) {
+                              const state::target_description& target, state::time_point commit_by,
+                              state::time_point deadline) {
     execution result;
     for (int i = 0; i < max_write_steps; ++i) {
-        switch (try_write(request, target, deadline, result)) {
+        switch (try_write(request, target, commit_by, deadline, result)) {
             case write_step::done:
                 if (request.operation == execute_operation::resolve_commit &&
                     result.outcome == outcome::ok) {
--- a/src/proxy/execution.h
+++ b/src/proxy/execution.h
@@ -36,9 +36,11 @@
                        const state::target_description& target,
                        const coordination::required_points& required, state::time_point deadline);
 
-    /** A write in one database transaction, with its idempotency key when there is one. */
+    /** A write in one database transaction, with its idempotency key when there is one. After
+     * `commit_by` no commit is sent. */
     execution run_write(const protocol::execute_request& request,
-                        const state::target_description& target, state::time_point deadline);
+                        const state::target_description& target, state::time_point commit_by,
+                        state::time_point deadline);
 
     /** Runs COMMIT on `session`, with the key when there is one. */
     execution run_commit(target_session& session, const protocol::execute_request& request,
@@ -54,8 +56,8 @@
     enum class write_step { done, key_exists, table_missing };
 
     write_step try_write(const protocol::execute_request& request,
-                         const state::target_description& target, state::time_point deadline,
-                         execution& result);
+                         const state::target_description& target, state::time_point commit_by,
+                         state::time_point deadline, execution& result);
     execution finish_commit(target_session& session,
                             std::vector<transport::target_statement> statements,
                             std::size_t commit_index, state::time_point deadline);
--- a/src/proxy/home_runtime.cpp
+++ b/src/proxy/home_runtime.cpp
@@ -22,6 +22,13 @@
 constexpr std::size_t max_queued_exchanges = 1024;
 constexpr std::size_t max_queued_transaction_steps = 1024;
 
+// Assumed until the first acknowledgement was measured.
+constexpr std::chrono::microseconds first_acknowledgement_time{50'000};
+constexpr int acknowledgement_smoothing = 8;
+// Acknowledgements vary with the poll that happens to be under way.
+constexpr int acknowledgement_safety = 2;
+constexpr std::chrono::milliseconds max_acknowledgement_reserve{500};
+
 bool is_new_work(execute_operation operation) {
     return operation == execute_operation::statements || operation == execute_operation::begin;
 }
@@ -234,6 +241,24 @@
     });
 }
 
+void home_runtime::record_acknowledgement(const std::string& pool,
+                                          std::chrono::microseconds duration) {
+    const std::scoped_lock lock(mutex_);
+    std::chrono::microseconds& time =
+        acknowledgement_times_.emplace(pool, first_acknowledgement_time).first->second;
+    time += (duration - time) / acknowledgement_smoothing;
+}
+
+std::chrono::milliseconds home_runtime::get_acknowledgement_reserve(const std::string& pool) {
+    const std::scoped_lock lock(mutex_);
+    const auto it = acknowledgement_times_.find(pool);
+    const std::chrono::microseconds time =
+        it == acknowledgement_times_.end() ? first_acknowledgement_time : it->second;
+    return std::min(
+        max_acknowledgement_reserve,
+        std::chrono::duration_cast<std::chrono::milliseconds>(time * acknowledgement_safety));
+}
+
 void home_runtime::add_gauges(gauge_sample& gauges) {
     const std::scoped_lock lock(mutex_);
     for (const auto& [name, lane] : lanes_) {
--- a/src/proxy/home_runtime.h
+++ b/src/proxy/home_runtime.h
@@ -57,6 +57,10 @@
     void answer(const protocol::execute_request& request, execution result,
                 state::time_point deadline, execute_responder respond);
 
+    /** Time to keep between a commit and the deadline, for the group's acknowledgement. Without
+     * it a write that waited long would end as `unknown` rather than `not_run`. Thread safe. */
+    std::chrono::milliseconds get_acknowledgement_reserve(const std::string& pool);
+
     /** Reports a failed exchange to the control side and to the pool of connections. */
     void report_failure(const protocol::execute_request& request, const execution& result);
 
@@ -80,6 +84,7 @@
 
 private:
     bool is_home(const state::fleet_view& view, const protocol::execute_request& request) const;
+    void record_acknowledgement(const std::string& pool, std::chrono::microseconds duration);
 
     const protocol::proxy_settings& settings_;
     const std::uint64_t incarnation_;
@@ -90,6 +95,7 @@
     std::atomic<bool> is_draining_ = false;
     std::mutex mutex_;
     std::map<std::string, std::shared_ptr<target_lane>> lanes_;
+    std::map<std::string, std::chrono::microseconds> acknowledgement_times_;  ///< Smoothed.
     transport::worker_pool workers_;
     transport::worker_pool transaction_workers_;
     group_waiter waiter_;
--- a/src/proxy/home_service.cpp
+++ b/src/proxy/home_service.cpp
@@ -117,7 +117,13 @@
                          const coordination::required_points& required, state::time_point deadline,
                          execute_responder respond) {
     const std::shared_ptr<target_lane> lane = runtime_.get_lane(request->pool, target);
-    const auto start = [this, request, target, required, deadline, lane, respond] {
+    // A short deadline is not used up by the reserve; such a write takes its chance.
+    const state::time_point arrival = std::chrono::steady_clock::now();
+    const state::time_point commit_by =
+        request->is_write ? std::max(deadline - runtime_.get_acknowledgement_reserve(request->pool),
+                                     arrival + (deadline - arrival) / 2)
+                          : deadline;
+    const auto start = [this, request, target, required, deadline, commit_by, lane, respond] {
         const state::time_point began = std::chrono::steady_clock::now();
         state::target_description current;
         if (std::optional<execute_answer> refusal = runtime_.check(*request, current)) {
@@ -130,7 +136,7 @@
         }
         execution result =
             request->is_write
-                ? runtime_.get_executor().run_write(*request, target, deadline)
+                ? runtime_.get_executor().run_write(*request, target, commit_by, deadline)
                 : runtime_.get_executor().run_read(*request, target, required, deadline);
         const state::time_point ended = std::chrono::steady_clock::now();
         const bool was_answered = result.outcome == outcome::ok || result.is_behind ||
@@ -149,8 +155,7 @@
         respond(
             runtime_.make_refusal(*request, get_refusal_code(reason), get_refusal_text(reason)));
     };
-    lane->offer({0, request->caller, request->is_write, deadline}, start, refuse,
-                std::chrono::steady_clock::now());
+    lane->offer({0, request->caller, request->is_write, commit_by}, start, refuse, arrival);
     runtime_.dispatch(lane);
 }
 
--- a/src/proxy/target_lane.cpp
+++ b/src/proxy/target_lane.cpp
@@ -111,6 +111,16 @@
     return queue_.get_size(is_write);
 }
 
+std::size_t target_lane::get_queue_length() {
+    const std::scoped_lock lock(mutex_);
+    return queue_.get_length();
+}
+
+int target_lane::get_limit() {
+    const std::scoped_lock lock(mutex_);
+    return limit_.get_limit();
+}
+
 int target_lane::get_in_flight() {
     const std::scoped_lock lock(mutex_);
     return in_flight_;
--- a/src/proxy/target_lane.h
+++ b/src/proxy/target_lane.h
@@ -40,7 +40,13 @@
     /** Ends the use of a place. `latency` is empty when the exchange was lost. */
     void finish(std::optional<std::chrono::microseconds> latency, state::time_point now);
 
-    /** Takes a place beyond the limit, for a statement of an open transaction. */
+    /** Requests that may hold a place. */
+    int get_limit();
+
+    /** Requests of a kind that may wait. */
+    std::size_t get_queue_length();
+
+    /** Takes a place beyond the limit, for an open transaction. */
     void enter();
 
     /** Ends the use of a place without judging the target. */
--- a/src/proxy/transaction_service.cpp
+++ b/src/proxy/transaction_service.cpp
@@ -93,6 +93,10 @@
     const auto task = [this, request, target, deadline, respond] {
         run(request, target, deadline, respond);
     };
+    if (request.operation == execute_operation::begin) {
+        wait_for_room(request, target, deadline, respond, task);
+        return;
+    }
     if (!runtime_.get_transaction_workers().try_submit(task)) {
         // not_run: the task was not queued.
         respond(runtime_.make_refusal(request, error_code::overloaded,
@@ -129,6 +133,7 @@
                                 const execute_responder& respond) {
     if (!ensure_key_table(request, target, deadline)) {
         // not_run: no transaction was opened.
+        leave_room(request.pool + "/" + target.name);
         respond(runtime_.make_refusal(request, error_code::no_primary,
                                       "the table of idempotency keys cannot be created"));
         return;
@@ -155,10 +160,11 @@
                 decision.step == coordination::freshness_step::wait_for_replica) {
                 return false;
             }
-            const auto task = [this, request, target, required = decision.required, deadline,
-                               respond] { open(request, target, required, deadline, respond); };
-            if (decision.step == coordination::freshness_step::give_up ||
-                !runtime_.get_transaction_workers().try_submit(task)) {
+            if (decision.step == coordination::freshness_step::serve) {
+                const auto task = [this, request, target, required = decision.required, deadline,
+                                   respond] { open(request, target, required, deadline, respond); };
+                wait_for_room(request, target, deadline, respond, task);
+            } else {
                 // not_run: no transaction was opened.
                 execute_answer answer = runtime_.make_refusal(request, error_code::unavailable,
                                                               "the target did not reach the point");
@@ -169,16 +175,68 @@
         });
 }
 
-bool transaction_service::has_room(const std::string& pool,
-                                   const state::target_description& target) {
-    const int quota = runtime_.get_sessions().get_quota(pool, target);
-    int open = 0;
-    const std::scoped_lock lock(mutex_);
-    for (const auto& [number, entry] : pinned_) {
-        open += entry->target.name == target.name && entry->target.address == target.address;
+// An open transaction may hold locks, so it keeps its place in the lane from begin to end, and
+// transactions never take the last place: one stays free for requests outside of them.
+void transaction_service::wait_for_room(const execute_request& request,
+                                        const state::target_description& target,
+                                        state::time_point deadline,
+                                        const execute_responder& respond,
+                                        std::function<void()> start) {
+    const std::shared_ptr<target_lane> lane = runtime_.get_lane(request.pool, target);
+    const std::size_t length = lane->get_queue_length();
+    const int places = std::max(1, lane->get_limit() - 1);
+    const std::string key = request.pool + "/" + target.name;
+    // not_run: a waiting begin was given to no target.
+    const auto refuse = [this, request, respond] {
+        respond(runtime_.make_refusal(request, error_code::overloaded,
+                                      "too many transactions are open at the target"));
+    };
+    bool is_full = false;
+    {
+        const std::scoped_lock lock(mutex_);
+        target_transactions& room = rooms_[key];
+        if (room.open >= places) {
+            is_full = room.waiting.size() >= length;
+            if (!is_full) {
+                room.waiting.push_back({std::move(start), refuse, deadline});
+                return;
+            }
+        } else {
+            ++room.open;
+        }
+    }
+    if (is_full) {
+        refuse();
+        return;
+    }
+    submit(std::move(start), [this, key, refuse] {
+        leave_room(key);
+        refuse();
+    });
+}
+
+void transaction_service::submit(std::function<void()> start, const std::function<void()>& refuse) {
+    if (!runtime_.get_transaction_workers().try_submit(std::move(start))) {
+        refuse();
+    }
+}
+
+void transaction_service::leave_room(const std::string& key) {
+    waiting_begin next;
+    {
+        const std::scoped_lock lock(mutex_);
+        target_transactions& room = rooms_[key];
+        if (room.waiting.empty()) {
+            --room.open;
+            return;
+        }
+        next = std::move(room.waiting.front());  // It takes over the place.
+        room.waiting.pop_front();
     }
-    // One connection stays free for requests outside of transactions.
-    return open < std::max(1, quota - 1);
+    submit(std::move(next.start), [this, key, refuse = next.refuse] {
+        leave_room(key);
+        refuse();
+    });
 }
 
 bool transaction_service::ensure_key_table(const execute_request& request,
@@ -209,9 +267,16 @@
                                const state::target_description& target,
                                const coordination::required_points& required,
                                state::time_point deadline, const execute_responder& respond) {
-    if (!has_room(request.pool, target)) {
-        respond(runtime_.make_refusal(request, error_code::overloaded,
-                                      "too many transactions are open at the target"));
+    const std::string key = request.pool + "/" + target.name;
+    state::target_description current;
+    std::optional<execute_answer> refusal = runtime_.check(request, current);
+    if (!refusal && std::chrono::steady_clock::now() >= deadline) {
+        refusal = runtime_.make_refusal(request, error_code::deadline,
+                                        "the deadline passed before a transaction could begin");
+    }
+    if (refusal) {
+        leave_room(key);
+        respond(std::move(*refusal));
         return;
     }
     session_result acquired = runtime_.get_sessions().acquire(request.pool, target, deadline);
@@ -219,6 +284,7 @@
         execution failure = executor::make_failure(exchange_phase::opening, *error);
         failure.is_primary_lost =
             request.is_write && error->kind != transport::target_failure_kind::connection_limit;
+        leave_room(key);
         runtime_.report_failure(request, failure);
         runtime_.answer(request, std::move(failure), deadline, respond);
         return;
@@ -226,6 +292,7 @@
     auto entry = std::make_shared<pinned>();
     entry->session = std::move(std::get<std::unique_ptr<target_session>>(acquired));
     entry->target = target;
+    entry->key = key;
     entry->is_write = request.is_write;
     entry->lane = runtime_.get_lane(request.pool, target);
     exchange_result answer =
@@ -233,6 +300,8 @@
     if (const auto* error = std::get_if<target_error>(&answer)) {
         execution failure = executor::make_failure(exchange_phase::statements, *error);
         failure.was_sent = false;  // No statement of the caller was part of it.
+        entry->session.reset();
+        leave_room(key);
         runtime_.report_failure(request, failure);
         runtime_.answer(request, std::move(failure), deadline, respond);
         return;
@@ -248,14 +317,16 @@
     const bool is_primary = is_parsed && status.is_unfenced_primary_of(status.follow_term);
     if (!is_parsed || !required.is_covered_by(status) || (request.is_write && !is_primary)) {
         reset_session(std::move(entry->session), true);
-        execute_answer refusal = runtime_.make_refusal(
+        leave_room(key);
+        execute_answer answer_behind = runtime_.make_refusal(
             request, request.is_write ? error_code::no_primary : error_code::unavailable,
             "the target cannot serve the transaction");
-        refusal.is_behind = !request.is_write;
-        respond(std::move(refusal));
+        answer_behind.is_behind = !request.is_write;
+        respond(std::move(answer_behind));
         return;
     }
     std::uint64_t number = 0;
+    entry->lane->enter();
     {
         const std::scoped_lock lock(mutex_);
         const state::time_point now = std::chrono::steady_clock::now();
@@ -312,12 +383,8 @@
     }
     std::vector<target_statement> statements = request.statements;
     statements.push_back(protocol::make_status_statement());
-    entry->lane->enter();
-    const state::time_point began = std::chrono::steady_clock::now();
     exchange_result answer = entry->session->run(statements, end);
-    const state::time_point ended = std::chrono::steady_clock::now();
     if (const auto* error = std::get_if<target_error>(&answer)) {
-        entry->lane->leave();
         execution failure = executor::make_failure(exchange_phase::statements, *error);
         failure.message += "; the transaction was rolled back";
         if (failure.code != error_code::statement_failed) {
@@ -326,12 +393,12 @@
         }
         close(request.transaction);
         entry->session.reset();  // Closes the connection; the target rolls back.
+        end_place(*entry);
         runtime_.report_failure(request, failure);
         runtime_.answer(request, std::move(failure), deadline, respond);
         return;
     }
-    entry->lane->finish(std::chrono::duration_cast<std::chrono::microseconds>(ended - began),
-                        ended);
+
     auto& results = std::get<std::vector<target_result>>(answer);
     execution result = make_ok();
     result.is_primary = entry->is_write;
@@ -346,7 +413,7 @@
     result.results = std::move(results);
     {
         const std::scoped_lock lock(mutex_);
-        registry_.release(request.transaction, ended);
+        registry_.release(request.transaction, std::chrono::steady_clock::now());
     }
     execute_request named = request;
     named.target = entry->target.name;
@@ -375,6 +442,7 @@
         reset_session(std::move(entry->session), !entry->is_write);
     }
     entry->session.reset();
+    end_place(*entry);
     execute_request named = request;
     named.target = entry->target.name;
     runtime_.answer(named, std::move(result), deadline, respond);
@@ -388,6 +456,7 @@
     }
     close(request.transaction);
     reset_session(std::move(entry->session), true);
+    end_place(*entry);
     runtime_.answer(request, make_ok(), deadline, respond);
 }
 
@@ -403,11 +472,39 @@
         }
     }
     for (const std::shared_ptr<pinned>& entry : expired) {
-        const auto task = [entry] { reset_session(std::move(entry->session), true); };
+        const auto task = [this, entry] {
+            reset_session(std::move(entry->session), true);
+            end_place(*entry);
+        };
         if (!runtime_.get_transaction_workers().try_submit(task)) {
             entry->session.reset();  // Closing the connection rolls back as well.
+            end_place(*entry);
         }
     }
+    expire_waiting(now);
+}
+
+void transaction_service::end_place(const pinned& entry) {
+    entry.lane->leave();
+    runtime_.dispatch(entry.lane);
+    leave_room(entry.key);
+}
+
+void transaction_service::expire_waiting(state::time_point now) {
+    std::vector<waiting_begin> expired;
+    {
+        const std::scoped_lock lock(mutex_);
+        for (auto& [key, room] : rooms_) {
+            const auto first = std::stable_partition(
+                room.waiting.begin(), room.waiting.end(),
+                [&](const waiting_begin& each) { return each.deadline > now; });
+            std::move(first, room.waiting.end(), std::back_inserter(expired));
+            room.waiting.erase(first, room.waiting.end());
+        }
+    }
+    for (const waiting_begin& each : expired) {
+        each.refuse();
+    }
 }
 
 }  // namespace hornbeamhook::proxy
--- a/src/proxy/transaction_service.h
+++ b/src/proxy/transaction_service.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <deque>
+#include <functional>
 #include <map>
 #include <memory>
 #include <mutex>
@@ -42,6 +44,20 @@
         std::shared_ptr<target_lane> lane;
         state::target_description target;
         bool is_write = true;
+        std::string key;  ///< "pool/target".
+    };
+
+    /** A transaction that waits for another one to end. */
+    struct waiting_begin {
+        std::function<void()> start;
+        std::function<void()> refuse;
+        state::time_point deadline{};
+    };
+
+    /** The transactions at one target. */
+    struct target_transactions {
+        int open = 0;  ///< Including those being opened.
+        std::deque<waiting_begin> waiting;
     };
 
     void run(const protocol::execute_request& request, const state::target_description& target,
@@ -63,7 +79,13 @@
     std::shared_ptr<pinned> claim(const protocol::execute_request& request,
                                   const execute_responder& respond);
     void close(std::uint64_t number);
-    bool has_room(const std::string& pool, const state::target_description& target);
+    void wait_for_room(const protocol::execute_request& request,
+                       const state::target_description& target, state::time_point deadline,
+                       const execute_responder& respond, std::function<void()> start);
+    void leave_room(const std::string& key);
+    void end_place(const pinned& entry);
+    void expire_waiting(state::time_point now);
+    void submit(std::function<void()> start, const std::function<void()>& refuse);
     bool ensure_key_table(const protocol::execute_request& request,
                           const state::target_description& target, state::time_point deadline);
 
@@ -72,6 +94,7 @@
     mutable std::mutex mutex_;
     coordination::transaction_registry registry_;
     std::map<std::uint64_t, std::shared_ptr<pinned>> pinned_;
+    std::map<std::string, target_transactions> rooms_;
     std::set<std::string> pools_with_table_;
 };
 
--- a/src/state/json_reader.cpp
+++ b/src/state/json_reader.cpp
@@ -9,6 +9,30 @@
 // Values in error messages are cut to this length so that a large body is not echoed back.
 constexpr std::size_t max_shown_value = 80;
 
+// Printing a value recurses, so deep nesting in a request would exhaust the stack.
+constexpr int max_depth = 64;
+
+bool is_too_deep(std::string_view text) {
+    int depth = 0;
+    bool is_in_string = false;
+    for (std::size_t i = 0; i < text.size(); ++i) {
+        const char c = text[i];
+        if (is_in_string) {
+            i += c == '\\' ? 1 : 0;
+            is_in_string = c != '"';
+        } else if (c == '"') {
+            is_in_string = true;
+        } else if (c == '[' || c == '{') {
+            if (++depth > max_depth) {
+                return true;
+            }
+        } else if (c == ']' || c == '}') {
+            --depth;
+        }
+    }
+    return false;
+}
+
 std::string show(const nlohmann::json& value) {
     std::string text = value.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
     if (text.size() > max_shown_value) {
@@ -199,6 +223,11 @@
 }
 
 leaf::result<nlohmann::json> parse_json(std::string_view text, std::string_view what) {
+    if (is_too_deep(text)) {
+        return leaf::new_error(state_error{
+            std::string(what),
+            std::string(what) + ": nested deeper than " + std::to_string(max_depth) + " levels"});
+    }
     try {
         return nlohmann::json::parse(text);
     } catch (const nlohmann::json::parse_error& error) {
