--- /dev/null
+++ b/src/ctl/proxy_client.h
@@ -0,0 +1,51 @@
+#pragma once
+
+#include <nlohmann/json.hpp>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "ctl/ctl_settings.h"
+#include "protocol/table_client.h"
+#include "transport/http_client.h"
+
+namespace hornbeamhook::ctl {
+
+/** Why a proxy did not answer. */
+enum class proxy_failure {
+    none,
+    refused,  ///< Nobody listens: the proxy is not live.
+    silent,   ///< No connection or no answer in time; it may be live.
+    invalid,  ///< It answered with an error or with something else than JSON.
+};
+
+/** Answer of one proxy. */
+struct proxy_answer {
+    protocol::vm_entry vm;
+    proxy_failure failure = proxy_failure::none;
+    bool was_sent = false;  ///< Whether the request may have been received.
+    int status = 0;
+    nlohmann::json body;
+    std::string message;
+};
+
+/** Calls to the proxies of the VM list. Blocking. Thread safe. */
+class proxy_client {
+public:
+    explicit proxy_client(ctl_settings settings);
+
+    /** GET /internal/v1/status of each VM, in parallel, in the order of the list. */
+    std::vector<proxy_answer> get_status(const std::vector<protocol::vm_entry>& vms);
+
+    /** POST to one proxy. */
+    proxy_answer post(const protocol::vm_entry& vm, const std::string& path,
+                      const nlohmann::json& body);
+
+private:
+    proxy_answer call(const protocol::vm_entry& vm, transport::http_call request);
+
+    ctl_settings settings_;
+    transport::http_client http_;
+};
+
+}  // namespace hornbeamhook::ctl
--- a/src/proxy/audit_buffer.cpp
+++ b/src/proxy/audit_buffer.cpp
@@ -2,9 +2,10 @@
 
 #include <algorithm>
 #include <array>
-#include <ctime>
 #include <utility>
 
+#include "protocol/audit_key.h"
+
 namespace hornbeamhook::proxy {
 
 using nlohmann::json;
@@ -14,48 +15,27 @@
 constexpr const char* audit_table = "audit";
 constexpr const char* failover_table = "failover";
 constexpr const char* promotion_kind = "promotion";
-constexpr std::size_t time_digits = 13;
-constexpr std::size_t sequence_digits = 12;
-
-std::string pad(std::uint64_t number, std::size_t width) {
-    const std::string digits = std::to_string(number);
-    return digits.size() < width ? std::string(width - digits.size(), '0') + digits : digits;
-}
-
-/** Time from the first to the last of the recorded steps, or null when there are none. */
+// Phases of a promotion in order, as the fleet's audit records name them.
+constexpr std::array<const char*, 5> phase_names{"detection_ms", "claim_ms", "fencing_ms",
+                                                 "promotion_ms", "adoption_ms"};
+/**
+ * How long writes were not accepted: the sum of the phases of a promotion, from the last answer of
+ * the old primary to the adoption of the new one. Null when the details name no phase.
+ */
 json get_gap(const json& details) {
-    if (!details.is_object() || !details.contains("times") || !details["times"].is_object()) {
-        return nullptr;
-    }
-    std::vector<double> times;
-    for (const auto& [name, value] : details["times"].items()) {
-        if (value.is_number()) {
-            times.push_back(value.get<double>());
+    std::int64_t gap = 0;
+    bool is_known = false;
+    for (const char* phase : phase_names) {
+        if (details.is_object() && details.contains(phase) && details[phase].is_number_integer()) {
+            gap += details[phase].get<std::int64_t>();
+            is_known = true;
         }
     }
-    if (times.empty()) {
-        return nullptr;
-    }
-    const auto [first, last] = std::minmax_element(times.begin(), times.end());
-    return *last - *first;
+    return is_known ? json(gap) : json();
 }
 
 }  // namespace
 
-std::string make_audit_key(const std::string& vm, std::uint64_t incarnation,
-                           std::uint64_t sequence) {
-    return vm + "/" + pad(incarnation, time_digits) + "/" + pad(sequence, sequence_digits);
-}
-
-std::string get_month(std::int64_t at_ms) {
-    const std::time_t seconds = at_ms / 1000;
-    std::tm parts{};
-    gmtime_r(&seconds, &parts);
-    std::array<char, 16> text{};
-    std::strftime(text.data(), text.size(), "%Y-%m", &parts);
-    return text.data();
-}
-
 audit_buffer::audit_buffer(std::string vm, std::uint64_t incarnation, std::size_t capacity)
     : vm_(std::move(vm)), incarnation_(incarnation), capacity_(capacity) {}
 
@@ -80,7 +60,7 @@
 }
 
 void audit_buffer::add_rows(const numbered_record& item) {
-    const std::string key = make_audit_key(vm_, incarnation_, item.sequence);
+    const std::string key = protocol::make_audit_key(vm_, incarnation_, item.sequence);
     json value{{"vm", vm_},
                {"incarnation", incarnation_},
                {"sequence", item.sequence},
@@ -94,9 +74,8 @@
         json failover = value;
         failover["audit_key"] = key;
         failover["gap_ms"] = get_gap(item.record.details);
-        batch_.push_back({failover_table,
-                          get_month(item.at_ms) + "/" + pad(item.at_ms, time_digits) + "/" + key,
-                          std::move(failover)});
+        batch_.push_back(
+            {failover_table, protocol::make_failover_key(item.at_ms, key), std::move(failover)});
     }
     batch_.push_back({audit_table, key, std::move(value)});
 }
--- a/src/proxy/audit_buffer.h
+++ b/src/proxy/audit_buffer.h
@@ -56,11 +56,4 @@
     std::uint64_t last_dropped_ = 0;
 };
 
-/** Key of a row of the audit table; numbers are padded so that keys sort in order. */
-std::string make_audit_key(const std::string& vm, std::uint64_t incarnation,
-                           std::uint64_t sequence);
-
-/** "YYYY-MM" of a wall clock time in UTC. */
-std::string get_month(std::int64_t at_ms);
-
 }  // namespace hornbeamhook::proxy
--- a/src/proxy/audit_log.cpp
+++ b/src/proxy/audit_log.cpp
@@ -123,6 +123,7 @@
 leaf::result<bool> audit_log::implementation::store_batch(
     const std::vector<protocol::table_write>& batch) {
     std::vector<protocol::table_condition> conditions;
+    conditions.reserve(batch.size());
     for (const protocol::table_write& write : batch) {
         conditions.push_back({write.table, write.key, {}});
     }
--- a/tests/proxy/audit_log_test.cpp
+++ b/tests/proxy/audit_log_test.cpp
@@ -59,7 +59,12 @@
     buffer.append({"promotion",
                    "ledger",
                    "primary lost",
-                   {{"times", {{"detected", 1000}, {"adopted", 2250}, {"fenced", 1700}}}}},
+                   {{"detection_ms", 800},
+                    {"claim_ms", 50},
+                    {"fencing_ms", 150},
+                    {"promotion_ms", 200},
+                    {"adoption_ms", 50},
+                    {"attempts", 7}}},
                   at_ms);
     const auto& rows = buffer.get_batch(10);
     ASSERT_EQ(rows.size(), 2U);
