--- a/src/ctl/executor.cpp
+++ b/src/ctl/executor.cpp
@@ -25,6 +25,8 @@
 
 constexpr std::size_t change_id_bytes = 16;
 constexpr std::size_t key_bytes = 32;
+// Two sessions of one operator may start in the same millisecond; their audit rows must not meet.
+constexpr std::size_t session_id_bytes = 8;
 constexpr std::chrono::milliseconds wait_poll_interval{100};
 constexpr std::int64_t ms_per_hour = 3'600'000;
 constexpr std::int64_t ms_per_day = 24 * ms_per_hour;
@@ -101,7 +103,8 @@
       client_(settings_.get_dial_address(settings_.platform_address), settings_.store_timeout),
       store_(client_),
       proxies_(settings_),
-      session_(static_cast<std::uint64_t>(get_wall_ms())) {}
+      session_(static_cast<std::uint64_t>(get_wall_ms())),
+      session_id_(generate_hex(session_id_bytes)) {}
 
 void executor::read_base() {
     base_error_ = leaf::try_handle_all(
@@ -655,7 +658,7 @@
                                                json details) {
     const std::string vm = "operator:" + settings_.operator_name;
     const std::uint64_t sequence = ++sequence_;
-    return {"audit", protocol::make_audit_key(vm, session_, sequence),
+    return {"audit", protocol::make_audit_key(vm + ":" + session_id_, session_, sequence),
             json{{"vm", vm},
                  {"incarnation", session_},
                  {"sequence", sequence},
--- a/src/ctl/executor.h
+++ b/src/ctl/executor.h
@@ -83,7 +83,8 @@
     protocol::table_client client_;
     protocol::configuration_store store_;
     proxy_client proxies_;
-    std::uint64_t session_;  ///< Start time in ms; numbers audit rows together with sequence_.
+    std::uint64_t session_;   ///< Start time in ms; numbers audit rows together with sequence_.
+    std::string session_id_;  ///< Random; keeps audit rows of different sessions apart.
     std::uint64_t sequence_ = 0;
     std::string statement_text_;
     std::string base_error_;  ///< Why the base could not be read, or empty.
