Report a request as sent when only its repetition was refused

When a reused connection breaks, libcurl opens a new one. The new unit test fails before and passes after.

--- a/src/transport/http_client.cpp
+++ b/src/transport/http_client.cpp
@@ -50,15 +50,16 @@
     return size * count;
 }
 
-transport_error describe(CURL* handle, CURLcode code) {
+transport_error describe(CURL* handle, CURLcode code, const upload& body) {
     long request_size = 0;
     curl_easy_getinfo(handle, CURLINFO_REQUEST_SIZE, &request_size);
     transport_error error;
-    error.was_sent = request_size > 0;
+    // When a reused connection breaks, libcurl tries a new one; the failure to open that one says
+    // nothing about the bytes that left on the first.
+    error.was_sent = request_size > 0 || body.is_started;
     error.message = curl_easy_strerror(code);
     if (code == CURLE_COULDNT_CONNECT) {
-        error.failure = transport_failure::refused;
-        error.was_sent = false;
+        error.failure = error.was_sent ? transport_failure::closed : transport_failure::refused;
     } else if (code == CURLE_OPERATION_TIMEDOUT) {
         error.failure =
             error.was_sent ? transport_failure::timeout : transport_failure::unreachable;
@@ -167,7 +168,7 @@
     set_method(handle, request, body);
     const CURLcode code = curl_easy_perform(handle);
     if (code != CURLE_OK) {
-        const transport_error error = describe(handle, code);
+        const transport_error error = describe(handle, code, body);
         curl_slist_free_all(headers);
         implementation_->give_back(request.address, handle, false);
         return leaf::new_error(error);
--- a/tests/transport/http_connection_reuse_test.cpp
+++ b/tests/transport/http_connection_reuse_test.cpp
@@ -11,6 +11,8 @@
 namespace hornbeamhook::transport {
 namespace {
 
+namespace leaf = boost::leaf;
+
 // Guards against a new connection for each exchange: between regions the handshake doubled the
 // latency of every forwarded request.
 TEST(http_connection_reuse, many_exchanges_use_one_connection) {
@@ -32,5 +34,40 @@
     EXPECT_EQ(nlohmann::json::parse(status.body).at("links").at(0).at("connections_total"), 1);
 }
 
+// Guards against reporting a request as not sent that ran: the reused connection broke after the
+// request had arrived, and the new connection that libcurl tried was refused.
+TEST(http_connection_reuse, refused_repetition_counts_as_sent) {
+    const std::string upstream = tests::get_free_address();
+    const std::string listen = tests::get_free_address();
+    standin::fault::fault_relay relay(
+        {.control_address = tests::get_free_address(), .links = {{"link", listen, upstream, {}}}});
+    int requests = 0;
+    http_responder kept;
+    http_server server({.address = upstream, .threads = 1},
+                       [&](const http_request&, const http_responder& respond) {
+                           if (++requests == 1) {
+                               respond({200, "{}"});
+                               return;
+                           }
+                           kept = respond;
+                           relay.handle({.method = "POST",
+                                         .path = "/control/links",
+                                         .body = R"({"links":["link"],"action":"cut"})"});
+                       });
+    server.start();
+    relay.start();
+    http_client client;
+    const http_call call{.method = "POST", .address = listen, .target = "/", .body = "x"};
+    EXPECT_TRUE(client.call(call));
+    const bool was_sent = leaf::try_handle_all(
+        [&]() -> leaf::result<bool> {
+            BOOST_LEAF_CHECK(client.call(call));
+            return false;
+        },
+        [](const transport_error& error) { return error.was_sent; }, [] { return false; });
+    EXPECT_TRUE(was_sent);
+    EXPECT_EQ(requests, 2);
+}
+
 }  // namespace
 }  // namespace hornbeamhook::transport
