--- a/src/proxy/transaction_service.cpp
+++ b/src/proxy/transaction_service.cpp
@@ -190,7 +190,7 @@
             return true;
         }
     }
-    session_result acquired = runtime_.get_sessions().acquire(request.pool, target, true, deadline);
+    session_result acquired = runtime_.get_sessions().acquire(request.pool, target, deadline);
     if (std::holds_alternative<target_error>(acquired)) {
         return false;
     }
@@ -214,7 +214,7 @@
                                       "too many transactions are open at the target"));
         return;
     }
-    session_result acquired = runtime_.get_sessions().acquire(request.pool, target, true, deadline);
+    session_result acquired = runtime_.get_sessions().acquire(request.pool, target, deadline);
     if (const auto* error = std::get_if<target_error>(&acquired)) {
         execution failure = executor::make_failure(exchange_phase::opening, *error);
         failure.is_primary_lost =
@@ -348,7 +348,9 @@
         const std::scoped_lock lock(mutex_);
         registry_.release(request.transaction, ended);
     }
-    runtime_.answer(request, std::move(result), deadline, respond);
+    execute_request named = request;
+    named.target = entry->target.name;
+    runtime_.answer(named, std::move(result), deadline, respond);
 }
 
 void transaction_service::commit(const execute_request& request, state::time_point deadline,
@@ -373,7 +375,9 @@
         reset_session(std::move(entry->session), !entry->is_write);
     }
     entry->session.reset();
-    runtime_.answer(request, std::move(result), deadline, respond);
+    execute_request named = request;
+    named.target = entry->target.name;
+    runtime_.answer(named, std::move(result), deadline, respond);
 }
 
 void transaction_service::rollback(const execute_request& request, state::time_point deadline,
