--- a/src/ctl/executor.cpp
+++ b/src/ctl/executor.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <fstream>
+#include <map>
 #include <set>
 #include <thread>
 #include <utility>
@@ -79,6 +80,23 @@
     return what.substr(0, what.size() - 1);
 }
 
+/** Joins rows that differ only in who reported them; keeps the order of the first ones. */
+void merge_reports(std::vector<json>& rows) {
+    std::map<json, std::size_t> places;
+    std::vector<json> merged;
+    for (json& row : rows) {
+        const json reporter = std::move(row["reported_by"]);
+        row.erase("reported_by");
+        const auto [place, is_new] = places.emplace(row, merged.size());
+        if (is_new) {
+            row["reported_by"] = json::array();
+            merged.push_back(std::move(row));
+        }
+        merged[place->second]["reported_by"].push_back(reporter);
+    }
+    rows = std::move(merged);
+}
+
 result_table make_object_table(const std::string& kind) {
     if (kind == "pool") {
         return {{"name", "default_read_policy", "queue_length", "default_deadline_ms", "version"},
@@ -266,13 +284,13 @@
 executor::answer_result executor::show_from_proxies(const std::string& what,
                                                     const std::string& name) {
     BOOST_LEAF_AUTO(vms, with_store([&] { return client_.get_vms(); }));
-    result_table table{{"reported_by", "name"}, {}};
+    result_table table{{"name"}, {}};
     std::set<std::string> columns;
     for (const proxy_answer& proxy : proxies_.get_status(vms)) {
         const json section = get_field(proxy.body, what);
         if (!section.is_object() && !section.is_array()) {
             const std::string reason = proxy.message.empty() ? "not reported" : proxy.message;
-            table.rows.push_back({{"reported_by", proxy.vm.vm}, {"value", reason}});
+            table.rows.push_back({{"reported_by", proxy.vm.vm}, {"name", what}, {"value", reason}});
             columns.insert("value");
             continue;
         }
@@ -291,7 +309,9 @@
     }
     columns.erase("reported_by");
     columns.erase("name");
+    merge_reports(table.rows);
     table.columns.insert(table.columns.end(), columns.begin(), columns.end());
+    table.columns.emplace_back("reported_by");
     statement_answer answer;
     answer.table = std::move(table);
     return answer;
--- a/src/ctl/proxy_client.cpp
+++ b/src/ctl/proxy_client.cpp
@@ -2,10 +2,12 @@
 
 #include <algorithm>
 #include <atomic>
+#include <set>
 #include <thread>
 #include <utility>
 
 #include "ctl/json_text.h"
+#include "state/member.h"
 #include "transport/transport_error.h"
 
 namespace hornbeamhook::ctl {
@@ -16,11 +18,61 @@
 namespace {
 constexpr std::size_t max_threads = 16;
 constexpr std::chrono::milliseconds status_timeout{2000};
+// Members named by members are all that a second round can add in a connected fleet.
+constexpr int max_member_rounds = 2;
+
+/** The live members that a proxy names in its status. */
+std::vector<protocol::vm_entry> get_live_members(const json& status) {
+    std::vector<protocol::vm_entry> result;
+    const auto members = status.find("live_members");
+    if (members == status.end() || !members->is_array()) {
+        return result;
+    }
+    for (const json& item : *members) {
+        leaf::try_handle_all(
+            [&]() -> leaf::result<void> {
+                BOOST_LEAF_AUTO(member, state::parse_member(item));
+                result.push_back({member.vm, member.address, member.place, member.data_center,
+                                  member.state == state::member_state::leaving});
+                return {};
+            },
+            [] {});
+    }
+    return result;
+}
 }  // namespace
 
 proxy_client::proxy_client(ctl_settings settings) : settings_(std::move(settings)) {}
 
 std::vector<proxy_answer> proxy_client::get_status(const std::vector<protocol::vm_entry>& vms) {
+    std::vector<proxy_answer> answers = get_status_of(vms);
+    std::set<std::string> asked;
+    for (const protocol::vm_entry& vm : vms) {
+        asked.insert(vm.address);
+    }
+    for (int round = 0; round < max_member_rounds; ++round) {
+        std::vector<protocol::vm_entry> unlisted;
+        for (const proxy_answer& answer : answers) {
+            for (protocol::vm_entry& vm : get_live_members(answer.body)) {
+                if (asked.insert(vm.address).second) {
+                    unlisted.push_back(std::move(vm));
+                }
+            }
+        }
+        if (unlisted.empty()) {
+            break;
+        }
+        for (proxy_answer& answer : get_status_of(unlisted)) {
+            answers.push_back(std::move(answer));
+        }
+    }
+    std::stable_sort(
+        answers.begin(), answers.end(),
+        [](const proxy_answer& a, const proxy_answer& b) { return a.vm.vm < b.vm.vm; });
+    return answers;
+}
+
+std::vector<proxy_answer> proxy_client::get_status_of(const std::vector<protocol::vm_entry>& vms) {
     std::vector<proxy_answer> answers(vms.size());
     std::atomic<std::size_t> next = 0;
     const auto work = [&] {
--- a/src/ctl/proxy_client.h
+++ b/src/ctl/proxy_client.h
@@ -34,7 +34,10 @@
 public:
     explicit proxy_client(ctl_settings settings);
 
-    /** GET /internal/v1/status of each VM, in parallel, in the order of the list. */
+    /**
+     * GET /internal/v1/status of each VM of the list, and of the live members that these name: the
+     * list lags behind. In parallel; ordered by VM.
+     */
     std::vector<proxy_answer> get_status(const std::vector<protocol::vm_entry>& vms);
 
     /** POST to one proxy. */
@@ -42,6 +45,7 @@
                       const nlohmann::json& body);
 
 private:
+    std::vector<proxy_answer> get_status_of(const std::vector<protocol::vm_entry>& vms);
     proxy_answer call(const protocol::vm_entry& vm, transport::http_call request);
 
     ctl_settings settings_;
--- a/tests/ctl/executor_test.cpp
+++ b/tests/ctl/executor_test.cpp
@@ -9,6 +9,7 @@
 
 #include "ctl/credential.h"
 #include "ctl/parser.h"
+#include "state/member.h"
 #include "support/configuration_samples.h"
 #include "support/platform_fixture.h"
 #include "transport/http_server.h"
@@ -434,6 +435,24 @@
     EXPECT_EQ(answers[1].table->rows[2]["answers"], "refused");
 }
 
+// Guards against a wait that ends early because the VM list lags behind the fleet.
+TEST_F(executor_test, wait_asks_live_members_that_the_list_does_not_show) {
+    fake_proxy listed("secret");
+    fake_proxy unlisted("secret");
+    EXPECT_TRUE(static_cast<bool>(client_.put_vm(listed.get_entry("vm-1"))));
+    state::member member;
+    member.vm = "vm-2";
+    member.address = unlisted.get_entry("vm-2").address;
+    listed.set_status(
+        {{"configuration_version", 1}, {"live_members", json::array({state::to_json(member)})}});
+    unlisted.set_status({{"configuration_version", 0}});
+    const script_outcome behind = run("create pool p; wait within 0;");
+    ASSERT_TRUE(behind.error);
+    EXPECT_NE(behind.error->message.find("vm-2 (0)"), std::string::npos) << behind.error->message;
+    unlisted.set_status({{"configuration_version", 1}});
+    EXPECT_EQ(run_well("wait within 20;")[0].fields["proxies"], 2);
+}
+
 // Guards against reports of proxies that are dropped or mixed up.
 TEST_F(executor_test, shows_what_proxies_report) {
     fake_proxy proxy("secret");
@@ -446,6 +465,7 @@
     EXPECT_EQ(answers[0].table->rows[0]["value"], (json{"vm-1", "vm-2"}));
     EXPECT_EQ(answers[1].table->rows[0]["open"], 4);
     EXPECT_EQ(answers[2].table->rows[0]["value"], "not reported");
+    EXPECT_EQ(answers[0].table->rows[0]["reported_by"], json{"vm-1"});
 }
 
 // Guards against a lost or refused change of primary that is reported as done.
