--- a/tests/standin/target/group_property_test.cpp
+++ b/tests/standin/target/group_property_test.cpp
@@ -40,7 +40,7 @@
     }
 
     void step() {
-        switch (random_() % 14) {
+        switch (random_() % 10) {
             case 0:
                 partition();
                 break;
@@ -51,14 +51,13 @@
                 resume_claim();
                 break;
             case 3:
-                ASSERT_EQ(group_.set_faults(pick(),
-                                            {{"replication_lag_ms", random_() % 2 == 0 ? 0 : 30}}),
-                          200);
+                hold_back();
                 break;
             default:
                 write();
                 break;
         }
+        settle();
         observe();
     }
 
@@ -141,6 +140,13 @@
         }
     }
 
+    /** Lets a target ship its log at once, or only heartbeats. */
+    void hold_back() {
+        constexpr int hour_ms = 3'600'000;
+        const int lag_ms = random_() % 2 == 0 ? 0 : hour_ms;
+        ASSERT_EQ(group_.set_faults(pick(), {{"replication_lag_ms", lag_ms}}), 200);
+    }
+
     /** Writes at a random target, which may be a superseded primary or none. */
     void write() {
         const int target = random_() % 2 == 0 && primary_ >= 0 ? primary_ : pick();
@@ -211,6 +217,11 @@
         }
     }
 
+    /** Gives replication a random time, so that steps meet it in different states. */
+    void settle() {
+        std::this_thread::sleep_for(milliseconds(random_() % 8 == 0 ? 60 : random_() % 4));
+    }
+
     /** Acknowledges what a majority reports, as a proxy does. */
     void observe() {
         std::vector<state::target_status> statuses;
