Let the sender sleep while entries wait for their lag, test the wire protocol

A sender with an entry younger than the lag looked for due entries without a pause. It now waits until that entry is due. Long delays end with the connection.

--- a/src/standin/target/group_member.cpp
+++ b/src/standin/target/group_member.cpp
@@ -253,22 +253,23 @@
                          .runs = log_.get_runs()};
 }
 
-std::optional<std::vector<std::shared_ptr<const log_entry>>> group_member::get_entries(
+std::optional<group_member::shippable_entries> group_member::get_entries(
     state::term_number term, state::log_position from, steady_clock::time_point until) const {
     constexpr std::size_t max_entries = 256;
     const std::scoped_lock lock(mutex_);
     if (!terms_.is_unfenced_primary() || terms_.follow_term != term) {
         return std::nullopt;
     }
-    std::vector<std::shared_ptr<const log_entry>> entries;
+    shippable_entries result{.entries = {}, .length = log_.get_length(), .next_appended_at = {}};
     const auto& all = log_.get_entries();
-    for (state::log_position i = from; i < all.size() && entries.size() < max_entries; ++i) {
+    for (state::log_position i = from; i < all.size() && result.entries.size() < max_entries; ++i) {
         if (all[i]->appended_at > until) {
+            result.next_appended_at = all[i]->appended_at;
             break;
         }
-        entries.push_back(all[i]);
+        result.entries.push_back(all[i]);
     }
-    return entries;
+    return result;
 }
 
 void group_member::wait_for_change(steady_clock::time_point deadline,
--- a/src/standin/target/group_member.h
+++ b/src/standin/target/group_member.h
@@ -79,12 +79,19 @@
     // Sending side of the replication.
     /** The header for a new stream while this is an unfenced primary. */
     std::optional<stream_header> get_stream_header() const;
+    /** Entries that may be shipped, and what the sender waits for next. */
+    struct shippable_entries {
+        std::vector<std::shared_ptr<const log_entry>> entries;
+        state::log_position length = 0;  ///< Of the whole log.
+        /// When the first entry that is still too young was appended.
+        std::optional<std::chrono::steady_clock::time_point> next_appended_at;
+    };
     /** Entries from `from` that were appended at or before `until`, while primary of `term`; empty
-     * optional when it is not any more. */
-    std::optional<std::vector<std::shared_ptr<const log_entry>>> get_entries(
-        state::term_number term, state::log_position from,
-        std::chrono::steady_clock::time_point until) const;
-    /** Blocks until the log or the terms change, at the latest until `deadline`. */
+     * when it is not any more. */
+    std::optional<shippable_entries> get_entries(state::term_number term, state::log_position from,
+                                                 std::chrono::steady_clock::time_point until) const;
+    /** Blocks until the log is longer than `seen` or the terms change, at the latest until
+     * `deadline`. */
     void wait_for_change(std::chrono::steady_clock::time_point deadline,
                          state::log_position seen) const;
     void wake();
--- a/src/standin/target/replication_sender.cpp
+++ b/src/standin/target/replication_sender.cpp
@@ -88,29 +88,31 @@
 
 bool replication_sender::send_due(int fd, state::term_number term, state::log_position& next,
                                   time_point& heartbeat_at) {
+    ++context_.counters.sender_rounds;
     const milliseconds lag = context_.faults.get().replication_lag;
-    const auto entries = context_.member.get_entries(term, next, steady_clock::now() - lag);
-    if (!entries) {
+    const std::optional<group_member::shippable_entries> due =
+        context_.member.get_entries(term, next, steady_clock::now() - lag);
+    if (!due) {
         return false;
     }
-    if (!entries->empty()) {
-        if (!send_all(fd, make_entries_line(next, *entries))) {
+    if (!due->entries.empty()) {
+        if (!send_all(fd, make_entries_line(next, due->entries))) {
             return false;
         }
-        next += entries->size();
+        next += due->entries.size();
     }
     if (steady_clock::now() >= heartbeat_at) {
         heartbeat_at = steady_clock::now() + context_.settings.heartbeat_interval;
+        ++context_.counters.heartbeats_sent;
         if (!send_all(fd, make_heartbeat_line())) {
             return false;
         }
     }
-    if (entries->empty()) {
-        // Entries become due without a change of the log, so a lag is met to this precision.
-        constexpr milliseconds lag_step{1};
-        const time_point until =
-            lag.count() > 0 ? std::min(heartbeat_at, steady_clock::now() + lag_step) : heartbeat_at;
-        context_.member.wait_for_change(until, next);
+    if (due->entries.empty()) {
+        const time_point until = due->next_appended_at
+                                     ? std::min(heartbeat_at, *due->next_appended_at + lag)
+                                     : heartbeat_at;
+        context_.member.wait_for_change(until, due->length);
     }
     return true;
 }
--- a/src/standin/target/session_control.h
+++ b/src/standin/target/session_control.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <atomic>
+#include <chrono>
 #include <cstdint>
 
 namespace hornbeamhook::standin::target {
@@ -19,6 +20,9 @@
     /** Ends the connection at once; nothing that is still buffered is sent. */
     void kill();
 
+    /** Sleeps for `duration`, or until the connection is ended. */
+    void sleep(std::chrono::microseconds duration) const;
+
     bool is_killed() const { return is_killed_; }
 
     const std::uint64_t id;
--- a/src/standin/target/sql_session.cpp
+++ b/src/standin/target/sql_session.cpp
@@ -4,7 +4,6 @@
 #include <cctype>
 #include <charconv>
 #include <sstream>
-#include <thread>
 #include <utility>
 
 namespace hornbeamhook::standin::target {
@@ -199,9 +198,7 @@
     }
     target_counters& counters = context_.counters;
     raise_peak(counters.statements_running_peak, ++counters.statements_running);
-    if (context_.settings.statement_cost.count() > 0) {
-        std::this_thread::sleep_for(context_.settings.statement_cost);
-    }
+    control_->sleep(context_.settings.statement_cost);
     leaf::result<sql_answer> answer = connection_->execute(statement, parameters);
     ++counters.statements_executed;
     --counters.statements_running;
--- a/src/standin/target/target_counters.h
+++ b/src/standin/target/target_counters.h
@@ -11,6 +11,8 @@
     std::atomic<std::uint64_t> statements_received = 0;
     std::atomic<std::uint64_t> commits = 0;
     std::atomic<std::uint64_t> streams_refused = 0;  ///< Replication streams of an old term.
+    std::atomic<std::uint64_t> heartbeats_sent = 0;
+    std::atomic<std::uint64_t> sender_rounds = 0;  ///< Times a sender looked for due entries.
     std::atomic<int> connections_open = 0;
     std::atomic<int> connections_peak = 0;
     std::atomic<std::uint64_t> connections_accepted = 0;
--- a/src/standin/target/target_server.cpp
+++ b/src/standin/target/target_server.cpp
@@ -112,6 +112,8 @@
             {"statements_running_peak", counters.statements_running_peak.load()},
             {"commits", counters.commits.load()},
             {"streams_refused", counters.streams_refused.load()},
+            {"heartbeats_sent", counters.heartbeats_sent.load()},
+            {"sender_rounds", counters.sender_rounds.load()},
             {"connections_open", counters.connections_open.load()},
             {"connections_peak", counters.connections_peak.load()},
             {"connections_accepted", counters.connections_accepted.load()},
--- a/src/standin/target/wire_session.cpp
+++ b/src/standin/target/wire_session.cpp
@@ -7,7 +7,6 @@
 #include <array>
 #include <cerrno>
 #include <exception>
-#include <thread>
 #include <utility>
 
 namespace hornbeamhook::standin::target {
@@ -192,7 +191,7 @@
         flush();
         return false;
     }
-    std::this_thread::sleep_for(context_.settings.connect_cost);
+    control_->sleep(context_.settings.connect_cost);
     sql_ = std::make_unique<sql_session>(context_, control_);
     writer_.add_authentication_ok();
     writer_.add_parameter("server_version", "15.0");
@@ -274,10 +273,7 @@
     if (sql_->take_answer_loss()) {
         lose_answer();
     }
-    const std::chrono::milliseconds delay = context_.faults.get().answer_delay;
-    if (delay.count() > 0) {
-        std::this_thread::sleep_for(delay);
-    }
+    control_->sleep(context_.faults.get().answer_delay);
     writer_.add_ready(sql_->get_state());
 }
 
--- a/src/standin/target/wire_session.h
+++ b/src/standin/target/wire_session.h
@@ -70,7 +70,8 @@
     bool skips_to_synchronise_ = false;
 };
 
-/** Splits a simple query at semicolons outside quotes and comments; empty parts are left out. */
+/** Splits a simple query at semicolons outside quotes and line comments; empty parts are left out.
+ */
 std::vector<std::string> split_statements(const std::string& text);
 
 }  // namespace hornbeamhook::standin::target
--- a/tests/standin/target/target_server_test.cpp
+++ b/tests/standin/target/target_server_test.cpp
@@ -2,8 +2,9 @@
 
 #include <gtest/gtest.h>
 
-#include <cstdlib>
+#include <atomic>
 #include <filesystem>
+#include <thread>
 
 #include "support/target_group.h"
 
@@ -357,6 +358,39 @@
     execute_on(group, 0, "INSERT INTO part VALUES (3, 'seal')");
 }
 
+// Guards against a delay that loses answers, and against a long one that keeps the target from
+// ending.
+TEST(target_server, answers_can_be_delayed) {
+    target_group group(1);
+    const auto slow = connect(group.get_address(0));
+    ASSERT_EQ(group.set_faults(0, {{"answer_delay_ms", 50}}), 200);
+    const auto before = tests::steady_clock::now();
+    EXPECT_FALSE(run(*slow, {{"SELECT 1", {}}}).error);
+    EXPECT_GE(tests::steady_clock::now() - before, tests::milliseconds(50));
+    ASSERT_EQ(group.set_faults(0, {{"answer_delay_ms", 3'600'000}}), 200);
+    const exchange_outcome outcome =
+        run(*slow, {{"SELECT 1", {}}}, tests::steady_clock::now() + tests::milliseconds(50));
+    ASSERT_TRUE(outcome.error);
+    EXPECT_EQ(outcome.error->kind, transport::target_failure_kind::timeout);
+}
+
+// Guards against a sender that burns a core while entries wait for their lag.
+TEST(target_server, sender_sleeps_while_entries_wait_for_the_lag) {
+    target_group group(2);
+    ASSERT_EQ(group.set_faults(0, {{"replication_lag_ms", 3'600'000}}), 200);
+    execute_on(group, 0, create_sql);
+    const nlohmann::json before = group.get_report(0);
+    nlohmann::json after;
+    ASSERT_TRUE(eventually([&] {
+        after = group.get_report(0);
+        return after.at("heartbeats_sent") > before.at("heartbeats_sent").get<int>() + 3;
+    }));
+    const int rounds = after.at("sender_rounds").get<int>() - before.at("sender_rounds").get<int>();
+    const int heartbeats =
+        after.at("heartbeats_sent").get<int>() - before.at("heartbeats_sent").get<int>();
+    EXPECT_LE(rounds, 4 * heartbeats);
+}
+
 // Guards against refused connections that are not refused, or that stay refused.
 TEST(target_server, new_connections_can_be_refused_for_a_while) {
     target_group group(1);
