--- a/src/proxy/fleet_control.cpp
+++ b/src/proxy/fleet_control.cpp
@@ -237,8 +237,7 @@
     }
     const std::optional<nlohmann::json> answer = ask_control([this, digest]() -> nlohmann::json {
         step_members(coordination::digest_received{digest->sender, digest->entries});
-        step_confirmation(
-            coordination::version_heard{get_now(), digest->sender.configuration_version});
+        // No version_heard here: the request may have waited in the socket during a pause.
         return to_json(
             protocol::exchange_message{members_.self, make_digest(members_, members_.random)});
     });
