--- a/src/coordination/group_monitor.cpp
+++ b/src/coordination/group_monitor.cpp
@@ -207,8 +207,9 @@
     ++it->second.consecutive_failures;
     it->second.is_refusing = event.kind == poll_failure::refused;
     target_history& history = state.history[event.target];
+    // A rejection is no loss of contact, but it does not end one either: a target that stopped
+    // answering soon has all its connections taken by polls that timed out, and then rejects.
     if (event.kind == poll_failure::rejected) {
-        history.counted_failures = 0;
         return;
     }
     if (history.counted_failures == 0) {
--- a/tests/coordination/failover_exploration_test.cpp
+++ b/tests/coordination/failover_exploration_test.cpp
@@ -44,7 +44,7 @@
     const milliseconds span(200 + run.pick(2500));
     // Half of the faults hit the primary, which matters most.
     const std::size_t hit = run.chance(0.5) ? run.get_primary() : t;
-    switch (run.pick(11)) {
+    switch (run.pick(12)) {
         case 0:
         case 1:
             run.crash_target(hit);
@@ -70,6 +70,9 @@
         case 8:
             run.cut_peers(p, q, true);
             break;
+        case 10:
+            run.request_change(p, t);
+            break;
         case 9:
             run.pause_proxy(p, span);
             break;
--- a/tests/coordination/group_monitor_test.cpp
+++ b/tests/coordination/group_monitor_test.cpp
@@ -118,6 +118,17 @@
     EXPECT_EQ(monitor_.view.targets.at("a").consecutive_failures, 9);
 }
 
+// Guards against a primary that answers nobody and is kept because it rejects new connections once
+// all are taken by polls that timed out.
+TEST_F(group_monitor_test, rejected_polls_do_not_end_a_loss) {
+    answer("a", 0, 1, primary(1, 5));
+    fail("a", 100, 400, poll_failure::silent);
+    fail("a", 400, 700, poll_failure::silent);
+    ASSERT_TRUE(evidence(700).is_primary_unreachable);
+    fail("a", 750, 751, poll_failure::rejected);
+    EXPECT_TRUE(evidence(751).is_primary_unreachable);
+}
+
 // Guards against a missed partition of the primary from its peers, and against declaring one when
 // only one replica lost it.
 TEST_F(group_monitor_test, replicas_without_contact_tell_of_a_cut_off_primary) {
--- a/tests/proxy/fleet_failover_test.cpp
+++ b/tests/proxy/fleet_failover_test.cpp
@@ -25,6 +25,8 @@
 
 /// Objective of docs/design.md section 1 for the failover gap.
 constexpr milliseconds gap_objective{2000};
+/// Bound of docs/design.md section 1 that the gap never exceeds.
+constexpr milliseconds gap_bound{6000};
 
 /** Three targets on loopback, three proxies that poll them. */
 class fleet_failover_test : public tests::platform_fixture {
@@ -123,6 +125,26 @@
         });
     }
 
+    void set_target_faults(const std::string& name, const json& faults) {
+        transport::http_request request;
+        request.method = "POST";
+        request.path = "/control/faults";
+        request.body = faults.dump();
+        const transport::http_response response = servers_.at(name)->handle_control(request);
+        EXPECT_EQ(response.status, 200) << response.body;
+    }
+
+    /** Whether every target answers that it follows the primary. */
+    bool is_followed_by_all() {
+        const auto view = nodes_[0]->get_service().get_view();
+        const auto it = view->polled_groups.find("ledger");
+        return it != view->polled_groups.end() && it->second->primary &&
+               std::ranges::all_of(it->second->targets, [&](const auto& target) {
+                   return target.second.status && target.second.consecutive_failures == 0 &&
+                          target.second.status->follow_term == it->second->primary->term;
+               });
+    }
+
     /** Waits for a primary of a term above `term` and prints how long it took. */
     void expect_promotion(const std::string& loss, state::term_number term, milliseconds limit) {
         const auto began = steady_clock::now();
@@ -163,6 +185,25 @@
     }
 }
 
+// Guards against a primary that stays although it can acknowledge nothing.
+TEST_F(fleet_failover_test, replaces_a_primary_cut_off_from_its_peers) {
+    start_fleet();
+    set_target_faults("a", {{"cut_peers", {"b", "c"}}});
+    expect_promotion("cut off from its peers", 1, gap_objective);
+    EXPECT_TRUE(wait_until([&] { return get_primary(*nodes_[0]).target != "a"; }));
+    set_target_faults("a", {{"cut_peers", json::array()}});
+    EXPECT_TRUE(wait_until([&] { return is_followed_by_all(); })) << "the old primary returns";
+}
+
+// Guards against a primary that answers no proxy while its replicas still hear it: all proxies must
+// agree for 1.5 s, so only the bound of 6 s applies.
+TEST_F(fleet_failover_test, replaces_a_primary_that_answers_no_proxy) {
+    start_fleet();
+    set_target_faults("a", {{"answer_delay_ms", 8000}});
+    expect_promotion("answers no proxy", 1, gap_bound);
+    set_target_faults("a", {{"answer_delay_ms", 0}});
+}
+
 // Guards against a group that nobody finishes after a claimant died between fence and promote.
 TEST_F(fleet_failover_test, finishes_a_claim_whose_claimant_died) {
     start_fleet();
--- a/tests/support/group_simulation.h
+++ b/tests/support/group_simulation.h
@@ -107,6 +107,10 @@
             tick_poll(p, t, pollers_[p]);
         }
     }
+    void request_change(std::size_t p, std::size_t t) {
+        on_poller(p, pollers_[p],
+                  [this, p, t] { step_failover(p, coordination::change_requested{get_name(t)}); });
+    }
     void set_loss(double loss) { loss_ = loss; }
     void set_interruption(double share) { options_.interruption = share; }
 
--- a/tests/support/model_target.h
+++ b/tests/support/model_target.h
@@ -133,6 +133,7 @@
             }
             if (std::ranges::find(value.reporters, target) == value.reporters.end()) {
                 value.reporters.push_back(target);
+                std::ranges::sort(value.reporters);
             }
             if (value.reporters.size() >= 2) {
                 value.is_acknowledged = true;
@@ -159,6 +160,21 @@
         }
     }
 
+    /** What matters for later checks, to recognise equal states. */
+    std::string get_key() const {
+        std::string key;
+        for (const write& value : writes_) {
+            key += std::to_string(value.id) + (value.is_acknowledged ? "!" : ":");
+            for (const std::size_t target : value.reporters) {
+                key += std::to_string(target);
+            }
+        }
+        for (const promotion& value : promotions_) {
+            key += "/" + std::to_string(value.term) + "@" + std::to_string(value.target);
+        }
+        return key;
+    }
+
     const std::vector<std::string>& get_violations() const { return violations_; }
     std::size_t count_promotions() const { return promotions_.size(); }
     std::size_t count_acknowledged() const { return acknowledged_; }
@@ -186,7 +202,7 @@
         }
     }
 
-    const acknowledgement_rule counts_;
+    acknowledgement_rule counts_;
     std::vector<write> writes_;
     std::vector<promotion> promotions_;
     std::vector<std::string> violations_;
