Tell peers of a new primary and a new configuration version at once

A promoted primary is announced to the other pollers, which poll immediately; an adopted version is sent on to 3 peers that are behind.

--- a/src/coordination/failover.cpp
+++ b/src/coordination/failover.cpp
@@ -386,6 +386,9 @@
     state.promoted_at = now;
     state.promotions[state.term] = now;
     actions.emplace_back(poll_targets{});
+    // The other pollers hear of the new primary at once instead of at their next heartbeat.
+    actions.emplace_back(ask_observations{
+        {state.vm, {*state.chosen, state.term}, false, false, count_promotions(state, now)}});
 }
 
 void advance_promoting(failover_state& state, time_point now, action_list& actions,
--- a/src/coordination/failover.h
+++ b/src/coordination/failover.h
@@ -103,7 +103,7 @@
     std::variant<evidence_updated, pollers_assigned, observation_received, term_call_ended,
                  failover_checked, claim_dropped, change_requested>;
 
-/** Ask the other pollers about the primary. */
+/** Ask the other pollers about the primary, or tell them of a new one: both make them poll. */
 struct ask_observations {
     primary_observation own;
 };
--- a/src/coordination/membership.cpp
+++ b/src/coordination/membership.cpp
@@ -23,6 +23,8 @@
 constexpr std::size_t max_change_entries = 8;
 /// Changes older than this have reached everybody and need no preference.
 constexpr milliseconds change_spread_time{10'000};
+/// Peers that are told of a new configuration version; those left out learn it by exchange.
+constexpr std::size_t version_fanout = 3;
 /// A refused call is believed over heartbeats relayed by others until this many later ones.
 constexpr std::uint64_t refused_heartbeats = 2;
 
@@ -267,9 +269,24 @@
     }
 }
 
-void apply(membership_state& state, const version_adopted& event, time_point /*now*/,
-           std::vector<membership_action>& /*actions*/) {
-    state.self.configuration_version = std::max(state.self.configuration_version, event.version);
+/** A new version travels on at once, so that it is in force everywhere after a few hops. */
+void apply(membership_state& state, const version_adopted& event, time_point now,
+           std::vector<membership_action>& actions) {
+    if (event.version <= state.self.configuration_version) {
+        return;
+    }
+    state.self.configuration_version = event.version;
+    std::vector<const member*> behind;
+    for (const auto& [vm, entry] : state.others) {
+        if (is_live(state, entry, now) && entry.value.configuration_version < event.version) {
+            behind.push_back(&entry.value);
+        }
+    }
+    for (std::size_t i = 0; i < version_fanout && i < behind.size(); ++i) {
+        std::swap(behind[i], behind[i + next_random(state.random) % (behind.size() - i)]);
+        // Only self: the members are no news, and each adoption costs this message.
+        actions.emplace_back(send_digest{*behind[i], {state.self}});
+    }
 }
 
 std::vector<member> get_live(const membership_state& state, time_point now) {
--- a/src/proxy/fleet_control.cpp
+++ b/src/proxy/fleet_control.cpp
@@ -290,6 +290,7 @@
         const auto it = groups_.find(question->pool);
         if (it != groups_.end()) {
             if (question->observation) {
+                set_primary(question->pool, question->observation->primary);
                 step_failover(it->second,
                               coordination::observation_received{*question->observation});
             }
--- a/tests/coordination/configuration_exploration_test.cpp
+++ b/tests/coordination/configuration_exploration_test.cpp
@@ -3,6 +3,7 @@
 #include <array>
 #include <functional>
 #include <iostream>
+#include <map>
 #include <memory>
 #include <queue>
 #include <random>
@@ -138,6 +139,16 @@
     }
 
     std::uint64_t get_head() const { return log_.size(); }
+
+    /** The longest time from the commit of a change until every node had adopted it. */
+    milliseconds get_slowest_adoption() const { return slowest_adoption_; }
+
+    /** Only the first `count` nodes read the store. */
+    void limit_store_readers(std::size_t count) {
+        for (std::size_t p = count; p < node_count; ++p) {
+            cut_store_[p] = true;
+        }
+    }
     int count_violations() const { return violations_; }
 
     /** Versions a confirmed node lags behind one that was in force for the bound. */
@@ -224,6 +235,13 @@
         violations_ += value.config.version < before ? 1 : 0;
         // The content must be that of the log up to the version, whatever way it came.
         violations_ += value.config.pools.size() != value.config.version ? 1 : 0;
+        for (std::uint64_t version = before + 1; version <= value.config.version; ++version) {
+            if (++adoptions_[version] == node_count) {
+                slowest_adoption_ = std::max(
+                    slowest_adoption_,
+                    std::chrono::duration_cast<milliseconds>(now_ - committed_at_[version - 1]));
+            }
+        }
         step_members(p, version_adopted{value.config.version});
         step_confirmation(p, configuration_adopted{value.config.version});
     }
@@ -360,6 +378,8 @@
     double loss_ = 0;
     int violations_ = 0;
     int stale_ = 0;
+    std::map<std::uint64_t, std::size_t> adoptions_;
+    milliseconds slowest_adoption_{0};
 };
 
 struct exploration_result {
@@ -418,6 +438,22 @@
     EXPECT_GT(explore(tests::get_seed(), 20, adopt_last).violations, 0);
 }
 
+// Guards against a change that takes longer than 3 s to be in force, with two readers of the store.
+TEST(configuration_exploration, a_change_is_in_force_within_the_bound) {
+    const std::uint64_t seed = tests::get_seed();
+    milliseconds slowest(0);
+    for (int i = 0; i < 50; ++i) {
+        fleet_simulation run(seed + static_cast<std::uint64_t>(i), adopt_in_order, in_force_bound);
+        run.run_until(milliseconds(2000));
+        run.limit_store_readers(2);
+        run.run_until(milliseconds(30'000));
+        ASSERT_GT(run.get_head(), 10U);
+        slowest = std::max(slowest, run.get_slowest_adoption());
+    }
+    std::cout << "slowest adoption by all: " << slowest.count() << " ms in virtual time\n";
+    EXPECT_LE(slowest, in_force_bound);
+}
+
 // Guards against a checker that finds nothing: a proxy that reaches nobody must stop in time.
 TEST(configuration_exploration, finds_a_proxy_that_serves_on_alone) {
     EXPECT_GT(explore(tests::get_seed(), 100, adopt_in_order, milliseconds(20'000)).stale, 0);
