Admit transactions through the queue of their target and shed what starts too late

Cause: in a trial at three times the capacity (4 ms statements) transactions took most of the write lock, and writes that started with little time left timed out at the target. Change: a begin waits in the same queue as writes, and a request needs twice the mean service time.

--- a/src/coordination/admission_queue.cpp
+++ b/src/coordination/admission_queue.cpp
@@ -11,6 +11,12 @@
     return rate.service_time * static_cast<std::int64_t>(waiting) / std::max(1, rate.concurrency);
 }
 
+/** The time a request needs once it starts. Service times vary; one that starts with just the mean
+ * left often fails in the middle, and the target's work for it is wasted. */
+std::chrono::microseconds get_needed_time(const service_rate& rate) {
+    return 2 * rate.service_time;
+}
+
 }  // namespace
 
 admission_verdict admission_queue::judge(bool is_write, state::time_point deadline,
@@ -22,7 +28,7 @@
     // The kinds take turns, so at most as many requests of the other kind go first.
     const lane& other = lanes_[is_write ? 0 : 1];
     const std::size_t ahead = own.size + std::min(other.size, own.size + 1);
-    if (now + estimate_wait(ahead, rate) + rate.service_time > deadline) {
+    if (now + estimate_wait(ahead, rate) + get_needed_time(rate) > deadline) {
         return admission_verdict::too_late;
     }
     return admission_verdict::queued;
@@ -69,7 +75,7 @@
         std::size_t index = is_write_next_ ? 1 : 0;
         index = lanes_[index].size > 0 ? index : 1 - index;
         std::optional<admission_entry> entry = pop(lanes_[index]);
-        if (now + rate.service_time / 2 > entry->deadline) {
+        if (now + get_needed_time(rate) > entry->deadline) {
             // Running it would spend a slot on an answer that comes too late.
             expired.push_back(std::move(*entry));
             continue;
--- a/src/coordination/admission_queue.h
+++ b/src/coordination/admission_queue.h
@@ -69,9 +69,6 @@
     /** Waiting requests of a kind. */
     std::size_t get_size(bool is_write) const { return lanes_[is_write ? 1 : 0].size; }
 
-    /** The bound of each kind. */
-    std::size_t get_length() const { return length_; }
-
     /** Changes the bound; what waits stays. */
     void set_length(std::size_t length) { length_ = length; }
 
--- a/src/proxy/execution.cpp
+++ b/src/proxy/execution.cpp
@@ -59,13 +59,6 @@
     return result;
 }
 
-/** The time for the statements of a write; a keyed one keeps time for a second attempt. */
-state::time_point get_statement_deadline(const execute_request& request,
-                                         state::time_point deadline) {
-    const state::time_point now = std::chrono::steady_clock::now();
-    return request.idempotency_key.empty() ? deadline : now + (deadline - now) / 2;
-}
-
 }  // namespace
 
 execution executor::make_failure(exchange_phase phase, const target_error& error,
@@ -160,7 +153,7 @@
     }
     const std::size_t first = statements.size();
     statements.insert(statements.end(), request.statements.begin(), request.statements.end());
-    exchange_result answer = session.run(statements, get_statement_deadline(request, commit_by));
+    exchange_result answer = session.run(statements, commit_by);
     if (const auto* error = std::get_if<target_error>(&answer)) {
         result = make_failure(exchange_phase::statements, *error);
         const bool is_insert = is_keyed && error->kind == target_failure_kind::sql_error &&
--- a/src/proxy/target_lane.cpp
+++ b/src/proxy/target_lane.cpp
@@ -111,11 +111,6 @@
     return queue_.get_size(is_write);
 }
 
-std::size_t target_lane::get_queue_length() {
-    const std::scoped_lock lock(mutex_);
-    return queue_.get_length();
-}
-
 int target_lane::get_limit() {
     const std::scoped_lock lock(mutex_);
     return limit_.get_limit();
--- a/src/proxy/target_lane.h
+++ b/src/proxy/target_lane.h
@@ -43,9 +43,6 @@
     /** Requests that may hold a place. */
     int get_limit();
 
-    /** Requests of a kind that may wait. */
-    std::size_t get_queue_length();
-
     /** Takes a place beyond the limit, for an open transaction. */
     void enter();
 
--- a/src/proxy/transaction_service.cpp
+++ b/src/proxy/transaction_service.cpp
@@ -133,7 +133,7 @@
                                 const execute_responder& respond) {
     if (!ensure_key_table(request, target, deadline)) {
         // not_run: no transaction was opened.
-        leave_room(request.pool + "/" + target.name);
+        give_up_place(request, target);
         respond(runtime_.make_refusal(request, error_code::no_primary,
                                       "the table of idempotency keys cannot be created"));
         return;
@@ -175,44 +175,52 @@
         });
 }
 
-// An open transaction may hold locks, so it keeps its place in the lane from begin to end, and
-// transactions never take the last place: one stays free for requests outside of them.
+// An open transaction may hold locks, so it keeps its place in the lane from begin to end. It gets
+// the place in the same queue as writes, and transactions never take the last place: one stays
+// free for requests outside of them.
 void transaction_service::wait_for_room(const execute_request& request,
                                         const state::target_description& target,
                                         state::time_point deadline,
                                         const execute_responder& respond,
                                         std::function<void()> start) {
     const std::shared_ptr<target_lane> lane = runtime_.get_lane(request.pool, target);
-    const std::size_t length = lane->get_queue_length();
-    const int places = std::max(1, lane->get_limit() - 1);
     const std::string key = request.pool + "/" + target.name;
-    // not_run: a waiting begin was given to no target.
-    const auto refuse = [this, request, respond] {
-        respond(runtime_.make_refusal(request, error_code::overloaded,
-                                      "too many transactions are open at the target"));
+    // not_run: a begin that waits was given to no target.
+    const auto refuse = [this, request, respond](const char* message) {
+        respond(runtime_.make_refusal(request, error_code::overloaded, message));
     };
-    bool is_full = false;
-    {
-        const std::scoped_lock lock(mutex_);
-        target_transactions& room = rooms_[key];
-        if (room.open >= places) {
-            is_full = room.waiting.size() >= length;
-            if (!is_full) {
-                room.waiting.push_back({std::move(start), refuse, deadline});
+    const auto take_place = [this, lane, key, deadline, refuse, start] {
+        const int places = std::max(1, lane->get_limit() - 1);
+        {
+            const std::scoped_lock lock(mutex_);
+            target_transactions& room = rooms_[key];
+            if (room.open < places) {
+                ++room.open;
+            } else {
+                room.waiting.push_back(
+                    {[lane, start] {
+                         lane->enter();
+                         start();
+                     },
+                     [refuse] { refuse("too many transactions are open at the target"); },
+                     deadline});
+                lane->leave();
                 return;
             }
-        } else {
-            ++room.open;
         }
-    }
-    if (is_full) {
-        refuse();
-        return;
-    }
-    submit(std::move(start), [this, key, refuse] {
-        leave_room(key);
-        refuse();
-    });
+        start();
+    };
+    lane->offer(
+        {0, request.caller, request.is_write, deadline},
+        [this, lane, take_place] {
+            take_place();
+            runtime_.dispatch(lane);
+        },
+        [refuse](lane_refusal /*reason*/) {
+            refuse("the transaction would wait past its deadline");
+        },
+        std::chrono::steady_clock::now());
+    runtime_.dispatch(lane);
 }
 
 void transaction_service::submit(std::function<void()> start, const std::function<void()>& refuse) {
@@ -275,7 +283,7 @@
                                         "the deadline passed before a transaction could begin");
     }
     if (refusal) {
-        leave_room(key);
+        give_up_place(request, target);
         respond(std::move(*refusal));
         return;
     }
@@ -284,7 +292,7 @@
         execution failure = executor::make_failure(exchange_phase::opening, *error);
         failure.is_primary_lost =
             request.is_write && error->kind != transport::target_failure_kind::connection_limit;
-        leave_room(key);
+        give_up_place(request, target);
         runtime_.report_failure(request, failure);
         runtime_.answer(request, std::move(failure), deadline, respond);
         return;
@@ -301,7 +309,7 @@
         execution failure = executor::make_failure(exchange_phase::statements, *error);
         failure.was_sent = false;  // No statement of the caller was part of it.
         entry->session.reset();
-        leave_room(key);
+        give_up_place(request, target);
         runtime_.report_failure(request, failure);
         runtime_.answer(request, std::move(failure), deadline, respond);
         return;
@@ -317,7 +325,7 @@
     const bool is_primary = is_parsed && status.is_unfenced_primary_of(status.follow_term);
     if (!is_parsed || !required.is_covered_by(status) || (request.is_write && !is_primary)) {
         reset_session(std::move(entry->session), true);
-        leave_room(key);
+        give_up_place(request, target);
         execute_answer answer_behind = runtime_.make_refusal(
             request, request.is_write ? error_code::no_primary : error_code::unavailable,
             "the target cannot serve the transaction");
@@ -326,7 +334,6 @@
         return;
     }
     std::uint64_t number = 0;
-    entry->lane->enter();
     {
         const std::scoped_lock lock(mutex_);
         const state::time_point now = std::chrono::steady_clock::now();
@@ -484,6 +491,14 @@
     expire_waiting(now);
 }
 
+void transaction_service::give_up_place(const execute_request& request,
+                                        const state::target_description& target) {
+    const std::shared_ptr<target_lane> lane = runtime_.get_lane(request.pool, target);
+    lane->leave();
+    runtime_.dispatch(lane);
+    leave_room(request.pool + "/" + target.name);
+}
+
 void transaction_service::end_place(const pinned& entry) {
     entry.lane->leave();
     runtime_.dispatch(entry.lane);
--- a/src/proxy/transaction_service.h
+++ b/src/proxy/transaction_service.h
@@ -83,6 +83,8 @@
                        const state::target_description& target, state::time_point deadline,
                        const execute_responder& respond, std::function<void()> start);
     void leave_room(const std::string& key);
+    void give_up_place(const protocol::execute_request& request,
+                       const state::target_description& target);
     void end_place(const pinned& entry);
     void expire_waiting(state::time_point now);
     void submit(std::function<void()> start, const std::function<void()>& refuse);
