Finish acknowledgements through another poller when this proxy stops polling the group

Cause: a draining proxy loses its homes while commits wait for their acknowledgement; those writes ended as unknown, although a graceful shutdown must not interrupt requests. Change: such a wait is handed to a proxy that polls the group.

--- a/src/protocol/execute_message.cpp
+++ b/src/protocol/execute_message.cpp
@@ -18,13 +18,14 @@
 constexpr std::int64_t max_counter = std::numeric_limits<std::int64_t>::max();
 constexpr std::int64_t max_deadline_ms = 600'000;
 
-constexpr std::array<std::pair<execute_operation, const char*>, 6> operation_names{{
+constexpr std::array<std::pair<execute_operation, const char*>, 7> operation_names{{
     {execute_operation::statements, "statements"},
     {execute_operation::begin, "begin"},
     {execute_operation::transaction_statements, "transaction_statements"},
     {execute_operation::commit, "commit"},
     {execute_operation::rollback, "rollback"},
     {execute_operation::resolve_commit, "resolve_commit"},
+    {execute_operation::await_acknowledgement, "await_acknowledgement"},
 }};
 
 constexpr std::array<std::pair<state::read_policy::kind, const char*>, 3> policy_names{{
--- a/src/protocol/execute_message.h
+++ b/src/protocol/execute_message.h
@@ -24,6 +24,7 @@
     commit,
     rollback,
     resolve_commit,  ///< Finds out whether a commit with this key took effect, and prevents it.
+    await_acknowledgement,  ///< Waits until the group acknowledged `required`; runs nothing.
 };
 
 /** A request from the entry to a home of the target. */
--- a/src/proxy/home_runtime.cpp
+++ b/src/proxy/home_runtime.cpp
@@ -33,31 +33,18 @@
     return operation == execute_operation::statements || operation == execute_operation::begin;
 }
 
-/** The answer to a request whose commit is known, as soon as the view decides it. */
-std::optional<execute_answer> judge(const execute_answer& done, const state::group_view* view,
-                                    state::time_point now, state::time_point deadline) {
-    coordination::acknowledgement state = coordination::acknowledgement::pending;
-    if (view != nullptr) {
-        state = coordination::judge_acknowledgement(*view, done.point);
-    }
-    if (state == coordination::acknowledgement::acknowledged) {
+/** The answer to a request whose commit was judged; `pending` means that time is over. */
+execute_answer conclude(execute_answer done, coordination::acknowledgement verdict) {
+    if (verdict == coordination::acknowledgement::acknowledged) {
         return done;
     }
-    const bool is_superseded = state == coordination::acknowledgement::superseded;
-    if (!is_superseded && view != nullptr && now < deadline) {
-        return std::nullopt;
-    }
-    execute_answer answer = done;
-    answer.outcome = outcome::unknown;
-    answer.code = error_code::outcome_unknown;
-    answer.results.clear();
-    answer.message = "no majority of the group has acknowledged the write in time";
-    if (is_superseded) {
-        answer.message = "the primary was replaced before the write was acknowledged";
-    } else if (view == nullptr) {
-        answer.message = "this proxy stopped polling the group before the write was acknowledged";
-    }
-    return answer;
+    done.outcome = outcome::unknown;
+    done.code = error_code::outcome_unknown;
+    done.results.clear();
+    done.message = verdict == coordination::acknowledgement::superseded
+                       ? "the primary was replaced before the write was acknowledged"
+                       : "no majority of the group has acknowledged the write in time";
+    return done;
 }
 
 }  // namespace
@@ -70,6 +57,7 @@
       sessions_(sessions),
       metrics_(metrics),
       executor_(sessions),
+      relay_(settings, incarnation, groups),
       workers_(settings.worker_threads, max_queued_exchanges),
       transaction_workers_(std::max(2, settings.worker_threads / 2), max_queued_transaction_steps),
       waiter_(groups) {}
@@ -230,15 +218,34 @@
         respond(std::move(answer));
         return;
     }
-    waiter_.wait(request.pool, [done = std::move(answer), deadline, respond = std::move(respond)](
-                                   const state::group_view* view, state::time_point now) {
-        std::optional<execute_answer> decided = judge(done, view, now, deadline);
-        if (!decided) {
-            return false;
-        }
-        respond(std::move(*decided));
-        return true;
-    });
+    waiter_.wait(request.pool,
+                 [this, done = std::move(answer), deadline, respond = std::move(respond),
+                  pool = request.pool, began = std::chrono::steady_clock::now()](
+                     const state::group_view* view, state::time_point now) {
+                     if (view == nullptr) {
+                         hand_over(pool, done, deadline, respond);
+                         return true;
+                     }
+                     const coordination::acknowledgement verdict =
+                         coordination::judge_acknowledgement(*view, done.point);
+                     if (verdict == coordination::acknowledgement::pending && now < deadline) {
+                         return false;
+                     }
+                     record_acknowledgement(
+                         pool, std::chrono::duration_cast<std::chrono::microseconds>(now - began));
+                     respond(conclude(done, verdict));
+                     return true;
+                 });
+}
+
+void home_runtime::hand_over(const std::string& pool, execute_answer done,
+                             state::time_point deadline, const execute_responder& respond) {
+    const auto task = [this, pool, done, deadline, respond] {
+        respond(conclude(done, relay_.ask(pool, done.point, deadline)));
+    };
+    if (!transaction_workers_.try_submit(task)) {
+        respond(conclude(std::move(done), coordination::acknowledgement::pending));
+    }
 }
 
 void home_runtime::record_acknowledgement(const std::string& pool,
--- a/src/proxy/home_runtime.h
+++ b/src/proxy/home_runtime.h
@@ -10,6 +10,7 @@
 
 #include "protocol/execute_message.h"
 #include "protocol/proxy_settings.h"
+#include "proxy/acknowledgement_relay.h"
 #include "proxy/data_metrics.h"
 #include "proxy/execution.h"
 #include "proxy/group_source.h"
@@ -84,6 +85,8 @@
 
 private:
     bool is_home(const state::fleet_view& view, const protocol::execute_request& request) const;
+    void hand_over(const std::string& pool, protocol::execute_answer done,
+                   state::time_point deadline, const execute_responder& respond);
     void record_acknowledgement(const std::string& pool, std::chrono::microseconds duration);
 
     const protocol::proxy_settings& settings_;
@@ -92,6 +95,7 @@
     session_source& sessions_;
     data_metrics& metrics_;
     executor executor_;
+    acknowledgement_relay relay_;
     std::atomic<bool> is_draining_ = false;
     std::mutex mutex_;
     std::map<std::string, std::shared_ptr<target_lane>> lanes_;
--- a/src/proxy/home_service.cpp
+++ b/src/proxy/home_service.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "coordination/acknowledgement.h"
 #include "coordination/freshness.h"
 #include "coordination/read_requirement.h"
 #include "protocol/request_table.h"
@@ -48,6 +49,10 @@
         respond(std::move(answer));
         return;
     }
+    if (request.operation == protocol::execute_operation::await_acknowledgement) {
+        await_acknowledgement(request, deadline, std::move(respond));
+        return;
+    }
     state::target_description target;
     if (std::optional<execute_answer> refusal = runtime_.check(request, target)) {
         respond(std::move(*refusal));
@@ -68,6 +73,36 @@
     wait_for_freshness(shared, target, arrival, deadline, std::move(respond));
 }
 
+// This operation runs nothing: `not_run` says that the question was not decided here.
+void home_service::await_acknowledgement(const execute_request& request, state::time_point deadline,
+                                         execute_responder respond) {
+    runtime_.get_waiter().wait(
+        request.pool, [this, request, deadline, respond = std::move(respond)](
+                          const state::group_view* view, state::time_point now) {
+            execute_answer answer =
+                runtime_.make_refusal(request, error_code::not_home, "the group is not polled");
+            if (view != nullptr) {
+                switch (coordination::judge_acknowledgement(*view, request.required)) {
+                    case coordination::acknowledgement::acknowledged:
+                        answer.outcome = outcome::ok;
+                        answer.code = error_code::ok;
+                        break;
+                    case coordination::acknowledgement::superseded:
+                        answer.outcome = outcome::unknown;
+                        answer.code = error_code::outcome_unknown;
+                        break;
+                    case coordination::acknowledgement::pending:
+                        if (now < deadline) {
+                            return false;
+                        }
+                        answer.code = error_code::deadline;
+                }
+            }
+            respond(std::move(answer));
+            return true;
+        });
+}
+
 void home_service::wait_for_freshness(std::shared_ptr<const execute_request> request,
                                       const state::target_description& target,
                                       state::time_point arrival, state::time_point deadline,
--- a/src/proxy/home_service.h
+++ b/src/proxy/home_service.h
@@ -19,6 +19,8 @@
     void prune_keys();
 
 private:
+    void await_acknowledgement(const protocol::execute_request& request, state::time_point deadline,
+                               execute_responder respond);
     void wait_for_freshness(std::shared_ptr<const protocol::execute_request> request,
                             const state::target_description& target, state::time_point arrival,
                             state::time_point deadline, execute_responder respond);
