--- a/src/proxy/execution.cpp
+++ b/src/proxy/execution.cpp
@@ -247,7 +247,7 @@
         // not_run: the key was taken before the commit arrived, so the commit can only fail.
         result.outcome = outcome::not_run;
         result.code = error_code::transaction_gone;
-        result.message = "the transaction was not committed";
+        result.message = "no commit with this key took effect, and none can any more";
         return result;
     }
     leaf::try_handle_all(
@@ -271,7 +271,7 @@
                     // not_run once acknowledged: the key is taken, so the commit can only fail.
                     result.outcome = outcome::not_run;
                     result.code = error_code::transaction_gone;
-                    result.message = "the transaction was not committed";
+                    result.message = "no commit with this key took effect, and none can any more";
                 }
                 return result;
             case write_step::key_exists:
