Let the upstream process notice a silence when a test asks for it

A silence kept the server side of dead connections for ever, which also used up the target's connection limit. Both cases are now tested apart.

--- a/scripts/fleet.py
+++ b/scripts/fleet.py
@@ -104,8 +104,12 @@
         self.socket = socket.create_connection((host, int(port)), timeout)
         self.socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         body = struct.pack("!I", 196608) + b"user\0inspector\0database\0inspector\0\0"
-        self.socket.sendall(struct.pack("!I", len(body) + 4) + body)
-        self.read_until_ready()
+        try:
+            self.socket.sendall(struct.pack("!I", len(body) + 4) + body)
+            self.read_until_ready()
+        except BaseException:
+            self.socket.close()
+            raise
 
     def close(self):
         self.socket.close()
@@ -135,6 +139,8 @@
                     raise ValueError(error)
                 return rows
             if kind == b"E":
+                if body.startswith(b"SFATAL"):
+                    raise OSError(body.decode(errors="replace").replace("\0", " "))
                 error = body.decode(errors="replace").replace("\0", " ")
             if kind == b"D":
                 rows.append(self.parse_row(body))
@@ -202,6 +208,7 @@
     def kill(self):
         self.send(signal.SIGKILL)
         code = self.wait(10)
+        self.log.close()
         return code
 
 
--- a/src/standin/fault/link_command.cpp
+++ b/src/standin/fault/link_command.cpp
@@ -39,8 +39,8 @@
 
 link_action read_action(state::json_reader& reader) {
     const std::string action = reader.get_choice(
-        "action", {"cut", "restore", "delay", "silence", "half_open", "drop_request", "drop_answer",
-                   "hold_request", "hold_answer", "cross_answer"});
+        "action", {"cut", "restore", "delay", "silence", "drop_silent", "half_open", "drop_request",
+                   "drop_answer", "hold_request", "hold_answer", "cross_answer"});
     if (const auto it = get_message_faults().find(action); it != get_message_faults().end()) {
         return read_message_fault(reader, it->second);
     }
@@ -49,12 +49,21 @@
             std::chrono::microseconds(reader.get_integer("extra_us", 0, max_delay_us))};
     }
     if (action == "silence") {
-        return silence_command{reader.get_boolean("includes_new", false)};
+        silence_command command;
+        command.includes_new = reader.get_boolean("includes_new", false);
+        if (reader.has("release_ms")) {
+            command.release =
+                std::chrono::milliseconds(reader.get_integer("release_ms", 0, max_hold_ms));
+        }
+        return command;
     }
     if (action == "half_open") {
         const bool is_request = reader.get_choice("lost", {"request", "answer"}) == "request";
         return half_open_command{is_request ? relay_direction::request : relay_direction::answer};
     }
+    if (action == "drop_silent") {
+        return drop_silent_command{};
+    }
     if (action == "restore") {
         return restore_command{};
     }
--- a/src/standin/fault/link_command.h
+++ b/src/standin/fault/link_command.h
@@ -33,10 +33,17 @@
 /** Connections that are open now never carry another byte, nor their end. */
 struct silence_command {
     bool includes_new = false;  ///< Also connections opened until the link is restored.
+    /// After this time the upstream process notices, as with TCP keepalive; without it never.
+    std::optional<std::chrono::milliseconds> release;
 
     bool operator==(const silence_command&) const = default;
 };
 
+/** Closes the silent connections, so that the next test starts without them. */
+struct drop_silent_command {
+    bool operator==(const drop_silent_command&) const = default;
+};
+
 /** Loses one direction of all connections, including those opened until the link is restored. */
 struct half_open_command {
     relay_direction lost = relay_direction::answer;
@@ -65,7 +72,7 @@
 };
 
 using link_action = std::variant<cut_command, restore_command, delay_command, silence_command,
-                                 half_open_command, message_fault_command>;
+                                 drop_silent_command, half_open_command, message_fault_command>;
 
 /** A control request: an action for all links whose name matches a pattern. */
 struct link_command {
--- a/src/standin/fault/relay_link.h
+++ b/src/standin/fault/relay_link.h
@@ -26,7 +26,8 @@
     bool is_cut = false;
     bool is_upstream_down = false;
     bool is_new_silent = false;
-    std::array<bool, 2> is_lost{};  ///< By relay_direction.
+    std::optional<std::chrono::milliseconds> silence_release;  ///< For new silent connections.
+    std::array<bool, 2> is_lost{};                             ///< By relay_direction.
     std::chrono::microseconds extra_latency{0};
     std::vector<message_fault_command> message_faults;
     std::optional<crossed_answer> crossed;
--- a/src/standin/fault/relay_loop.cpp
+++ b/src/standin/fault/relay_loop.cpp
@@ -36,6 +36,7 @@
 constexpr std::size_t read_size = std::size_t{64} << 10U;
 // Reading pauses above this, so that a stopped process behind the relay exerts back pressure.
 constexpr std::size_t max_queued_bytes = std::size_t{1} << 20U;
+constexpr int release_upstream = 2;  // A timer's stream number that is none.
 constexpr int listen_backlog = 1024;
 constexpr int max_events = 256;
 // How often a refused upstream is tried, and the least time between two checks of one link.
@@ -241,7 +242,12 @@
         const timer due = timers_.top();
         timers_.pop();
         const auto it = connections_.find(due.connection);
-        if (it != connections_.end()) {
+        if (it == connections_.end()) {
+            continue;
+        }
+        if (due.stream == release_upstream) {
+            close_side(*it->second, 1, true);
+        } else {
             flush(*it->second, due.stream);
         }
     }
@@ -357,6 +363,9 @@
         connection->sockets[0] = fd;
         connection->established_at = steady_clock::now() + 2 * link.get_latency();
         connection->is_silent = link.is_new_silent;
+        if (link.is_new_silent) {
+            release_later(*connection, link.silence_release);
+        }
         for (int i = 0; i < 2; ++i) {
             connection->streams.at(i).is_lost = link.is_lost.at(i);
         }
@@ -653,6 +662,21 @@
     }
 }
 
+void relay_loop::release_later(const relay_connection& connection,
+                               std::optional<milliseconds> release) {
+    if (release) {
+        timers_.push(timer{steady_clock::now() + *release, connection.id, release_upstream});
+    }
+}
+
+void relay_loop::drop_silent(const relay_link& link) {
+    for (relay_connection* connection : get_connections(link)) {
+        if (connection->is_silent) {
+            reset(*connection);
+        }
+    }
+}
+
 void relay_loop::reset(relay_connection& connection) {
     for (int side = 0; side < 2; ++side) {
         connection.streams.at(side).has_source_ended = true;
@@ -694,9 +718,15 @@
             link.extra_latency = command.extra;
         } else if constexpr (std::is_same_v<type, silence_command>) {
             link.is_new_silent = command.includes_new;
+            link.silence_release = command.release;
             for (relay_connection* connection : get_connections(link)) {
-                make_silent(*connection);
+                if (!connection->is_silent) {
+                    make_silent(*connection);
+                    release_later(*connection, command.release);
+                }
             }
+        } else if constexpr (std::is_same_v<type, drop_silent_command>) {
+            drop_silent(link);
         } else if constexpr (std::is_same_v<type, half_open_command>) {
             const int stream = command.lost == relay_direction::request ? 0 : 1;
             link.is_lost.at(stream) = true;
--- a/src/standin/fault/relay_loop.h
+++ b/src/standin/fault/relay_loop.h
@@ -43,11 +43,11 @@
     nlohmann::json get_status();
 
 private:
-    /** When to look at a stream again. */
+    /** When to look at a stream again, or to tell the upstream process of a silence. */
     struct timer {
         time_point at;
         std::uint64_t connection;
-        int stream;
+        int stream;  ///< 0 or 1, or release_upstream.
 
         bool operator>(const timer& other) const { return at > other.at; }
     };
@@ -77,6 +77,9 @@
     void update_interest(relay_connection& connection, int side);
     void close_side(relay_connection& connection, int side, bool is_reset);
     void make_silent(relay_connection& connection);
+    void release_later(const relay_connection& connection,
+                       std::optional<std::chrono::milliseconds> release);
+    void drop_silent(const relay_link& link);
     void reset(relay_connection& connection);
     void remove_closed();
 
--- a/tests/ctl/executor_test.cpp
+++ b/tests/ctl/executor_test.cpp
@@ -27,8 +27,8 @@
 };
 
 /** Runs a script like the program does. */
-script_outcome run_script_text(executor& session, const std::string& input,
-                               const std::function<void()>& after_base = [] {}) {
+script_outcome run_script_text(
+    executor& session, const std::string& input, const std::function<void()>& after_base = [] {}) {
     script_outcome outcome;
     leaf::try_handle_all(
         [&]() -> leaf::result<void> {
@@ -249,11 +249,11 @@
 TEST_F(executor_test, conflicts_with_changes_made_after_parsing) {
     run_well("create pool p; create pool q;");
     executor session(make_settings("bob"), false);
-    const script_outcome outcome = run_script_text(
-        session,
-        "alter pool q set queue_length = 8;\nalter pool q set queue_length = 9;\n"
-        "alter pool p set queue_length = 5;",
-        [&] { run_well("alter pool p set queue_length = 77;"); });
+    const script_outcome outcome =
+        run_script_text(session,
+                        "alter pool q set queue_length = 8;\nalter pool q set queue_length = 9;\n"
+                        "alter pool p set queue_length = 5;",
+                        [&] { run_well("alter pool p set queue_length = 77;"); });
     ASSERT_TRUE(outcome.error);
     EXPECT_EQ(outcome.error->failure, command_failure::conflict);
     EXPECT_EQ(outcome.error->at.line, 3);
@@ -275,7 +275,8 @@
             executor session(make_settings("op" + std::to_string(i)), false);
             const std::string number = std::to_string(i + 1);
             outcomes[i] = run_script_text(
-                session, "create pool own" + number + "; alter pool p set queue_length = " + number + ";",
+                session,
+                "create pool own" + number + "; alter pool p set queue_length = " + number + ";",
                 [&] {
                     ++ready;
                     while (ready < racers) {
@@ -320,10 +321,9 @@
     settings.store_timeout = milliseconds(200);
     settings.commit_timeout = milliseconds(300);
     executor session(settings, false);
-    const script_outcome outcome =
-        run_script_text(session, "create pool p;", [&] {
-            set_faults({{"lose_answers", 1'000'000}, {"lose_answers_of", "config"}});
-        });
+    const script_outcome outcome = run_script_text(session, "create pool p;", [&] {
+        set_faults({{"lose_answers", 1'000'000}, {"lose_answers_of", "config"}});
+    });
     if (!outcome.error) {
         // The change was read back in time; nothing is left to look up.
         EXPECT_EQ(outcome.answers[0].fields["version"], 1);
@@ -380,9 +380,8 @@
 
 // Guards against changes by anyone once operators exist, and against rights that reach too far.
 TEST_F(executor_test, operators_need_credential_and_right) {
-    const auto answers = run_well(
-        "create pool p; create pool q; create operator bob with write = p;"
-        );
+    const auto answers =
+        run_well("create pool p; create pool q; create operator bob with write = p;");
     ctl_settings settings = make_settings("bob");
     const auto try_as = [&](const std::string& statement) {
         executor session(settings, false);
@@ -394,8 +393,7 @@
     EXPECT_EQ(try_as("alter pool q set queue_length = 2;").error->failure, command_failure::denied);
     EXPECT_EQ(try_as("create caller c;").error->failure, command_failure::denied);
     EXPECT_EQ(run("create pool r;").error->failure, command_failure::denied);
-    const auto audit =
-        try_as("select count() as n from audit where kind = access_denied;").answers;
+    const auto audit = try_as("select count() as n from audit where kind = access_denied;").answers;
     EXPECT_EQ(audit[0].table->rows[0]["n"], 4);
 }
 
@@ -405,8 +403,8 @@
     fake_proxy two("secret");
     EXPECT_TRUE(static_cast<bool>(client_.put_vm(one.get_entry("vm-1"))));
     EXPECT_TRUE(static_cast<bool>(client_.put_vm(two.get_entry("vm-2"))));
-    EXPECT_TRUE(static_cast<bool>(
-        client_.put_vm({"vm-3", "127.0.0.1:1", "cairo", "cairo-1", false})));
+    EXPECT_TRUE(
+        static_cast<bool>(client_.put_vm({"vm-3", "127.0.0.1:1", "cairo", "cairo-1", false})));
     one.set_status({{"configuration_version", 1}});
     two.set_status({{"configuration_version", 0}});
     run_well("create pool p;");
@@ -443,8 +441,8 @@
     EXPECT_EQ(run("change primary of p to a;").error->failure, command_failure::unavailable);
     fake_proxy proxy("secret");
     EXPECT_TRUE(static_cast<bool>(client_.put_vm(proxy.get_entry("vm-2"))));
-    EXPECT_TRUE(static_cast<bool>(
-        client_.put_vm({"vm-1", "127.0.0.1:1", "cairo", "cairo-1", false})));
+    EXPECT_TRUE(
+        static_cast<bool>(client_.put_vm({"vm-1", "127.0.0.1:1", "cairo", "cairo-1", false})));
     run_well("change primary of p to a;");
     EXPECT_EQ(proxy.get_last_body(), (json{{"pool", "p"}, {"target", "a"}}));
     proxy.set_change_status(409);
--- a/tests/ctl/parser_test.cpp
+++ b/tests/ctl/parser_test.cpp
@@ -21,8 +21,12 @@
             BOOST_LEAF_AUTO(statements, parse_statements(input));
             return parse_outcome{std::move(statements), {}};
         },
-        [](const command_error& error) { return parse_outcome{{}, error}; },
-        [] { return parse_outcome{{}, command_error{command_failure::rejected, "other", {}}}; });
+        [](const command_error& error) {
+            return parse_outcome{{}, error};
+        },
+        [] {
+            return parse_outcome{{}, command_error{command_failure::rejected, "other", {}}};
+        });
 }
 
 template <class T>
@@ -159,15 +163,75 @@
 }
 
 std::string make_random_input(std::mt19937_64& random) {
-    static const std::vector<std::string> words{
-        "create", "alter",  "drop",   "pool",  "target", "with",  "set",    "if",     "version",
-        "select", "from",   "usage",  "where", "and",    "or",    "not",    "group",  "by",
-        "order",  "limit",  "count",  "sum",   "(",      ")",     ",",      ";",      "=",
-        "!=",     "<=",     "'x'",    "'",     "\"",     "p",     "a/b",    "-1",     "1e999",
-        "99999999999999999999",       "nan",   "inf",    "--",    "\n",     "%",      "*",
-        "like",   "report", "month",  "2026-12", "as",   "svg",   "change", "primary", "of",
-        "to",     "wait",   "within", "for",   "explain", "failover", "percentile", "help", "show",
-        "true",   "0x10",   "+5",     "1.5",   "\xff\xfe", "\xc3\xa9", std::string(1, '\0'), "exit"};
+    static const std::vector<std::string> words{"create",
+                                                "alter",
+                                                "drop",
+                                                "pool",
+                                                "target",
+                                                "with",
+                                                "set",
+                                                "if",
+                                                "version",
+                                                "select",
+                                                "from",
+                                                "usage",
+                                                "where",
+                                                "and",
+                                                "or",
+                                                "not",
+                                                "group",
+                                                "by",
+                                                "order",
+                                                "limit",
+                                                "count",
+                                                "sum",
+                                                "(",
+                                                ")",
+                                                ",",
+                                                ";",
+                                                "=",
+                                                "!=",
+                                                "<=",
+                                                "'x'",
+                                                "'",
+                                                "\"",
+                                                "p",
+                                                "a/b",
+                                                "-1",
+                                                "1e999",
+                                                "99999999999999999999",
+                                                "nan",
+                                                "inf",
+                                                "--",
+                                                "\n",
+                                                "%",
+                                                "*",
+                                                "like",
+                                                "report",
+                                                "month",
+                                                "2026-12",
+                                                "as",
+                                                "svg",
+                                                "change",
+                                                "primary",
+                                                "of",
+                                                "to",
+                                                "wait",
+                                                "within",
+                                                "for",
+                                                "explain",
+                                                "failover",
+                                                "percentile",
+                                                "help",
+                                                "show",
+                                                "true",
+                                                "0x10",
+                                                "+5",
+                                                "1.5",
+                                                "\xff\xfe",
+                                                "\xc3\xa9",
+                                                std::string(1, '\0'),
+                                                "exit"};
     std::string input;
     const std::size_t length = random() % 30;
     for (std::size_t i = 0; i < length; ++i) {
--- a/tests/ctl/query_engine_test.cpp
+++ b/tests/ctl/query_engine_test.cpp
@@ -50,9 +50,9 @@
 
 // Guards against percentiles taken per row instead of over the merged histograms.
 TEST(query_engine, percentiles_merge_histograms) {
-    EXPECT_EQ(run("select percentile(latency, 50), percentile(latency, 100) from usage;",
-                  make_rows()),
-              (json{{{"p50_latency", 1.0}, {"p100_latency", 70.0}}}));
+    EXPECT_EQ(
+        run("select percentile(latency, 50), percentile(latency, 100) from usage;", make_rows()),
+        (json{{{"p50_latency", 1.0}, {"p100_latency", 70.0}}}));
     EXPECT_EQ(run("select percentile(reads, 50), percentile(reads, 0) from usage;", make_rows()),
               (json{{{"p50_reads", 5.0}, {"p0_reads", 1.0}}}));
 }
--- a/tests/ctl/report_test.cpp
+++ b/tests/ctl/report_test.cpp
@@ -22,9 +22,12 @@
 }
 
 json make_failover(std::int64_t at_ms, const std::string& reason, json gap) {
-    return {{"at_ms", at_ms},     {"subject", "recipes"},
-            {"kind", "promotion"}, {"reason", reason},
-            {"vm", "vm-1"},       {"gap_ms", std::move(gap)},
+    return {{"at_ms", at_ms},
+            {"subject", "recipes"},
+            {"kind", "promotion"},
+            {"reason", reason},
+            {"vm", "vm-1"},
+            {"gap_ms", std::move(gap)},
             {"details",
              {{"before", {{"target", "a"}, {"term", 3}}},
               {"after", {{"target", "b"}, {"term", 4}}},
@@ -81,12 +84,14 @@
 // Guards against events of the day in the report of the night, and against missing ones.
 TEST(report, night_lists_events_in_order) {
     const std::vector<json> audit{
-        {{"at_ms", night_ms + 5}, {"kind", "drain"}, {"subject", "vm vm-1"}, {"vm", "operator:ada"}},
+        {{"at_ms", night_ms + 5},
+         {"kind", "drain"},
+         {"subject", "vm vm-1"},
+         {"vm", "operator:ada"}},
         {{"at_ms", night_ms}, {"kind", "promotion"}, {"subject", "recipes"}},
         {{"at_ms", night_ms + 3'600'000}, {"kind", "late"}, {"subject", "x"}}};
-    const report value =
-        make_night_report(night_ms - 1000, night_ms + 3'600'000, make_usage(), audit,
-                          {make_failover(night_ms, "unreachable", 900)});
+    const report value = make_night_report(night_ms - 1000, night_ms + 3'600'000, make_usage(),
+                                           audit, {make_failover(night_ms, "unreachable", 900)});
     ASSERT_EQ(value.table.rows.size(), 2U);
     EXPECT_EQ(value.table.rows[0]["kind"], "promotion");
     EXPECT_EQ(value.table.rows[0]["gap_ms"], 900);
--- a/tests/process/fleet_case.py
+++ b/tests/process/fleet_case.py
@@ -38,6 +38,10 @@
 
     def tearDown(self):
         self.fleet.fault("*", "restore")
+        self.fleet.fault("*", "drop_silent")
+        for name, process in self.fleet.processes.items():
+            if name in self.fleet.targets and not process.is_running():
+                self.fleet.start_target(name)
 
     def start_load(self, duration, clients=24, *options, pools=None):
         load = self.fleet.start_load(
--- a/tests/standin/fault/fault_relay_test.cpp
+++ b/tests/standin/fault/fault_relay_test.cpp
@@ -95,6 +95,8 @@
         }
     }
 
+    int get_open() const { return open_; }
+
     bool has_got(const std::string& text) {
         const std::scoped_lock lock(mutex_);
         return received_.find(text) != std::string::npos;
@@ -107,6 +109,7 @@
             ::poll(sockets.data(), sockets.size(), 5);
             if ((sockets[0].revents & POLLIN) != 0) {
                 sockets.push_back({::accept(fd_, nullptr, nullptr), POLLIN, 0});
+                ++open_;
             }
             for (std::size_t i = 1; i < sockets.size(); ++i) {
                 answer(sockets[i]);
@@ -128,6 +131,7 @@
         if (length <= 0) {
             ::close(item.fd);
             item.fd = -1;
+            --open_;
             return;
         }
         buffer.resize(static_cast<std::size_t>(length));
@@ -141,6 +145,7 @@
 
     int fd_;
     std::atomic<bool> is_stopping_ = false;
+    std::atomic<int> open_ = 0;
     std::mutex mutex_;
     std::string received_;
     std::thread thread_;
@@ -260,6 +265,19 @@
     EXPECT_FALSE(server_->has_got("d"));
 }
 
+// Guards against a server that never gets rid of dead connections although it would notice them,
+// and against a caller that is told.
+TEST_F(fault_relay_test, releases_the_upstream_side_of_a_silence) {
+    client caller(listen_);
+    caller.send("a");
+    EXPECT_EQ(caller.receive(), "re:a");
+    EXPECT_EQ(control(R"({"links":["a-b"],"action":"silence","release_ms":10})"), 200);
+    EXPECT_TRUE(wait_until([&] { return server_->get_open() == 0; }));
+    EXPECT_EQ(caller.receive(quiet_wait_ms), "<nothing>");
+    EXPECT_EQ(control(R"({"links":["a-b"],"action":"drop_silent"})"), 200);
+    EXPECT_EQ(caller.receive(), "<reset>");
+}
+
 // Guards against losing the wrong direction.
 TEST_F(fault_relay_test, half_open_loses_one_direction) {
     EXPECT_EQ(control(R"({"links":["a-b"],"action":"half_open","lost":"answer"})"), 200);
