--- a/src/load/load_run.cpp
+++ b/src/load/load_run.cpp
@@ -7,6 +7,7 @@
 #include <utility>
 
 #include "load/fleet_reader.h"
+#include "load/health_check.h"
 #include "load/history_checker.h"
 #include "load/load_error.h"
 #include "load/load_events.h"
@@ -83,6 +84,7 @@
 }
 
 void load_run::drive(time_point begin) {
+    const health_check checks(settings_.proxies, proxies_);
     std::vector<std::thread> threads;
     threads.reserve(sessions_.size());
     for (const auto& caller : sessions_) {
--- a/src/load/proxy_directory.h
+++ b/src/load/proxy_directory.h
@@ -28,11 +28,15 @@
     /** The wanted proxy, or the next one that is in use; the wanted one when none is. */
     std::size_t find_usable(std::size_t wanted, time_point now) const;
 
+    /** Takes a proxy out of use until it is ready again. */
+    void set_ready(std::size_t index, bool is_ready);
+
     /** Takes a proxy out of use for a while. */
     void avoid(std::size_t index, time_point now);
 
 private:
     const std::vector<proxy_endpoint>& proxies_;
+    std::vector<std::atomic<bool>> is_unready_;
     std::vector<std::atomic<std::int64_t>> avoided_until_;  ///< Nanoseconds of the clock.
 };
 
--- a/tests/process/fake_proxy.py
+++ b/tests/process/fake_proxy.py
@@ -35,6 +35,11 @@
                 self.end_headers()
                 self.wfile.write(answer)
 
+            def do_GET(self):
+                self.send_response(200)
+                self.send_header("Content-Length", "0")
+                self.end_headers()
+
             def log_message(self, *arguments):
                 pass
 
