Let a draining proxy close kept-alive connections with its last answers

Change: from the start of the drain every answer says Connection: close, and the server stops only after 300 ms without a request. Ruled out: the drain bound (10 s) was not reached.

--- a/src/proxy/proxy_server.cpp
+++ b/src/proxy/proxy_server.cpp
@@ -44,6 +44,9 @@
 constexpr int ticks_per_maintenance = 100;
 constexpr std::chrono::minutes prune_interval{10};
 constexpr milliseconds drain_poll{10};
+// Callers were told to close their connections with the last answers; a caller that did not see it
+// yet sends its next request within this time.
+constexpr milliseconds drain_quiet_time{300};
 
 http_response make_text(int status, std::string text) {
     return {status, std::move(text), "text/plain; charset=utf-8"};
@@ -215,7 +218,8 @@
 void proxy_server::implementation::wait_until_idle() {
     const state::time_point until = std::chrono::steady_clock::now() + settings.drain_timeout;
     while (std::chrono::steady_clock::now() < until) {
-        if (entry.get_in_flight() == 0 && messages_in_flight == 0 && transactions.get_open() == 0) {
+        if (entry.get_in_flight() == 0 && messages_in_flight == 0 && transactions.get_open() == 0 &&
+            server.is_quiet(drain_quiet_time)) {
             return;
         }
         std::this_thread::sleep_for(drain_poll);
@@ -258,6 +262,7 @@
     transport::log_event(event_proxy_draining, {{"vm", self.settings.vm}});
     self.is_unready = true;
     self.fleet.begin_drain();
+    self.server.close_connections_after_answers();
     // The balancer goes on sending until it has seen that this proxy is not ready.
     std::this_thread::sleep_for(self.settings.balancer_grace);
     self.entry.begin_drain();
--- a/src/transport/http_server.h
+++ b/src/transport/http_server.h
@@ -37,6 +37,17 @@
     /** Binds and starts the threads. Throws std::runtime_error when the address is taken. */
     void start();
 
+    /**
+     * From now on every answer tells the client to close its connection, so that stop() finds none
+     * on which a request may be under way. Thread safe.
+     */
+    void close_connections_after_answers();
+
+    /**
+     * Whether no request is open and none arrived for `quiet_time`. Thread safe.
+     */
+    bool is_quiet(std::chrono::milliseconds quiet_time) const;
+
     /** Stops listening and closes connections. Safe to call twice. Not thread safe. */
     void stop();
 
