Count only callers' requests and statements when a draining proxy waits for quiet

Cause: health checks and peer exchanges never pause for 300 ms, so a drain always took its full 10 s; the SIGTERM test ran out of load before the process ended. Change: the proxy records the last caller request or forwarded statement itself.

--- a/src/proxy/proxy_server.cpp
+++ b/src/proxy/proxy_server.cpp
@@ -94,6 +94,8 @@
     const std::uint64_t incarnation;
     std::atomic<bool> is_unready = false;
     std::atomic<std::size_t> messages_in_flight = 0;
+    /// Last request of a caller or statement of another proxy; health checks do not count.
+    std::atomic<state::time_point> last_work{state::time_point{}};
     audit_log audit;
     usage_recorder usage;
     fleet_service fleet;
@@ -126,6 +128,7 @@
 
 void proxy_server::implementation::handle(http_request request, http_responder respond) {
     if (request.path.starts_with("/v1/")) {
+        last_work = std::chrono::steady_clock::now();
         entry.handle(request, std::move(respond));
         return;
     }
@@ -170,6 +173,7 @@
         [&]() -> leaf::result<void> {
             BOOST_LEAF_AUTO(message, protocol::parse_execute_request(request.body));
             ++messages_in_flight;
+            last_work = std::chrono::steady_clock::now();
             const auto done = [this, respond](const execute_answer& answer) {
                 respond({200, to_text(answer), "application/json"});
                 --messages_in_flight;
@@ -219,7 +223,7 @@
     const state::time_point until = std::chrono::steady_clock::now() + settings.drain_timeout;
     while (std::chrono::steady_clock::now() < until) {
         if (entry.get_in_flight() == 0 && messages_in_flight == 0 && transactions.get_open() == 0 &&
-            server.is_quiet(drain_quiet_time)) {
+            std::chrono::steady_clock::now() - last_work.load() >= drain_quiet_time) {
             return;
         }
         std::this_thread::sleep_for(drain_poll);
--- a/src/transport/http_server.cpp
+++ b/src/transport/http_server.cpp
@@ -49,33 +49,12 @@
     return result;
 }
 
-/** What the answers of one server share. Outlives the server while answers are open. */
-struct server_activity {
-    std::atomic<bool> is_closing = false;
-    std::atomic<int> open_requests = 0;
-    std::atomic<std::chrono::steady_clock::time_point> last_request{
-        std::chrono::steady_clock::time_point{}};
-};
-
 /** Owns the writer until the one answer is sent. */
 class pending_response {
 public:
     pending_response(Pistache::Http::ResponseWriter writer,
-                     std::shared_ptr<server_activity> activity)
-        : writer_(std::move(writer)), activity_(std::move(activity)) {
-        activity_->last_request = std::chrono::steady_clock::now();
-        ++activity_->open_requests;
-    }
-
-    // A handler that drops its responder must not keep the server busy for ever.
-    ~pending_response() {
-        if (!is_sent_) {
-            --activity_->open_requests;
-        }
-    }
-
-    pending_response(const pending_response&) = delete;
-    pending_response& operator=(const pending_response&) = delete;
+                     std::shared_ptr<const std::atomic<bool>> is_closing)
+        : writer_(std::move(writer)), is_closing_(std::move(is_closing)) {}
 
     void send(const http_response& response) {
         const std::scoped_lock lock(mutex_);
@@ -83,7 +62,7 @@
             return;
         }
         is_sent_ = true;
-        if (activity_->is_closing) {
+        if (*is_closing_) {
             // Pistache already added the client's wish, and does not replace it on add().
             writer_.headers().remove<Pistache::Http::Header::Connection>();
             writer_.headers().add<Pistache::Http::Header::Connection>(
@@ -91,33 +70,33 @@
         }
         writer_.send(static_cast<Pistache::Http::Code>(response.status), response.body,
                      Pistache::Http::Mime::MediaType::fromString(response.content_type));
-        --activity_->open_requests;
     }
 
 private:
     std::mutex mutex_;
     bool is_sent_ = false;
     Pistache::Http::ResponseWriter writer_;
-    std::shared_ptr<server_activity> activity_;
+    std::shared_ptr<const std::atomic<bool>> is_closing_;
 };
 
 class request_handler : public Pistache::Http::Handler {
 public:
     HTTP_PROTOTYPE(request_handler)
 
-    request_handler(http_server::handler handle, std::shared_ptr<server_activity> activity)
-        : handle_(std::move(handle)), activity_(std::move(activity)) {}
+    request_handler(http_server::handler handle,
+                    std::shared_ptr<const std::atomic<bool>> is_closing)
+        : handle_(std::move(handle)), is_closing_(std::move(is_closing)) {}
 
     void onRequest(const Pistache::Http::Request& request,
                    Pistache::Http::ResponseWriter response) override {
-        auto pending = std::make_shared<pending_response>(std::move(response), activity_);
+        auto pending = std::make_shared<pending_response>(std::move(response), is_closing_);
         handle_(convert(request),
                 [pending](const http_response& answer) { pending->send(answer); });
     }
 
 private:
     http_server::handler handle_;
-    std::shared_ptr<server_activity> activity_;
+    std::shared_ptr<const std::atomic<bool>> is_closing_;
 };
 
 }  // namespace
@@ -125,7 +104,8 @@
 struct http_server::implementation {
     http_server_options options;
     handler handle;
-    std::shared_ptr<server_activity> activity = std::make_shared<server_activity>();
+    /// Shared with open answers, which may outlive the server.
+    std::shared_ptr<std::atomic<bool>> is_closing = std::make_shared<std::atomic<bool>>(false);
     std::unique_ptr<Pistache::Http::Endpoint> endpoint;
 };
 
@@ -154,20 +134,14 @@
                         .flags(Pistache::Tcp::Options::ReuseAddr | Pistache::Tcp::Options::NoDelay |
                                Pistache::Tcp::Options::CloseOnExec);
     endpoint->init(settings);
-    endpoint->setHandler(Pistache::Http::make_handler<request_handler>(implementation_->handle,
-                                                                       implementation_->activity));
+    endpoint->setHandler(Pistache::Http::make_handler<request_handler>(
+        implementation_->handle, implementation_->is_closing));
     endpoint->serveThreaded();
     implementation_->endpoint = std::move(endpoint);
 }
 
 void http_server::close_connections_after_answers() {
-    implementation_->activity->is_closing = true;
-}
-
-bool http_server::is_quiet(std::chrono::milliseconds quiet_time) const {
-    const server_activity& activity = *implementation_->activity;
-    return activity.open_requests == 0 &&
-           std::chrono::steady_clock::now() - activity.last_request.load() >= quiet_time;
+    *implementation_->is_closing = true;
 }
 
 void http_server::stop() {
--- a/src/transport/http_server.h
+++ b/src/transport/http_server.h
@@ -43,11 +43,6 @@
      */
     void close_connections_after_answers();
 
-    /**
-     * Whether no request is open and none arrived for `quiet_time`. Thread safe.
-     */
-    bool is_quiet(std::chrono::milliseconds quiet_time) const;
-
     /** Stops listening and closes connections. Safe to call twice. Not thread safe. */
     void stop();
 
