--- a/src/standin/target/durable_files.cpp
+++ b/src/standin/target/durable_files.cpp
@@ -59,21 +59,29 @@
     if (!terms_input) {
         return false;
     }
-    terms = parse_term_state(nlohmann::json::parse(terms_input));
-    std::ifstream log_input(get_path(log_file));
-    std::string line;
-    while (std::getline(log_input, line)) {
-        const nlohmann::json object = nlohmann::json::parse(line, nullptr, false);
-        // A process that died while appending leaves a partial last line; it was not committed.
-        if (object.is_discarded()) {
-            break;
-        }
-        log.push(std::make_shared<const log_entry>(parse_log_entry(object)));
+    try {
+        terms = parse_term_state(nlohmann::json::parse(terms_input));
+        load_log(log);
+    } catch (const nlohmann::json::exception& error) {
+        throw std::runtime_error("data directory " + directory_ + " is damaged: " + error.what());
     }
     rewrite(log);
     return true;
 }
 
+void durable_files::load_log(entry_log& log) {
+    std::ifstream input(get_path(log_file));
+    std::string line;
+    while (std::getline(input, line)) {
+        // A process that died while appending leaves a last line without an end. Its entry was
+        // neither acknowledged nor shipped.
+        if (input.eof()) {
+            return;
+        }
+        log.push(std::make_shared<const log_entry>(parse_log_entry(nlohmann::json::parse(line))));
+    }
+}
+
 void durable_files::save_terms(const term_state& terms) {
     const std::string path = get_path(terms_file);
     std::ofstream output(path + ".new");
--- a/src/standin/target/durable_files.h
+++ b/src/standin/target/durable_files.h
@@ -30,7 +30,8 @@
     durable_files(const durable_files&) = delete;
     durable_files& operator=(const durable_files&) = delete;
 
-    /** What an earlier process left; false when there is nothing. */
+    /** What an earlier process left; false when there is nothing. Throws std::runtime_error when
+     * it is damaged. */
     bool load(term_state& terms, entry_log& log);
 
     /** Writes the terms. Throws std::runtime_error. */
@@ -49,6 +50,7 @@
 private:
     using file_handle = std::unique_ptr<std::FILE, int (*)(std::FILE*)>;
 
+    void load_log(entry_log& log);
     std::string get_path(const char* name) const { return directory_ + "/" + name; }
 
     std::string directory_;
--- a/src/standin/target/sql_session.cpp
+++ b/src/standin/target/sql_session.cpp
@@ -1,9 +1,11 @@
 #include "standin/target/sql_session.h"
 
 #include <algorithm>
+#include <array>
 #include <cctype>
 #include <charconv>
 #include <sstream>
+#include <string_view>
 #include <utility>
 
 namespace hornbeamhook::standin::target {
@@ -37,8 +39,8 @@
 }
 
 bool asks_for_read_only(const std::vector<std::string>& words) {
-    const auto read = std::find(words.begin(), words.end(), "READ");
-    return read != words.end() && read + 1 != words.end() && *(read + 1) == "ONLY";
+    const std::array<std::string_view, 2> pair{"READ", "ONLY"};
+    return std::search(words.begin(), words.end(), pair.begin(), pair.end()) != words.end();
 }
 
 leaf::result<state::term_number> parse_term(const std::string& text) {
--- a/tests/standin/target/target_server_test.cpp
+++ b/tests/standin/target/target_server_test.cpp
@@ -114,6 +114,29 @@
     EXPECT_EQ(run(*reader, {{"SELECT count(*) FROM part", {}}}).get_cell(), "1");
 }
 
+// Guards against a spelling of BEGIN that opens a transaction of the wrong kind.
+TEST(target_server, spellings_of_begin) {
+    target_group group(1);
+    execute_on(group, 0, create_sql);
+    const auto connection = connect(group.get_address(0));
+    for (const char* sql :
+         {"BEGIN READ ONLY", "begin transaction read only;", "START TRANSACTION READ ONLY",
+          "BEGIN ISOLATION LEVEL REPEATABLE READ READ ONLY",
+          "BEGIN ISOLATION LEVEL REPEATABLE READ, READ ONLY"}) {
+        execute(*connection, sql);
+        EXPECT_EQ(run(*connection, {{"DELETE FROM part", {}}}).get_sqlstate(), "25006") << sql;
+        execute(*connection, "ROLLBACK");
+    }
+    for (const char* sql : {"BEGIN", "begin work;", "START TRANSACTION", "BEGIN READ WRITE",
+                            "BEGIN ISOLATION LEVEL REPEATABLE READ"}) {
+        execute(*connection, sql);
+        EXPECT_EQ(connection->get_transaction_state(), transport::transaction_state::open) << sql;
+        execute(*connection, "DELETE FROM part");
+        execute(*connection, "ABORT");
+        EXPECT_EQ(connection->get_transaction_state(), transport::transaction_state::idle) << sql;
+    }
+}
+
 // Guards against a status that is older or newer than the data read after it in one exchange.
 TEST(target_server, position_belongs_to_the_snapshot_of_the_exchange) {
     target_group group(1);
