--- a/src/standin/target/durable_files.cpp
+++ b/src/standin/target/durable_files.cpp
@@ -1,5 +1,7 @@
 #include "standin/target/durable_files.h"
 
+#include <fcntl.h>
+#include <sys/file.h>
 #include <unistd.h>
 
 #include <cerrno>
@@ -17,6 +19,7 @@
 
 constexpr const char* terms_file = "terms.json";
 constexpr const char* log_file = "log.jsonl";
+constexpr const char* lock_file = "lock";
 
 std::string make_temporary_directory() {
     std::string path = (std::filesystem::temp_directory_path() / "target-standin-XXXXXX").string();
@@ -45,9 +48,17 @@
         directory_ = make_temporary_directory();
     }
     std::filesystem::create_directories(directory_);
+    // Two processes that append to one log would lose each other's entries.
+    lock_ = ::open(get_path(lock_file).c_str(), O_CREAT | O_RDWR | O_CLOEXEC, 0600);
+    if (lock_ < 0 || ::flock(lock_, LOCK_EX | LOCK_NB) != 0) {
+        const std::string reason = std::strerror(errno);
+        ::close(lock_);
+        throw std::runtime_error("cannot lock data directory " + directory_ + ": " + reason);
+    }
 }
 
 durable_files::~durable_files() {
+    ::close(lock_);
     if (is_temporary_) {
         std::error_code ignored;
         std::filesystem::remove_all(directory_, ignored);
--- a/src/standin/target/durable_files.h
+++ b/src/standin/target/durable_files.h
@@ -24,7 +24,7 @@
 class durable_files {
 public:
     /** Uses `directory`, or a new temporary one, removed by the destructor, when empty. Throws
-     * std::runtime_error. */
+     * std::runtime_error, also when another process uses it. */
     explicit durable_files(std::string directory);
     ~durable_files();
     durable_files(const durable_files&) = delete;
@@ -55,6 +55,7 @@
 
     std::string directory_;
     bool is_temporary_;
+    int lock_ = -1;
     file_handle log_file_{nullptr, &std::fclose};
 };
 
--- a/tests/standin/target/durable_files_test.cpp
+++ b/tests/standin/target/durable_files_test.cpp
@@ -100,6 +100,12 @@
     expect_saved_state();
 }
 
+// Guards against two targets that append to one log.
+TEST_F(durable_files_test, directory_in_use_is_refused) {
+    const durable_files first(directory);
+    EXPECT_THROW(durable_files second(directory), std::runtime_error);
+}
+
 // Guards against temporary folders that are left behind.
 TEST_F(durable_files_test, temporary_directory_is_removed) {
     std::string path;
