--- a/src/standin/target/durable_files.cpp
+++ b/src/standin/target/durable_files.cpp
@@ -1,5 +1,7 @@
 #include "standin/target/durable_files.h"
 
+#include <fcntl.h>
+#include <sys/file.h>
 #include <unistd.h>
 
 #include <cerrno>
@@ -17,6 +19,7 @@
 
 constexpr const char* terms_file = "terms.json";
 constexpr const char* log_file = "log.jsonl";
+constexpr const char* lock_file = "lock";
 
 std::string make_temporary_directory() {
     std::string path = (std::filesystem::temp_directory_path() / "target-standin-XXXXXX").string();
@@ -45,9 +48,17 @@
         directory_ = make_temporary_directory();
     }
     std::filesystem::create_directories(directory_);
+    // Two processes that append to one log would lose each other's entries.
+    lock_ = ::open(get_path(lock_file).c_str(), O_CREAT | O_RDWR | O_CLOEXEC, 0600);
+    if (lock_ < 0 || ::flock(lock_, LOCK_EX | LOCK_NB) != 0) {
+        const std::string reason = std::strerror(errno);
+        ::close(lock_);
+        throw std::runtime_error("cannot lock data directory " + directory_ + ": " + reason);
+    }
 }
 
 durable_files::~durable_files() {
+    ::close(lock_);
     if (is_temporary_) {
         std::error_code ignored;
         std::filesystem::remove_all(directory_, ignored);
@@ -59,21 +70,29 @@
     if (!terms_input) {
         return false;
     }
-    terms = parse_term_state(nlohmann::json::parse(terms_input));
-    std::ifstream log_input(get_path(log_file));
-    std::string line;
-    while (std::getline(log_input, line)) {
-        const nlohmann::json object = nlohmann::json::parse(line, nullptr, false);
-        // A process that died while appending leaves a partial last line; it was not committed.
-        if (object.is_discarded()) {
-            break;
-        }
-        log.push(std::make_shared<const log_entry>(parse_log_entry(object)));
+    try {
+        terms = parse_term_state(nlohmann::json::parse(terms_input));
+        load_log(log);
+    } catch (const nlohmann::json::exception& error) {
+        throw std::runtime_error("data directory " + directory_ + " is damaged: " + error.what());
     }
     rewrite(log);
     return true;
 }
 
+void durable_files::load_log(entry_log& log) {
+    std::ifstream input(get_path(log_file));
+    std::string line;
+    while (std::getline(input, line)) {
+        // A process that died while appending leaves a last line without an end. Its entry was
+        // neither acknowledged nor shipped.
+        if (input.eof()) {
+            return;
+        }
+        log.push(std::make_shared<const log_entry>(parse_log_entry(nlohmann::json::parse(line))));
+    }
+}
+
 void durable_files::save_terms(const term_state& terms) {
     const std::string path = get_path(terms_file);
     std::ofstream output(path + ".new");
