--- a/src/coordination/home_assignment.cpp
+++ b/src/coordination/home_assignment.cpp
@@ -26,6 +26,11 @@
     return value.place == target.place ? 1 : 2;
 }
 
+bool is_same_life(const member& left, const member& right) {
+    return std::tie(left.vm, left.incarnation, left.address, left.place, left.data_center) ==
+           std::tie(right.vm, right.incarnation, right.address, right.place, right.data_center);
+}
+
 }  // namespace
 
 std::uint64_t get_rendezvous_weight(std::string_view key, std::string_view vm) {
@@ -70,19 +75,57 @@
     return homes;
 }
 
-std::vector<member> get_pollers(const state::pool_description& pool,
-                                const std::vector<member>& members, std::size_t homes_per_target) {
+member_change compare_members(const std::vector<member>& before, const std::vector<member>& after) {
+    member_change change;
+    auto old = before.begin();
+    auto next = after.begin();
+    while (old != before.end() || next != after.end()) {
+        if (next == after.end() || (old != before.end() && old->vm < next->vm)) {
+            change.removed.push_back(*old++);
+        } else if (old == before.end() || next->vm < old->vm) {
+            change.added.push_back(*next++);
+        } else {
+            if (!is_same_life(*old, *next)) {
+                change.removed.push_back(*old);
+                change.added.push_back(*next);
+            }
+            ++old;
+            ++next;
+        }
+    }
+    return change;
+}
+
+std::vector<member> update_homes(const std::string& pool, const state::target_description& target,
+                                 const std::vector<member>& homes, const member_change& change,
+                                 const std::vector<member>& members, std::size_t count) {
+    const bool lost_home = std::ranges::any_of(homes, [&](const member& home) {
+        return std::ranges::any_of(change.removed,
+                                   [&](const member& gone) { return gone.vm == home.vm; });
+    });
+    if (lost_home || homes.size() < count) {
+        return get_homes(pool, target, members, count);
+    }
+    if (change.added.empty()) {
+        return homes;
+    }
+    std::vector<member> candidates = homes;
+    candidates.insert(candidates.end(), change.added.begin(), change.added.end());
+    return get_homes(pool, target, candidates, count);
+}
+
+std::vector<member> rank_pollers(const std::string& pool,
+                                 const std::vector<std::vector<member>>& homes) {
     std::map<std::string, member> unique;
-    for (const state::target_description& target : pool.targets) {
-        for (member& home : get_homes(pool.name, target, members, homes_per_target)) {
-            std::string vm = home.vm;
-            unique.insert_or_assign(std::move(vm), std::move(home));
+    for (const std::vector<member>& list : homes) {
+        for (const member& home : list) {
+            unique.insert_or_assign(home.vm, home);
         }
     }
     std::vector<std::pair<std::uint64_t, member>> ranked;
     ranked.reserve(unique.size());
     for (auto& [vm, value] : unique) {
-        ranked.emplace_back(get_rendezvous_weight(pool.name, vm), std::move(value));
+        ranked.emplace_back(get_rendezvous_weight(pool, vm), std::move(value));
     }
     std::ranges::sort(ranked, [](const auto& left, const auto& right) {
         return std::tie(right.first, left.second.vm) < std::tie(left.first, right.second.vm);
@@ -95,6 +138,16 @@
     return pollers;
 }
 
+std::vector<member> get_pollers(const state::pool_description& pool,
+                                const std::vector<member>& members, std::size_t homes_per_target) {
+    std::vector<std::vector<member>> homes;
+    homes.reserve(pool.targets.size());
+    for (const state::target_description& target : pool.targets) {
+        homes.push_back(get_homes(pool.name, target, members, homes_per_target));
+    }
+    return rank_pollers(pool.name, homes);
+}
+
 int get_home_quota(int connection_limit, int reserved, int homes_per_target) {
     return std::max(1, (connection_limit - reserved) / (homes_per_target + 1));
 }
--- a/src/coordination/home_assignment.h
+++ b/src/coordination/home_assignment.h
@@ -23,6 +23,32 @@
                                      const state::target_description& target,
                                      const std::vector<state::member>& members, std::size_t count);
 
+/** How a set of live members differs from an earlier one. */
+struct member_change {
+    std::vector<state::member> added;
+    std::vector<state::member> removed;
+};
+
+/** Compares two lists ordered by vm. A member with another address or incarnation is both. */
+member_change compare_members(const std::vector<state::member>& before,
+                              const std::vector<state::member>& after);
+
+/**
+ * The homes after `change`, given those before it: the same as get_homes() for the new `members`,
+ * at the cost of the members that changed. With thousands of targets the full computation after
+ * each of the fleet's restarts would cost a large share of a core.
+ */
+std::vector<state::member> update_homes(const std::string& pool,
+                                        const state::target_description& target,
+                                        const std::vector<state::member>& homes,
+                                        const member_change& change,
+                                        const std::vector<state::member>& members,
+                                        std::size_t count);
+
+/** Orders the homes of a group's targets, each once, by rendezvous weight for the pool. */
+std::vector<state::member> rank_pollers(const std::string& pool,
+                                        const std::vector<std::vector<state::member>>& homes);
+
 /**
  * The proxies that poll a group: the homes of its targets, ordered by rendezvous weight for the
  * pool. Their index is the rank that delays a claim. Pure, thread safe.
--- a/src/coordination/membership.cpp
+++ b/src/coordination/membership.cpp
@@ -21,6 +21,8 @@
 constexpr milliseconds forget_after{60'000};
 /// Half of a digest tells changes, the rest random entries, so that neither starves the other.
 constexpr std::size_t max_change_entries = 8;
+/// Random entries of a digest in a fleet too large to tell all members each time.
+constexpr std::size_t random_entries = 4;
 /// Changes older than this have reached everybody and need no preference.
 constexpr milliseconds change_spread_time{10'000};
 /// Peers that are told of a new configuration version; those left out learn it by exchange.
@@ -289,23 +291,29 @@
     }
 }
 
-std::vector<member> get_live(const membership_state& state, time_point now) {
-    std::vector<member> live;
-    if (state.self.state == member_state::alive) {
-        live.push_back(state.self);
-    }
+/** Live members by vm, without copying them: most steps change nothing. */
+std::vector<const member*> find_live(const membership_state& state, time_point now) {
+    std::vector<const member*> live;
+    live.reserve(state.others.size() + 1);
+    bool is_self_due = state.self.state == member_state::alive;
     for (const auto& [vm, entry] : state.others) {
+        if (is_self_due && state.self.vm < vm) {
+            live.push_back(&state.self);
+            is_self_due = false;
+        }
         if (is_live(state, entry, now)) {
-            live.push_back(entry.value);
+            live.push_back(&entry.value);
         }
     }
-    std::ranges::sort(live, {}, &member::vm);
+    if (is_self_due) {
+        live.push_back(&state.self);
+    }
     return live;
 }
 
-bool is_same_set(const std::vector<member>& left, const std::vector<member>& right) {
-    return std::ranges::equal(left, right, [](const member& a, const member& b) {
-        return std::tie(a.vm, a.incarnation, a.address, a.place, a.data_center) ==
+bool is_same_set(const std::vector<const member*>& left, const std::vector<member>& right) {
+    return std::ranges::equal(left, right, [](const member* a, const member& b) {
+        return std::tie(a->vm, a->incarnation, a->address, a->place, a->data_center) ==
                std::tie(b.vm, b.incarnation, b.address, b.place, b.data_center);
     });
 }
@@ -314,28 +322,30 @@
 
 std::vector<member> make_digest(const membership_state& state, std::uint64_t& random) {
     std::vector<const member_entry*> entries;
+    entries.reserve(state.others.size());
+    time_point newest{};
     for (const auto& [vm, entry] : state.others) {
         if (entry.is_seen) {
             entries.push_back(&entry);
+            newest = std::max({newest, entry.changed_at, entry.seen_at});
         }
     }
-    std::ranges::sort(entries, [](const member_entry* left, const member_entry* right) {
+    const auto changed = std::partition(
+        entries.begin(), entries.end(),
+        [&](const member_entry* entry) { return newest - entry->changed_at < change_spread_time; });
+    std::sort(entries.begin(), changed, [](const member_entry* left, const member_entry* right) {
         return left->changed_at > right->changed_at;
     });
-    time_point newest{};
-    for (const member_entry* entry : entries) {
-        newest = std::max({newest, entry->changed_at, entry->seen_at});
-    }
-    std::size_t changes = 0;
-    while (changes < entries.size() && changes < max_change_entries &&
-           newest - entries[changes]->changed_at < change_spread_time) {
-        ++changes;
-    }
+    const std::size_t changes =
+        std::min(static_cast<std::size_t>(changed - entries.begin()), max_change_entries);
+    const std::size_t others =
+        entries.size() <= max_digest_entries ? max_digest_entries : random_entries;
     std::vector<member> digest;
-    for (std::size_t i = 0; i < entries.size() && digest.size() < max_digest_entries - 1; ++i) {
+    for (std::size_t i = 0;
+         i < entries.size() && i < changes + others && digest.size() < max_digest_entries - 1;
+         ++i) {
         if (i >= changes) {
-            const std::size_t other = i + next_random(random) % (entries.size() - i);
-            std::swap(entries[i], entries[other]);
+            std::swap(entries[i], entries[i + next_random(random) % (entries.size() - i)]);
         }
         digest.push_back(entries[i]->value);
     }
@@ -353,10 +363,14 @@
                                 time_point now) {
     std::vector<membership_action> actions;
     std::visit([&](const auto& value) { apply(state, value, now, actions); }, event);
-    std::vector<member> live = get_live(state, now);
-    const bool is_changed = !is_same_set(live, state.live);
-    state.live = std::move(live);
-    if (is_changed) {
+    const std::vector<const member*> live = find_live(state, now);
+    if (!is_same_set(live, state.live)) {
+        std::vector<member> next;
+        next.reserve(live.size());
+        for (const member* value : live) {
+            next.push_back(*value);
+        }
+        state.live = std::move(next);
         actions.emplace_back(live_members_changed{});
     }
     return {std::move(state), std::move(actions)};
--- a/src/proxy/fleet_control.cpp
+++ b/src/proxy/fleet_control.cpp
@@ -705,24 +705,54 @@
     const bool is_split = settings_.layout == protocol::connection_layout::fixed_split;
     const std::size_t count =
         is_split ? members_.live.size() : static_cast<std::size_t>(settings_.homes_per_target);
-    homes_.clear();
+    const coordination::member_change change =
+        coordination::compare_members(live_.get(), members_.live);
+    std::map<std::string, std::vector<member>> next;
     for (const auto& [name, pool] : config_->pools) {
+        const state::pool_description* before =
+            homes_config_ ? homes_config_->find_pool(name) : nullptr;
         for (const state::target_description& target : pool.targets) {
-            homes_[name + "/" + target.name] =
-                coordination::get_homes(name, target, members_.live, count);
+            const std::string key = name + "/" + target.name;
+            const state::target_description* old =
+                before == nullptr ? nullptr : before->find_target(target.name);
+            const bool is_known = !is_split && old != nullptr && old->place == target.place &&
+                                  old->data_center == target.data_center && homes_.contains(key);
+            next.emplace(key, is_known
+                                  ? coordination::update_homes(name, target, homes_.at(key), change,
+                                                               members_.live, count)
+                                  : coordination::get_homes(name, target, members_.live, count));
         }
     }
+    homes_ = std::move(next);
+    live_ = members_.live;
+    homes_config_ = config_;
     is_dirty_ = true;
     assign_groups();
 }
 
+std::vector<std::vector<member>> fleet_control::find_homes(
+    const state::pool_description& pool) const {
+    std::vector<std::vector<member>> homes;
+    for (const state::target_description& target : pool.targets) {
+        homes.push_back(homes_.at(pool.name + "/" + target.name));
+        // With the fixed split every proxy is listed, but a few pollers suffice.
+        const auto limit = static_cast<std::size_t>(settings_.homes_per_target);
+        if (homes.back().size() > limit) {
+            homes.back().resize(limit);
+        }
+    }
+    return homes;
+}
+
 void fleet_control::assign_groups() {
     std::set<std::string> polled;
     for (const auto& [name, pool] : config_->pools) {
-        const std::vector<member> pollers = coordination::get_pollers(
-            pool, members_.live, static_cast<std::size_t>(settings_.homes_per_target));
-        if (!std::ranges::any_of(pollers,
-                                 [&](const member& value) { return value.vm == settings_.vm; })) {
+        const std::vector<std::vector<member>> homes = find_homes(pool);
+        const bool is_poller = std::ranges::any_of(homes, [&](const std::vector<member>& list) {
+            return std::ranges::any_of(
+                list, [&](const member& value) { return value.vm == settings_.vm; });
+        });
+        if (!is_poller) {
             continue;
         }
         polled.insert(name);
@@ -732,7 +762,7 @@
         } else if (it->second.pool != pool) {
             configure_group(it->second, pool);
         }
-        assign_pollers(groups_.at(name), pollers);
+        assign_pollers(groups_.at(name), coordination::rank_pollers(name, homes));
     }
     std::vector<std::string> closed;
     for (const auto& [name, group] : groups_) {
@@ -996,14 +1026,14 @@
     if (it != primaries_.end() && it->second.term >= primary.term) {
         return;
     }
-    primaries_[pool] = primary;
+    primaries_.edit()[pool] = primary;
     is_dirty_ = true;
 }
 
 void fleet_control::publish() {
     auto next = std::make_shared<state::fleet_view>();
     next->self = members_.self;
-    next->live_members = members_.live;
+    next->live_members = live_;
     next->config = config_;
     next->homes = homes_;
     for (const auto& [name, group] : groups_) {
--- a/src/proxy/fleet_control.h
+++ b/src/proxy/fleet_control.h
@@ -114,6 +114,7 @@
     void adopt_snapshot(const state::configuration& snapshot);
     void set_configuration(state::configuration next);
     void assign_homes();
+    std::vector<std::vector<state::member>> find_homes(const state::pool_description& pool) const;
     void assign_groups();
     void open_group(const state::pool_description& pool);
     void configure_group(polled_group& group, const state::pool_description& pool);
@@ -158,9 +159,11 @@
     coordination::configuration_confirmation_state confirmation_;
     std::shared_ptr<const state::configuration> config_;
     std::deque<state::configuration_change> recent_changes_;
-    std::map<std::string, std::vector<state::member>> homes_;
+    state::copy_on_write<std::map<std::string, std::vector<state::member>>> homes_;
+    state::copy_on_write<std::vector<state::member>> live_;     ///< That homes_ was computed for.
+    std::shared_ptr<const state::configuration> homes_config_;  ///< As above.
     std::map<std::string, polled_group> groups_;
-    std::map<std::string, state::primary_view> primaries_;
+    state::copy_on_write<std::map<std::string, state::primary_view>> primaries_;
     std::map<std::string, state::time_point> paused_until_;  ///< Per pool.
     std::set<std::string> asked_;                            ///< "pool/vm" of questions under way.
     state::time_point next_exchange_{};
--- a/tests/coordination/home_assignment_test.cpp
+++ b/tests/coordination/home_assignment_test.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <iostream>
+#include <map>
 #include <random>
 #include <set>
 
@@ -138,6 +139,45 @@
     EXPECT_EQ(exceeded, 0);
 }
 
+// Guards against homes that depend on the way the members changed.
+TEST(home_assignment, updated_homes_equal_computed_ones) {
+    const std::uint64_t seed = tests::get_seed();
+    std::mt19937_64 random(seed);
+    std::vector<member> members;
+    std::map<int, std::vector<member>> homes;
+    std::size_t most = 0;
+    int wrong = 0;
+    for (int i = 0; i < 500; ++i) {
+        std::vector<member> next = members;
+        for (int j = 0; j < 1 + static_cast<int>(random() % 3); ++j) {
+            // Small and large fleets take turns.
+            const bool is_shrinking = i % 100 >= 50;
+            if (!next.empty() && random() % 3 < (is_shrinking ? 2U : 1U)) {
+                next = without(next, random() % next.size());
+            } else if (!next.empty() && random() % 3 == 0) {
+                next[random() % next.size()].incarnation = random();
+            } else {
+                next.push_back(make_member(static_cast<int>(1000 + random() % 100'000),
+                                           random() % 3 != 0 ? "cairo" : "aswan",
+                                           random() % 2 != 0 ? "cairo-1" : "cairo-2"));
+            }
+        }
+        std::ranges::sort(next, {}, &member::vm);
+        const auto same = std::ranges::unique(next, {}, &member::vm);
+        next.erase(same.begin(), same.end());
+        const member_change change = compare_members(members, next);
+        members = next;
+        most = std::max(most, members.size());
+        for (int t = 0; t < 20; ++t) {
+            const state::target_description target = make_target(t);
+            homes[t] = update_homes("ledger", target, homes[t], change, members, homes_per_target);
+            wrong += homes[t] == get_homes("ledger", target, members, homes_per_target) ? 0 : 1;
+        }
+    }
+    EXPECT_EQ(wrong, 0);
+    EXPECT_GT(most, 10U);
+}
+
 // Guards against ranks that differ between proxies, so that two claim at once.
 TEST(home_assignment, all_proxies_rank_the_pollers_alike) {
     state::pool_description pool;
