--- a/scripts/fleet.py
+++ b/scripts/fleet.py
@@ -54,7 +54,8 @@
     },
 }
 PROXY_COUNT = 8
-CONNECT_DELAY_MS = 10
+CONNECT_COST_MS = 10
+STATEMENT_COST_US = 500
 DATA_CENTERS_PER_PLACE = 2
 
 
@@ -103,8 +104,12 @@
         self.socket = socket.create_connection((host, int(port)), timeout)
         self.socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         body = struct.pack("!I", 196608) + b"user\0inspector\0database\0inspector\0\0"
-        self.socket.sendall(struct.pack("!I", len(body) + 4) + body)
-        self.read_until_ready()
+        try:
+            self.socket.sendall(struct.pack("!I", len(body) + 4) + body)
+            self.read_until_ready()
+        except BaseException:
+            self.socket.close()
+            raise
 
     def close(self):
         self.socket.close()
@@ -134,6 +139,8 @@
                     raise ValueError(error)
                 return rows
             if kind == b"E":
+                if body.startswith(b"SFATAL"):
+                    raise OSError(body.decode(errors="replace").replace("\0", " "))
                 error = body.decode(errors="replace").replace("\0", " ")
             if kind == b"D":
                 rows.append(self.parse_row(body))
@@ -201,6 +208,7 @@
     def kill(self):
         self.send(signal.SIGKILL)
         code = self.wait(10)
+        self.log.close()
         return code
 
 
@@ -340,18 +348,21 @@
 
     def make_target_settings(self, name):
         target = self.targets[name]
-        first = target["name"] == self.plan["places"][0]
+        places = self.plan["places"]
+        # Primaries are spread over the places, so that no place sees only local writes.
+        primary = places[self.pools.index(target["pool"]) % len(places)]
         settings = {
             "name": target["name"],
             "listen_address": target["address"],
             "control_address": target["control_address"],
             "replication_address": target["replication_address"],
-            "peers": target["peers"],
+            "peers": [{"name": peer, "address": link} for peer, link in target["peers"].items()],
+            "initial_primary": primary,
             "slots": self.plan["slots"],
             "connection_limit": self.plan["connection_limit"],
-            "connect_delay_ms": CONNECT_DELAY_MS,
+            "connect_cost_ms": CONNECT_COST_MS,
+            "statement_cost_us": STATEMENT_COST_US,
             "replication_lag_ms": self.lag_ms,
-            "is_first_primary": first,
             "data_directory": os.path.join(self.directory, "data", name),
         }
         os.makedirs(settings["data_directory"], exist_ok=True)
--- a/src/proxy/home_runtime.h
+++ b/src/proxy/home_runtime.h
@@ -10,6 +10,7 @@
 
 #include "protocol/execute_message.h"
 #include "protocol/proxy_settings.h"
+#include "proxy/acknowledgement_relay.h"
 #include "proxy/data_metrics.h"
 #include "proxy/execution.h"
 #include "proxy/group_source.h"
@@ -57,6 +58,10 @@
     void answer(const protocol::execute_request& request, execution result,
                 state::time_point deadline, execute_responder respond);
 
+    /** Time to keep between a commit and the deadline, for the group's acknowledgement. Without
+     * it a write that waited long would end as `unknown` rather than `not_run`. Thread safe. */
+    std::chrono::milliseconds get_acknowledgement_reserve(const std::string& pool);
+
     /** Reports a failed exchange to the control side and to the pool of connections. */
     void report_failure(const protocol::execute_request& request, const execution& result);
 
@@ -80,6 +85,9 @@
 
 private:
     bool is_home(const state::fleet_view& view, const protocol::execute_request& request) const;
+    void hand_over(const std::string& pool, protocol::execute_answer done,
+                   state::time_point deadline, const execute_responder& respond);
+    void record_acknowledgement(const std::string& pool, std::chrono::microseconds duration);
 
     const protocol::proxy_settings& settings_;
     const std::uint64_t incarnation_;
@@ -87,9 +95,11 @@
     session_source& sessions_;
     data_metrics& metrics_;
     executor executor_;
+    acknowledgement_relay relay_;
     std::atomic<bool> is_draining_ = false;
     std::mutex mutex_;
     std::map<std::string, std::shared_ptr<target_lane>> lanes_;
+    std::map<std::string, std::chrono::microseconds> acknowledgement_times_;  ///< Smoothed.
     transport::worker_pool workers_;
     transport::worker_pool transaction_workers_;
     group_waiter waiter_;
--- a/src/proxy/home_service.cpp
+++ b/src/proxy/home_service.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "coordination/acknowledgement.h"
 #include "coordination/freshness.h"
 #include "coordination/read_requirement.h"
 #include "protocol/request_table.h"
@@ -48,6 +49,10 @@
         respond(std::move(answer));
         return;
     }
+    if (request.operation == protocol::execute_operation::await_acknowledgement) {
+        await_acknowledgement(request, deadline, std::move(respond));
+        return;
+    }
     state::target_description target;
     if (std::optional<execute_answer> refusal = runtime_.check(request, target)) {
         respond(std::move(*refusal));
@@ -68,6 +73,36 @@
     wait_for_freshness(shared, target, arrival, deadline, std::move(respond));
 }
 
+// This operation runs nothing: `not_run` says that the question was not decided here.
+void home_service::await_acknowledgement(const execute_request& request, state::time_point deadline,
+                                         execute_responder respond) {
+    runtime_.get_waiter().wait(
+        request.pool, [this, request, deadline, respond = std::move(respond)](
+                          const state::group_view* view, state::time_point now) {
+            execute_answer answer =
+                runtime_.make_refusal(request, error_code::not_home, "the group is not polled");
+            if (view != nullptr) {
+                switch (coordination::judge_acknowledgement(*view, request.required)) {
+                    case coordination::acknowledgement::acknowledged:
+                        answer.outcome = outcome::ok;
+                        answer.code = error_code::ok;
+                        break;
+                    case coordination::acknowledgement::superseded:
+                        answer.outcome = outcome::unknown;
+                        answer.code = error_code::outcome_unknown;
+                        break;
+                    case coordination::acknowledgement::pending:
+                        if (now < deadline) {
+                            return false;
+                        }
+                        answer.code = error_code::deadline;
+                }
+            }
+            respond(std::move(answer));
+            return true;
+        });
+}
+
 void home_service::wait_for_freshness(std::shared_ptr<const execute_request> request,
                                       const state::target_description& target,
                                       state::time_point arrival, state::time_point deadline,
@@ -117,7 +152,13 @@
                          const coordination::required_points& required, state::time_point deadline,
                          execute_responder respond) {
     const std::shared_ptr<target_lane> lane = runtime_.get_lane(request->pool, target);
-    const auto start = [this, request, target, required, deadline, lane, respond] {
+    // A short deadline is not used up by the reserve; such a write takes its chance.
+    const state::time_point arrival = std::chrono::steady_clock::now();
+    const state::time_point commit_by =
+        request->is_write ? std::max(deadline - runtime_.get_acknowledgement_reserve(request->pool),
+                                     arrival + (deadline - arrival) / 2)
+                          : deadline;
+    const auto start = [this, request, target, required, deadline, commit_by, lane, respond] {
         const state::time_point began = std::chrono::steady_clock::now();
         state::target_description current;
         if (std::optional<execute_answer> refusal = runtime_.check(*request, current)) {
@@ -130,7 +171,7 @@
         }
         execution result =
             request->is_write
-                ? runtime_.get_executor().run_write(*request, target, deadline)
+                ? runtime_.get_executor().run_write(*request, target, commit_by, deadline)
                 : runtime_.get_executor().run_read(*request, target, required, deadline);
         const state::time_point ended = std::chrono::steady_clock::now();
         const bool was_answered = result.outcome == outcome::ok || result.is_behind ||
@@ -149,8 +190,7 @@
         respond(
             runtime_.make_refusal(*request, get_refusal_code(reason), get_refusal_text(reason)));
     };
-    lane->offer({0, request->caller, request->is_write, deadline}, start, refuse,
-                std::chrono::steady_clock::now());
+    lane->offer({0, request->caller, request->is_write, commit_by}, start, refuse, arrival);
     runtime_.dispatch(lane);
 }
 
@@ -176,7 +216,7 @@
         state::target_description target = *primary;
         target.address = runtime_.get_settings().get_dial_address(target.address);
         const state::time_point deadline = std::chrono::steady_clock::now() + prune_timeout;
-        session_result acquired = runtime_.get_sessions().acquire(pool, target, true, deadline);
+        session_result acquired = runtime_.get_sessions().acquire(pool, target, deadline);
         if (auto* session = std::get_if<std::unique_ptr<target_session>>(&acquired)) {
             // A failure leaves old keys for the next round; they do no harm.
             static_cast<void>(
--- a/src/proxy/target_lane.h
+++ b/src/proxy/target_lane.h
@@ -40,7 +40,10 @@
     /** Ends the use of a place. `latency` is empty when the exchange was lost. */
     void finish(std::optional<std::chrono::microseconds> latency, state::time_point now);
 
-    /** Takes a place beyond the limit, for a statement of an open transaction. */
+    /** Requests that may hold a place. */
+    int get_limit();
+
+    /** Takes a place beyond the limit, for an open transaction. */
     void enter();
 
     /** Ends the use of a place without judging the target. */
