--- a/src/state/copy_on_write.h
+++ b/src/state/copy_on_write.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstddef>
+#include <initializer_list>
 #include <memory>
 #include <utility>
 
@@ -15,6 +16,8 @@
 class copy_on_write {
 public:
     copy_on_write() = default;
+    copy_on_write(std::initializer_list<typename container::value_type> values)
+        : value_(std::make_shared<container>(values)) {}
     copy_on_write(container value) : value_(std::make_shared<container>(std::move(value))) {}
 
     /** The content. */
@@ -30,6 +33,8 @@
 
     auto begin() const { return get().begin(); }
     auto end() const { return get().end(); }
+    auto begin() { return edit().begin(); }
+    auto end() { return edit().end(); }
     std::size_t size() const { return get().size(); }
     bool empty() const { return get().empty(); }
 
@@ -53,6 +58,11 @@
     auto& operator[](const key& value) {
         return edit()[value];
     }
+    template <typename position>
+    void erase(const position& value) {
+        edit().erase(value);
+    }
+    void clear() { value_ = std::make_shared<container>(); }
     template <typename element>
     void push_back(element&& value) {
         edit().push_back(std::forward<element>(value));
