--- a/scripts/fleet.py
+++ b/scripts/fleet.py
@@ -584,10 +584,14 @@
     def platform_fault(self, **faults):
         return call_http(self.platform_address, "POST", "/control/faults", faults)
 
-    def get_target_status(self, name, timeout=1.0):
-        """The target's own status, asked directly and not through the relay."""
-        with TargetClient(self.targets[name]["address"], timeout) as client:
-            return json.loads(client.query("SELECT hornbeamhook_status()")[0][0])
+    def get_target_control(self, name, timeout=2.0):
+        """Status, faults and counters of a target, without using one of its connections."""
+        address = self.targets[name]["control_address"]
+        return call_http(address, "GET", "/control/status", timeout=timeout)[1]
+
+    def get_target_status(self, name, timeout=2.0):
+        """What `hornbeamhook_status()` says at the target."""
+        return self.get_target_control(name, timeout)["status"]
 
     def get_primary(self, pool):
         """Name of the target that is primary of the highest term, or None."""
@@ -596,7 +600,7 @@
             if target["pool"] != pool or not self.processes[name].is_running():
                 continue
             try:
-                status = self.get_target_status(name, timeout=0.5)
+                status = self.get_target_status(name, timeout=1.0)
             except (OSError, ValueError):
                 continue
             if status["is_primary"] and (best is None or status["follow_term"] > best[0]):
--- /dev/null
+++ b/scripts/measure.py
@@ -0,0 +1,402 @@
+#!/usr/bin/env python3
+"""Measurements with whole fleets on loopback; each prints one Markdown table with its command.
+
+    scripts/measure.py replica_share|strict_reads|goodput|layouts|failover|direct [--seed N]
+"""
+
+import argparse
+import json
+import os
+import platform
+import signal
+import statistics
+import subprocess
+import sys
+
+sys.path.insert(0, os.path.dirname(os.path.abspath(__file__)))
+
+import fleet as fleet_module  # noqa: E402  the path above is needed first
+
+DEPLOYMENTS = ("nile_horn", "carrowmore")
+# Statement time at the target, chosen so that nine targets reach their capacity long before this
+# machine does: 3 slots x 25 statements/s.
+OVERLOAD_STATEMENT_US = 40000
+GAP_LIMIT_S = 30
+
+
+class Measurement:
+    def __init__(self, arguments):
+        self.seed = arguments.seed
+        self.duration = arguments.duration
+        self.violations = 0
+        self.rounds = arguments.rounds
+
+    def print_header(self, name, text):
+        print("## %s\n" % text)
+        print(
+            "Command: `python3 scripts/measure.py %s --seed %d --duration %g --rounds %d`\n"
+            % (name, self.seed, self.duration, self.rounds)
+        )
+
+    def run_load(self, fleet, *options, pools=None, duration=None):
+        load = fleet.start_load(
+            "--seed", self.seed, "--duration", duration or self.duration, *options, pools=pools
+        )
+        return self.finish(load)
+
+    def finish(self, load):
+        code, report = load.finish(300)
+        if report is None:
+            raise fleet_module.FleetError("load ended with %s:\n%s" % (code, load.read_output()))
+        if report["violations_total"]:
+            self.violations += report["violations_total"]
+            print(load.read_output(), file=sys.stderr)
+        return report
+
+    def write_workload(self, fleet, name, operations, **fields):
+        content = {"name": name, "operations": operations}
+        content.update(fields)
+        return fleet.write_settings("workload_" + name, content)
+
+    def replica_share(self):
+        self.print_header(
+            "replica_share", "Replica read share and latency at three replication lags"
+        )
+        print("| deployment | lag ms | not strict | strict | read p50/p99 ms | strict read p50/p99 ms", end="")
+        print(" | write p50/p99 ms | goodput/s | violations |")
+        print("|---|---|---|---|---|---|---|---|---|")
+        for deployment in DEPLOYMENTS:
+            for lag in (0, 50, 1000):
+                with fleet_module.Fleet(deployment, lag_ms=lag, seed=self.seed) as fleet:
+                    report = self.run_load(fleet, "--clients", 24, "--warm-up", 3)
+                share = report["replica_read_share"]
+                latency = report["latency_ms"]
+                strict = "stock_promise" if deployment == "nile_horn" else "recipe_read"
+                print(
+                    "| %s | %d | %.1f %% | %.1f %% | %s | %s | %s | %.0f | %d |"
+                    % (
+                        deployment,
+                        lag,
+                        100 * share["not_strict"],
+                        100 * share["strict"],
+                        self.show(latency["all_reads"]),
+                        self.show(latency[strict]),
+                        self.show(latency["all_writes"]),
+                        report["goodput_per_second"],
+                        report["violations_total"],
+                    ),
+                    flush=True,
+                )
+
+    @staticmethod
+    def show(latency):
+        return "%.1f / %.1f" % (latency["p50"], latency["p99"])
+
+    def strict_reads(self):
+        self.print_header("strict_reads", "Strict reads from replicas against the primary alone")
+        print("A pool with one target has only its primary; 48 clients read strictly, 5 % write.\n")
+        print("| targets that serve | reads/s | p50 ms | p99 ms | replica share | violations |")
+        print("|---|---|---|---|---|---|")
+        for replicas in (True, False):
+            with fleet_module.Fleet(
+                "carrowmore",
+                lag_ms=0,
+                seed=self.seed,
+                pools=["wax_a"],
+                target_settings={"statement_cost_us": 10000},
+            ) as fleet:
+                if not replicas:
+                    self.mark_replicas_leaving(fleet)
+                workload = self.write_workload(
+                    fleet,
+                    "strict",
+                    [
+                        {
+                            "name": "recipe_read",
+                            "action": "read_stock",
+                            "weight": 95,
+                            "policy": {"strict": True},
+                        },
+                        {"name": "order", "action": "append", "weight": 5, "keyed": True},
+                    ],
+                )
+                report = self.run_load(
+                    fleet, "--clients", 48, "--warm-up", 3, "--workload", workload
+                )
+            latency = report["latency_ms"]["recipe_read"]
+            print(
+                "| %s | %.0f | %.1f | %.1f | %.1f %% | %d |"
+                % (
+                    "all three" if replicas else "primary (replicas leaving)",
+                    report["reads_total"] / report["measured_seconds"],
+                    latency["p50"],
+                    latency["p99"],
+                    100 * report["replica_read_share"]["strict"],
+                    report["violations_total"],
+                ),
+                flush=True,
+            )
+
+    def mark_replicas_leaving(self, fleet):
+        primary = fleet.get_primary(fleet.pools[0])
+        fleet.change_configuration(
+            {
+                "kind": "target",
+                "name": name,
+                "value": fleet.make_target_value(name, is_leaving=True),
+            }
+            for name in fleet.targets
+            if name != primary
+        )
+        path = "/v1/pools/%s/statements" % fleet.pools[0]
+        body = {
+            "kind": "read",
+            "read_policy": {"max_age_ms": 60000},
+            "statements": [{"sql": "SELECT 1"}],
+        }
+        for name in fleet.proxies:
+            fleet_module.wait_for(
+                lambda name=name: fleet.call_proxy(name, path, body)[1]["configuration_version"]
+                >= fleet.version,
+                5,
+                "the change at " + name,
+            )
+
+    def goodput(self):
+        self.print_header("goodput", "Goodput at 1x and 3x capacity")
+        print(
+            "Capacity is the goodput of a closed loop with 96 clients; the open loops offer 1x and "
+            "3x of it. Callers do not repeat refusals; the deadline is 1 s; a statement costs "
+            "%d ms.\n" % (OVERLOAD_STATEMENT_US // 1000)
+        )
+        print("| deployment | layout | offered/s | goodput/s | refused/s | read p99 ms | write p99 ms", end="")
+        print(" | violations |")
+        print("|---|---|---|---|---|---|---|---|")
+        for deployment in DEPLOYMENTS:
+            self.measure_goodput(deployment, "homes")
+
+    def measure_goodput(self, deployment, layout):
+        with fleet_module.Fleet(
+            deployment,
+            lag_ms=20,
+            seed=self.seed,
+            target_settings={"statement_cost_us": OVERLOAD_STATEMENT_US},
+            proxy_settings={"connection_layout": layout},
+        ) as fleet:
+            common = ["--warm-up", 3, "--deadline-ms", 1000, "--no-retry"]
+            capacity = self.run_load(fleet, "--clients", 96, *common)["goodput_per_second"]
+            rows = [("closed loop", capacity)]
+            print(
+                "| %s | %s | closed loop | %.0f | | | | |" % (deployment, layout, capacity),
+                flush=True,
+            )
+            for factor in (1, 3):
+                report = self.run_load(
+                    fleet, "--clients", 512, "--rate", capacity * factor, *common
+                )
+                refused = report["operations"]["refused"] / report["measured_seconds"]
+                rows.append((factor, report["goodput_per_second"]))
+                print(
+                    "| %s | %s | %dx = %.0f | %.0f | %.0f | %.0f | %.0f | %d |"
+                    % (
+                        deployment,
+                        layout,
+                        factor,
+                        capacity * factor,
+                        report["goodput_per_second"],
+                        refused,
+                        report["latency_ms"]["all_reads"]["p99"],
+                        report["latency_ms"]["all_writes"]["p99"],
+                        report["violations_total"],
+                    ),
+                    flush=True,
+                )
+            print(
+                "| %s | %s | 3x / 1x | %.1f %% | | | | |"
+                % (deployment, layout, 100 * rows[2][1] / rows[1][1]),
+                flush=True,
+            )
+
+    def layouts(self):
+        self.print_header("layouts", "Homes against a fixed split of the connections")
+        print("96 clients, closed loop, statements of 5 ms.\n")
+        print("| layout | goodput/s | read p50/p99 ms | write p50/p99 ms | replica share | refusals", end="")
+        print(" | violations |")
+        print("|---|---|---|---|---|---|---|")
+        for layout in ("homes", "fixed_split"):
+            with fleet_module.Fleet(
+                "nile_horn",
+                lag_ms=20,
+                seed=self.seed,
+                target_settings={"statement_cost_us": 5000},
+                proxy_settings={"connection_layout": layout},
+            ) as fleet:
+                report = self.run_load(fleet, "--clients", 96, "--warm-up", 3)
+            print(
+                "| %s | %.0f | %s | %s | %.1f %% | %d | %d |"
+                % (
+                    layout,
+                    report["goodput_per_second"],
+                    self.show(report["latency_ms"]["all_reads"]),
+                    self.show(report["latency_ms"]["all_writes"]),
+                    100 * report["replica_read_share"]["all"],
+                    sum(report["refusals"].values()),
+                    report["violations_total"],
+                ),
+                flush=True,
+            )
+
+    def failover(self):
+        self.print_header("failover", "Failover gap per kind of loss")
+        print(
+            "From the loss to the first acknowledged write that began after it; %d losses of each "
+            "kind, each with a fresh fleet, so that hysteresis adds nothing.\n" % self.rounds
+        )
+        print("| kind of loss | p50 ms | max ms | losses without a write within the run | violations |")
+        print("|---|---|---|---|---|")
+        for label in ("killed", "stopped", "partitioned", "silent connections"):
+            gaps, missing, violations = [], 0, 0
+            for number in range(self.rounds):
+                with fleet_module.Fleet("nile_horn", lag_ms=20, seed=self.seed + number) as fleet:
+                    for pool in fleet.pools:
+                        report = self.lose_one(fleet, pool, label)
+                        violations += report["violations_total"]
+                        gap = report["failover_gap_ms"]
+                        missing += gap is None
+                        if gap is not None:
+                            gaps.append(gap)
+                        fleet.fault("*", "restore")
+            print(
+                "| %s | %s | %s | %d of %d | %d |"
+                % (
+                    label,
+                    "%.0f" % statistics.median(gaps) if gaps else "-",
+                    "%.0f" % max(gaps) if gaps else "-",
+                    missing,
+                    missing + len(gaps),
+                    violations,
+                ),
+                flush=True,
+            )
+
+    def lose_one(self, fleet, pool, label):
+        load = fleet.start_load(
+            "--seed", self.seed, "--duration", self.duration, "--clients", 32, "--warm-up", 1
+        )
+        load.wait_running()
+        fleet_module.wait_for(lambda: load.get_state()["completed"] > 300, 30, "load")
+        primary = fleet.get_primary(pool)
+        process = fleet.processes[primary]
+        links = [primary + ">*", "%s/*>%s" % (pool, primary)]
+        actions = {
+            "killed": process.kill,
+            "stopped": lambda: process.send(signal.SIGSTOP),
+            "partitioned": lambda: fleet.fault(links, "silence", includes_new=True),
+            "silent connections": lambda: fleet.fault(
+                ["vm*>" + primary, primary + ">*"], "silence", release_ms=1000
+            ),
+        }
+        load.lose_primary(pool, primary, label, actions[label])
+        return self.finish(load)
+
+    def direct(self):
+        self.print_header("direct", "Statements per second of one proxy against libpq alone")
+        print(
+            "Reads of one row, no link latency, statement cost 0, one target group; the proxy runs "
+            "with the other seven idle. The direct clients hold one connection each.\n"
+        )
+        print("| clients | direct/s | direct p50/p99 ms | one proxy/s | one proxy p50/p99 ms |")
+        print("|---|---|---|---|---|")
+        with fleet_module.Fleet(
+            "nile_horn",
+            seed=self.seed,
+            with_latency=False,
+            pools=["ledger_a"],
+            target_settings={
+                "statement_cost_us": 0,
+                "slots": 16,
+                "connection_limit": 100,
+            },
+        ) as fleet:
+            primary = fleet.get_primary("ledger_a")
+            workload = self.write_workload(
+                fleet,
+                "reads",
+                [
+                    {
+                        "name": "read",
+                        "action": "read_stock",
+                        "weight": 1,
+                        "policy": {"max_age_ms": 60000},
+                    }
+                ],
+                roam_share=0,
+            )
+            for clients in (1, 4, 16):
+                report_path = os.path.join(fleet.directory, "direct.json")
+                subprocess.run(
+                    [
+                        os.path.join(fleet_module.BUILD, "hornbeamhook-load"),
+                        "--direct",
+                        fleet.targets[primary]["address"],
+                        "--clients",
+                        str(clients),
+                        "--duration",
+                        str(self.duration),
+                        "--report-json",
+                        report_path,
+                    ],
+                    check=True,
+                    stdout=subprocess.DEVNULL,
+                )
+                with open(report_path) as file:
+                    direct = json.load(file)
+                report = self.run_through_one_proxy(fleet, workload, clients)
+                print(
+                    "| %d | %.0f | %s | %.0f | %s |"
+                    % (
+                        clients,
+                        direct["statements_per_second"],
+                        self.show(direct["latency_ms"]),
+                        report["goodput_per_second"],
+                        self.show(report["latency_ms"]["read"]),
+                    ),
+                    flush=True,
+                )
+
+    def run_through_one_proxy(self, fleet, workload, clients):
+        make = fleet.make_load_settings
+
+        def make_for_one(*arguments, **fields):
+            settings = make(*arguments, **fields)
+            settings["proxies"] = [
+                dict(proxy, address=fleet.proxies[proxy["name"]]["address"])
+                for proxy in settings["proxies"][:1]
+            ]
+            return settings
+
+        fleet.make_load_settings = make_for_one
+        try:
+            return self.run_load(fleet, "--clients", clients, "--workload", workload)
+        finally:
+            fleet.make_load_settings = make
+
+
+def main():
+    names = ("replica_share", "strict_reads", "goodput", "layouts", "failover", "direct")
+    parser = argparse.ArgumentParser(
+        description=__doc__, formatter_class=argparse.RawDescriptionHelpFormatter
+    )
+    parser.add_argument("measurement", choices=names)
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--duration", type=float, default=12, help="seconds of each load")
+    parser.add_argument("--rounds", type=int, default=1, help="fleets per kind of loss")
+    arguments = parser.parse_args()
+    measurement = Measurement(arguments)
+    getattr(measurement, arguments.measurement)()
+    print("\nMachine: %s, %d cores shared with other processes.\n" % (platform.machine(), os.cpu_count()))
+    sys.exit(1 if measurement.violations else 0)
+
+
+if __name__ == "__main__":
+    main()
--- a/src/load/history_checker.cpp
+++ b/src/load/history_checker.cpp
@@ -143,7 +143,7 @@
                 if (current.write != nullptr) {
                     std::int64_t& own = view.own[{current.write->pool, current.write->item}];
                     own = std::max(own, current.write->version);
-                    view.markers.insert(current.write->marker);
+                    view.markers.emplace(current.write->marker, current.write);
                 } else {
                     check_session_read(view, *current.read);
                 }
@@ -159,16 +159,25 @@
     struct session_view {
         std::map<item_key, std::int64_t> own;
         std::map<item_key, last_read> read;
-        std::set<std::string> markers;
+        std::map<std::string, const write_record*> markers;
     };
 
     void check_session_read(session_view& view, const read_record& read) {
         const std::string who = read.kind + " of " + read.pool + "/" + read.key + " by session " +
                                 std::to_string(read.session) +
-                                (read.is_by_replica ? " at a replica" : " at a primary");
+                                (read.is_by_replica ? " at a replica" : " at a primary") + " (" +
+                                read.details + ")";
         if (read.subject == read_subject::entry_count) {
-            if (read.value == 0 && view.markers.contains(read.key)) {
-                add(violation_kind::stale_own_reads, who + " did not see its own row");
+            const auto write = view.markers.find(read.key);
+            if (read.value == 0 && write != view.markers.end()) {
+                std::string text = who + " did not see its own row";
+                for (const std::string& attempt : write->second->attempts) {
+                    text.append("; attempt: ").append(attempt);
+                }
+                text.append("; acknowledged ms before the read: ");
+                text.append(std::to_string(
+                    duration_cast<milliseconds>(read.begin - write->second->end).count()));
+                add(violation_kind::stale_own_reads, std::move(text));
             }
             return;
         }
--- a/src/load/read_record.h
+++ b/src/load/read_record.h
@@ -28,6 +28,7 @@
     std::int64_t value = 0;
     std::string marker;  ///< Of the write that produced the version read.
     bool is_by_replica = false;
+    std::string details;  ///< Proxy, target and tokens, for the description of a violation.
 };
 
 }  // namespace hornbeamhook::load
--- a/src/load/session.cpp
+++ b/src/load/session.cpp
@@ -41,6 +41,13 @@
     return {{"own_writes", true}};
 }
 
+/** The signed part of a token for a description, or all of it when it has another form. */
+std::string get_token_payload(const std::string& token) {
+    const std::size_t first = token.find('.');
+    const std::size_t last = token.rfind('.');
+    return first == last ? token : token.substr(first + 1, last - first - 1);
+}
+
 std::string get_statements_path(const std::string& pool) {
     return "/v1/pools/" + pool + "/statements";
 }
@@ -113,6 +120,7 @@
     const std::size_t index = choose_proxy();
     const proxy_endpoint& proxy = proxies_.get(index);
     attempt result;
+    result.details = proxy.name + " token " + get_token_payload(body.value("token", ""));
     result.begin = steady_clock::now();
     result.answer = client_.post(proxy.address, path, body, settings_.deadline);
     result.end = steady_clock::now();
@@ -120,6 +128,7 @@
     if (!answer.token.empty()) {
         tokens_[pool] = answer.token;
     }
+    result.details += " served by " + answer.target + " token " + get_token_payload(answer.token);
     if (answer.is_ok()) {
         history_.answers.push_back({proxy.name, pool, result.begin, result.end, expected_echo,
                                     expected_echo.empty() ? "" : answer.get_echo(), answer.target,
@@ -178,6 +187,7 @@
     const attempt done =
         send(record.pool, get_statements_path(record.pool), std::move(body), record.marker, false);
     record.end = done.end;
+    record.attempts.push_back(done.answer.code + " via " + done.details);
     if (done.answer.is_ok()) {
         record.outcome = write_outcome::acknowledged;
         record.version =
@@ -263,6 +273,7 @@
     record.begin = done.begin;
     record.end = done.end;
     record.is_by_replica = done.answer.is_by_replica;
+    record.details = done.details;
     if (done.answer.results.empty()) {
         return;
     }
--- a/src/load/session.h
+++ b/src/load/session.h
@@ -35,6 +35,7 @@
         api_answer answer;
         time_point begin;
         time_point end;
+        std::string details;  ///< Proxy, target and tokens.
     };
 
     const workload_operation& choose_operation(std::size_t& index);
--- a/src/load/write_record.h
+++ b/src/load/write_record.h
@@ -3,6 +3,7 @@
 #include <chrono>
 #include <cstdint>
 #include <string>
+#include <vector>
 
 namespace hornbeamhook::load {
 
@@ -26,7 +27,8 @@
     time_point begin;  ///< Of the first attempt.
     time_point end;    ///< Of the last attempt.
     write_outcome outcome = write_outcome::unknown;
-    std::int64_t version = 0;  ///< Version of the item after an acknowledged write.
+    std::int64_t version = 0;           ///< Version of the item after an acknowledged write.
+    std::vector<std::string> attempts;  ///< What each was answered, for descriptions.
 };
 
 }  // namespace hornbeamhook::load
