Keep a session's token where an answer could not build on it; settle before the final read

The final rows of several tables were read while requests with unknown outcome still landed, which looked like mixed transactions; the state now has to be read twice with the same result.

--- a/src/load/final_state.h
+++ b/src/load/final_state.h
@@ -14,6 +14,8 @@
     std::map<std::string, std::int64_t> legs;             ///< Rows per transaction marker.
     std::int64_t balance_sum = 0;
     std::int64_t expected_balance_sum = 0;
+
+    bool operator==(const final_state&) const = default;
 };
 
 }  // namespace hornbeamhook::load
--- a/src/load/load_run.cpp
+++ b/src/load/load_run.cpp
@@ -25,6 +25,8 @@
 using std::chrono::steady_clock;
 
 constexpr milliseconds progress_interval{1000};
+constexpr milliseconds settle_interval{500};
+constexpr milliseconds settle_time{30'000};
 
 }  // namespace
 
@@ -150,6 +152,20 @@
     fleet_reader reader(settings_, tables_, client_);
     for (const std::string& pool : settings_.pools) {
         BOOST_LEAF_AUTO(state, reader.read(pool));
+        const time_point give_up_at = steady_clock::now() + settle_time;
+        while (true) {
+            // A request with unknown outcome may still land; the rows of one read of all tables
+            // belong together only when nothing changes any more.
+            std::this_thread::sleep_for(settle_interval);
+            BOOST_LEAF_AUTO(again, reader.read(pool));
+            if (again == state) {
+                break;
+            }
+            if (steady_clock::now() > give_up_at) {
+                return leaf::new_error(load_error{"pool " + pool + ": rows still change"});
+            }
+            state = std::move(again);
+        }
         pools.emplace(pool, std::move(state));
     }
     return pools;
--- a/src/load/session.cpp
+++ b/src/load/session.cpp
@@ -125,7 +125,8 @@
     result.answer = client_.post(proxy.address, path, body, settings_.deadline);
     result.end = steady_clock::now();
     const api_answer& answer = result.answer;
-    if (!answer.token.empty()) {
+    // Requests within a transaction take no token, so their answers cannot build on the session's.
+    if (!answer.token.empty() && (body.contains("token") || !tokens_.contains(pool))) {
         tokens_[pool] = answer.token;
     }
     result.details += " served by " + answer.target + " token " + get_token_payload(answer.token);
