--- a/scripts/measure.py
+++ b/scripts/measure.py
@@ -94,7 +94,7 @@
 
     def strict_reads(self):
         self.print_header("strict_reads", "Strict reads from replicas against the primary alone")
-        print("A pool with one target has only its primary; 48 clients read strictly, 5 % write.\n")
+        print("One pool, 48 clients, 95 % strict reads, statements of 10 ms.\n")
         print("| targets that serve | reads/s | p50 ms | p99 ms | replica share | violations |")
         print("|---|---|---|---|---|---|")
         for replicas in (True, False):
