Hand out no token that demands less than the session's own

Change: an answer that saw no point of the log carries no token. Conclusion: a unit test covers the rollback.

--- a/src/proxy/entry_service.cpp
+++ b/src/proxy/entry_service.cpp
@@ -571,7 +571,9 @@
         answer.is_primary = last.is_primary;
         token = protocol::advance_token(token, last.point);
         token = protocol::resolve_uncertain(token, request->body.idempotency_key);
-        has_token = true;
+        // A rollback or a statement of a transaction sees no point of the log. A token for the
+        // start of the log would replace the session's own token with one that demands nothing.
+        has_token = token.point != state::log_point{} || token.is_uncertain;
     } else {
         answer.message = last.message.empty() ? std::string(to_string(code)) : last.message;
         // A statement of an open transaction has no effect before the commit.
--- a/tests/proxy/entry_service_test.cpp
+++ b/tests/proxy/entry_service_test.cpp
@@ -270,5 +270,15 @@
     EXPECT_EQ(other["error"]["code"], "transaction_gone");
 }
 
+// Guards against a session that loses its writes because a rollback handed out an empty token.
+TEST_F(entry_service_test, rollback_hands_out_no_token) {
+    const json opened = call({{"kind", "write"}}, "/v1/pools/p/transactions");
+    ASSERT_EQ(opened["outcome"], "ok") << opened;
+    const std::string base = "/v1/transactions/" + opened["transaction"].get<std::string>();
+    const json ended = call(json::object(), base + "/rollback");
+    EXPECT_EQ(ended["outcome"], "ok");
+    EXPECT_EQ(ended.value("token", ""), "") << ended;
+}
+
 }  // namespace
 }  // namespace hornbeamhook::proxy
