--- a/src/proxy/target_pool.cpp
+++ b/src/proxy/target_pool.cpp
@@ -42,7 +42,7 @@
 
 }  // namespace
 
-struct target_pool::implementation : std::enable_shared_from_this<implementation> {
+struct target_pool::implementation {
     /** What the decisions gave to one waiting thread. */
     struct grant {
         enum class kind { refused, lent, may_open };
--- a/tests/standin/target/wire_session_test.cpp
+++ b/tests/standin/target/wire_session_test.cpp
@@ -15,7 +15,7 @@
 
 using tests::target_group;
 
-std::string make_number(std::uint32_t value, int bytes) {
+std::string make_number(std::uint64_t value, int bytes) {
     std::string text;
     for (int i = bytes - 1; i >= 0; --i) {
         text += static_cast<char>((value >> (8 * i)) & 0xffU);
