--- a/src/transport/http_server.cpp
+++ b/src/transport/http_server.cpp
@@ -2,6 +2,7 @@
 
 #include <pistache/endpoint.h>
 
+#include <atomic>
 #include <cstdlib>
 #include <mutex>
 #include <stdexcept>
@@ -51,7 +52,9 @@
 /** Owns the writer until the one answer is sent. */
 class pending_response {
 public:
-    explicit pending_response(Pistache::Http::ResponseWriter writer) : writer_(std::move(writer)) {}
+    pending_response(Pistache::Http::ResponseWriter writer,
+                     std::shared_ptr<const std::atomic<bool>> is_closing)
+        : writer_(std::move(writer)), is_closing_(std::move(is_closing)) {}
 
     void send(const http_response& response) {
         const std::scoped_lock lock(mutex_);
@@ -59,32 +62,41 @@
             return;
         }
         is_sent_ = true;
-        writer_.headers().addRaw(
-            Pistache::Http::Header::Raw("Content-Type", response.content_type));
-        writer_.send(static_cast<Pistache::Http::Code>(response.status), response.body);
+        if (*is_closing_) {
+            // Pistache already added the client's wish, and does not replace it on add().
+            writer_.headers().remove<Pistache::Http::Header::Connection>();
+            writer_.headers().add<Pistache::Http::Header::Connection>(
+                Pistache::Http::ConnectionControl::Close);
+        }
+        writer_.send(static_cast<Pistache::Http::Code>(response.status), response.body,
+                     Pistache::Http::Mime::MediaType::fromString(response.content_type));
     }
 
 private:
     std::mutex mutex_;
     bool is_sent_ = false;
     Pistache::Http::ResponseWriter writer_;
+    std::shared_ptr<const std::atomic<bool>> is_closing_;
 };
 
 class request_handler : public Pistache::Http::Handler {
 public:
     HTTP_PROTOTYPE(request_handler)
 
-    explicit request_handler(http_server::handler handle) : handle_(std::move(handle)) {}
+    request_handler(http_server::handler handle,
+                    std::shared_ptr<const std::atomic<bool>> is_closing)
+        : handle_(std::move(handle)), is_closing_(std::move(is_closing)) {}
 
     void onRequest(const Pistache::Http::Request& request,
                    Pistache::Http::ResponseWriter response) override {
-        auto pending = std::make_shared<pending_response>(std::move(response));
+        auto pending = std::make_shared<pending_response>(std::move(response), is_closing_);
         handle_(convert(request),
                 [pending](const http_response& answer) { pending->send(answer); });
     }
 
 private:
     http_server::handler handle_;
+    std::shared_ptr<const std::atomic<bool>> is_closing_;
 };
 
 }  // namespace
@@ -92,6 +104,8 @@
 struct http_server::implementation {
     http_server_options options;
     handler handle;
+    /// Shared with open answers, which may outlive the server.
+    std::shared_ptr<std::atomic<bool>> is_closing = std::make_shared<std::atomic<bool>>(false);
     std::unique_ptr<Pistache::Http::Endpoint> endpoint;
 };
 
@@ -120,11 +134,16 @@
                         .flags(Pistache::Tcp::Options::ReuseAddr | Pistache::Tcp::Options::NoDelay |
                                Pistache::Tcp::Options::CloseOnExec);
     endpoint->init(settings);
-    endpoint->setHandler(Pistache::Http::make_handler<request_handler>(implementation_->handle));
+    endpoint->setHandler(Pistache::Http::make_handler<request_handler>(
+        implementation_->handle, implementation_->is_closing));
     endpoint->serveThreaded();
     implementation_->endpoint = std::move(endpoint);
 }
 
+void http_server::close_connections_after_answers() {
+    *implementation_->is_closing = true;
+}
+
 void http_server::stop() {
     if (implementation_ && implementation_->endpoint) {
         implementation_->endpoint->shutdown();
