--- a/src/proxy/platform_sync.cpp
+++ b/src/proxy/platform_sync.cpp
@@ -49,6 +49,7 @@
     // Only used by the thread.
     bool was_reachable = true;
     bool was_vm_list_read = true;
+    bool is_registered = false;  ///< Whether this process registered its VM since it started.
 
     void run();
     void poll();
@@ -184,8 +185,10 @@
         const std::scoped_lock lock(mutex);
         self.is_leaving = is_leaving;
     }
-    // An operator may have drained this VM, so a listed "leaving" is never turned back to "live".
+    // At the start the list may still show a predecessor that left. Later a listed "leaving" is an
+    // operator's drain and is never turned back to "live".
     const bool is_listed =
+        is_registered &&
         std::any_of(list.begin(), list.end(), [&](const protocol::vm_entry& entry) {
             return entry.vm == self.vm && entry.address == self.address &&
                    (entry.is_leaving || !self.is_leaving);
@@ -193,6 +196,7 @@
     callbacks.on_vms(std::move(list));
     if (!is_listed) {
         BOOST_LEAF_CHECK(client.put_vm(self));
+        is_registered = true;
     }
     return {};
 }
--- a/src/proxy/platform_sync.h
+++ b/src/proxy/platform_sync.h
@@ -39,8 +39,9 @@
 
 /**
  * A thread that polls the head of the configuration log and the VM list each store_poll_interval.
- * It also registers this VM in the list, repeatedly until the list shows it. An operator drains a
- * VM by listing it as leaving; the receiver of on_vms acts on that.
+ * It also registers this VM in the list: once as live at the start, and again while the list does
+ * not show it. An operator drains a VM by listing it as leaving; the receiver of on_vms acts on
+ * that, but not before the list showed the VM as live, because a predecessor may have left.
  */
 class platform_sync {
 public:
--- a/tests/proxy/platform_sync_test.cpp
+++ b/tests/proxy/platform_sync_test.cpp
@@ -151,6 +151,20 @@
     EXPECT_TRUE(vms_[0].is_leaving);
 }
 
+// Guards against a restarted proxy whose VM stays listed as leaving because its predecessor left.
+TEST_F(platform_sync_test, a_restarted_proxy_is_listed_as_live) {
+    {
+        platform_sync first(make_settings(), make_callbacks());
+        first.start();
+        EXPECT_TRUE(wait_until([&] { return vms_.size() == 1; }));
+        first.announce_leaving();
+        EXPECT_TRUE(wait_until([&] { return vms_.size() == 1 && vms_[0].is_leaving; }));
+    }
+    platform_sync second(make_settings(), make_callbacks());
+    second.start();
+    EXPECT_TRUE(wait_until([&] { return vms_.size() == 1 && !vms_[0].is_leaving; }));
+}
+
 // Guards against a proxy that reads the store although its relay does.
 TEST_F(platform_sync_test, reads_nothing_when_told_so) {
     platform_sync sync(make_settings(), make_callbacks());
