End writes of silent connections at the target after a second

Cause: a write holds its locks between its statements and COMMIT. Change: each transaction sets idle_in_transaction_session_timeout, and the target stand-in follows it as PostgreSQL does.

--- a/src/protocol/target_calls.cpp
+++ b/src/protocol/target_calls.cpp
@@ -31,6 +31,10 @@
 
 }  // namespace
 
+target_statement make_idle_limit_statement(std::chrono::milliseconds limit) {
+    return {"SET LOCAL idle_in_transaction_session_timeout = " + std::to_string(limit.count()), {}};
+}
+
 target_statement make_status_statement() {
     return {"SELECT hornbeamhook_status()", {}};
 }
--- a/src/protocol/target_calls.h
+++ b/src/protocol/target_calls.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <boost/leaf.hpp>
+#include <chrono>
 #include <string>
 
 #include "state/group_view.h"
@@ -16,6 +17,13 @@
 /** SQLSTATE of a write on a target that is not an unfenced primary; nothing ran. */
 inline constexpr const char* sqlstate_read_only = "HB002";
 
+/**
+ * Makes the target end the open transaction when it hears nothing for `limit`. Without it, the
+ * locks of a transaction whose connection went silent would be held for as long as the target's
+ * own setting says.
+ */
+transport::target_statement make_idle_limit_statement(std::chrono::milliseconds limit);
+
 /** The statement whose single cell parse_status_cell() reads. */
 transport::target_statement make_status_statement();
 
--- a/src/proxy/execution.cpp
+++ b/src/proxy/execution.cpp
@@ -25,6 +25,9 @@
 using transport::target_statement;
 
 constexpr int max_write_steps = 3;
+// COMMIT follows the statements at once; a longer pause means that the connection or this process
+// is silent, and other writers should not wait for its locks.
+constexpr std::chrono::milliseconds write_idle_limit{1000};
 
 std::int64_t get_wall_clock_ms() {
     return std::chrono::duration_cast<std::chrono::milliseconds>(
@@ -146,7 +149,8 @@
     }
     target_session& session = *std::get<0>(acquired);
     const bool is_keyed = !request.idempotency_key.empty();
-    std::vector<target_statement> statements{{"BEGIN", {}}};
+    std::vector<target_statement> statements{{"BEGIN", {}},
+                                             protocol::make_idle_limit_statement(write_idle_limit)};
     if (is_keyed) {
         statements.push_back(protocol::make_insert_request(request.caller, request.idempotency_key,
                                                            request.digest, get_wall_clock_ms()));
--- a/src/proxy/transaction_service.cpp
+++ b/src/proxy/transaction_service.cpp
@@ -26,6 +26,8 @@
 
 // Ending a transaction must not hang on a silent connection; closing it has the same effect.
 constexpr std::chrono::milliseconds end_timeout{500};
+// The target ends a transaction by itself only when this process failed to do so.
+constexpr std::chrono::milliseconds idle_limit_margin{1000};
 
 /** Gives the connection back clean, or closes it when that cannot be shown. */
 void reset_session(std::unique_ptr<target_session> session, bool needs_rollback) {
@@ -303,8 +305,12 @@
     entry->key = key;
     entry->is_write = request.is_write;
     entry->lane = runtime_.get_lane(request.pool, target);
-    exchange_result answer =
-        entry->session->run({{"BEGIN", {}}, protocol::make_status_statement()}, deadline);
+    exchange_result answer = entry->session->run(
+        {{"BEGIN", {}},
+         protocol::make_idle_limit_statement(runtime_.get_settings().transaction_idle_timeout +
+                                             idle_limit_margin),
+         protocol::make_status_statement()},
+        deadline);
     if (const auto* error = std::get_if<target_error>(&answer)) {
         execution failure = executor::make_failure(exchange_phase::statements, *error);
         failure.was_sent = false;  // No statement of the caller was part of it.
@@ -318,7 +324,7 @@
     const bool is_parsed = boost::leaf::try_handle_all(
         [&]() -> boost::leaf::result<bool> {
             BOOST_LEAF_ASSIGN(status, protocol::parse_status_result(
-                                          std::get<std::vector<target_result>>(answer)[1]));
+                                          std::get<std::vector<target_result>>(answer).back()));
             return true;
         },
         [] { return false; });
--- a/src/standin/target/sql_session.cpp
+++ b/src/standin/target/sql_session.cpp
@@ -111,6 +111,24 @@
     return first == "SET" ? command::set : command::other;
 }
 
+void sql_session::read_setting(const std::string& sql) {
+    constexpr std::string_view name = "IDLE_IN_TRANSACTION_SESSION_TIMEOUT";
+    const std::vector<std::string> words = get_words(sql);
+    if (block_ == block::none || words.size() != 5 || words[1] != "LOCAL" || words[2] != name) {
+        return;  // Other settings have no effect on the stand-in.
+    }
+    int milliseconds = 0;
+    const std::string& text = words[4];
+    const auto [end, code] = std::from_chars(text.data(), text.data() + text.size(), milliseconds);
+    if (code == std::errc() && end == text.data() + text.size() && milliseconds > 0) {
+        idle_limit_ = std::chrono::milliseconds(milliseconds);
+    }
+}
+
+std::optional<std::chrono::milliseconds> sql_session::get_idle_limit() const {
+    return block_ == block::none ? std::nullopt : idle_limit_;
+}
+
 leaf::result<void> sql_session::check(const std::string& sql) {
     const command value = classify(sql);
     if (block_ == block::failed && value != command::commit && value != command::roll_back) {
@@ -136,6 +154,9 @@
                                               const sql_values& parameters) {
     BOOST_LEAF_CHECK(check(sql));
     const command value = classify(sql);
+    if (value == command::set) {
+        read_setting(sql);
+    }
     leaf::result<sql_answer> answer =
         value == command::other ? execute_sql(sql, parameters) : execute_command(value);
     ran_since_synchronise_ = true;
@@ -147,6 +168,7 @@
         case command::begin:
         case command::begin_read_only:
             if (block_ == block::none) {
+                idle_limit_.reset();
                 block_ = value == command::begin ? block::read_write : block::read_only;
             }
             return sql_answer{.tag = "BEGIN"};
--- a/src/standin/target/sql_session.h
+++ b/src/standin/target/sql_session.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <boost/leaf.hpp>
+#include <chrono>
 #include <memory>
 #include <nlohmann/json.hpp>
 #include <optional>
@@ -47,6 +48,10 @@
     /** 'I' idle, 'T' in a transaction, 'E' in a failed transaction. */
     char get_state() const;
 
+    /** The limit set with SET LOCAL idle_in_transaction_session_timeout for the open transaction.
+     */
+    std::optional<std::chrono::milliseconds> get_idle_limit() const;
+
     /** Whether the answer to the commit that just took effect must get lost. Resets itself. */
     bool take_answer_loss() { return std::exchange(is_answer_lost_, false); }
 
@@ -55,6 +60,7 @@
     enum class command { begin, begin_read_only, commit, roll_back, discard, set, other };
 
     static command classify(const std::string& sql);
+    void read_setting(const std::string& sql);
     void add_functions();
     boost::leaf::result<sql_answer> execute_command(command value);
     boost::leaf::result<sql_answer> execute_sql(const std::string& sql,
@@ -75,6 +81,7 @@
     std::optional<state::target_status> snapshot_;
     nlohmann::json written_ = nlohmann::json::array();
     std::optional<state::log_point> last_commit_;
+    std::optional<std::chrono::milliseconds> idle_limit_;
     bool ran_since_synchronise_ = false;
     bool is_answer_lost_ = false;
 };
--- a/src/standin/target/wire_session.cpp
+++ b/src/standin/target/wire_session.cpp
@@ -85,8 +85,11 @@
     for (;;) {
         const bool is_in_transaction = sql_ && sql_->get_state() != 'I';
         const int timeout_ms =
-            is_in_transaction ? static_cast<int>(context_.settings.idle_transaction_timeout.count())
-                              : -1;
+            is_in_transaction
+                ? static_cast<int>(sql_->get_idle_limit()
+                                       .value_or(context_.settings.idle_transaction_timeout)
+                                       .count())
+                : -1;
         pollfd entry{control_->fd, POLLIN, 0};
         const int ready = ::poll(&entry, 1, timeout_ms);
         if (ready < 0 && errno == EINTR) {
