--- a/tests/standin/target/target_server_test.cpp
+++ b/tests/standin/target/target_server_test.cpp
@@ -494,5 +494,21 @@
     EXPECT_TRUE(idle->is_broken());
 }
 
+// Guards against locks that a silent connection holds for the target's own long limit.
+TEST(target_server, idle_limit_of_one_transaction_overrides_the_setting) {
+    target_group group(
+        1, [](auto& settings) { settings.idle_transaction_timeout = std::chrono::minutes(10); });
+    execute_on(group, 0, create_sql);
+    const auto idle = connect(group.get_address(0));
+    ASSERT_FALSE(run(*idle, {{"BEGIN", {}},
+                             {"SET LOCAL idle_in_transaction_session_timeout = 50", {}},
+                             {"INSERT INTO part VALUES (1, 'idle')", {}}})
+                     .error);
+    execute_on(group, 0, "INSERT INTO part VALUES (1, 'other')");
+    const exchange_outcome outcome = run(*idle, {{"COMMIT", {}}});
+    ASSERT_TRUE(outcome.error);
+    EXPECT_TRUE(idle->is_broken());
+}
+
 }  // namespace
 }  // namespace hornbeamhook::standin::target
