--- a/scripts/fleet.py
+++ b/scripts/fleet.py
@@ -617,7 +617,7 @@
     def can_write(self, pool):
         body = {
             "kind": "write",
-            "deadline_ms": 1000,
+            "deadline_ms": 4000,
             "statements": [{"sql": "CREATE TABLE IF NOT EXISTS ready_check (id INTEGER)"}],
         }
         name = next(iter(self.proxies))
