--- a/src/standin/target/durable_files.h
+++ b/src/standin/target/durable_files.h
@@ -24,13 +24,14 @@
 class durable_files {
 public:
     /** Uses `directory`, or a new temporary one, removed by the destructor, when empty. Throws
-     * std::runtime_error. */
+     * std::runtime_error, also when another process uses it. */
     explicit durable_files(std::string directory);
     ~durable_files();
     durable_files(const durable_files&) = delete;
     durable_files& operator=(const durable_files&) = delete;
 
-    /** What an earlier process left; false when there is nothing. */
+    /** What an earlier process left; false when there is nothing. Throws std::runtime_error when
+     * it is damaged. */
     bool load(term_state& terms, entry_log& log);
 
     /** Writes the terms. Throws std::runtime_error. */
@@ -49,10 +50,12 @@
 private:
     using file_handle = std::unique_ptr<std::FILE, int (*)(std::FILE*)>;
 
+    void load_log(entry_log& log);
     std::string get_path(const char* name) const { return directory_ + "/" + name; }
 
     std::string directory_;
     bool is_temporary_;
+    int lock_ = -1;
     file_handle log_file_{nullptr, &std::fclose};
 };
 
--- a/src/transport/http_server.h
+++ b/src/transport/http_server.h
@@ -37,6 +37,12 @@
     /** Binds and starts the threads. Throws std::runtime_error when the address is taken. */
     void start();
 
+    /**
+     * From now on every answer tells the client to close its connection, so that stop() finds none
+     * on which a request may be under way. Thread safe.
+     */
+    void close_connections_after_answers();
+
     /** Stops listening and closes connections. Safe to call twice. Not thread safe. */
     void stop();
 
