Let a proxy leave when an operator drains its VM

Change: once listed as live, a proxy whose entry says leaving becomes unready and gives up its homes.

--- a/src/proxy/fleet_control.cpp
+++ b/src/proxy/fleet_control.cpp
@@ -438,11 +438,29 @@
     }
     traffic_.store.add(bytes, http_overhead);
     queue_.push([this, list = std::move(list)] {
+        follow_own_entry(list);
         step_members(coordination::vm_list_received{list});
         step_confirmation(coordination::other_vms_listed{count_listed_others(members_)});
     });
 }
 
+void fleet_control::follow_own_entry(const std::vector<member>& list) {
+    const auto own = std::ranges::find(list, settings_.vm, &member::vm);
+    if (own == list.end()) {
+        return;
+    }
+    if (own->state != state::member_state::leaving) {
+        was_listed_live_ = true;
+        return;
+    }
+    // Before this process was listed as live, the entry may be that of a predecessor that left.
+    if (was_listed_live_ && members_.self.state != state::member_state::leaving) {
+        log_event(event_vm_drained, {{"vm", settings_.vm}});
+        step_members(coordination::leave_started{});
+        is_dirty_ = true;
+    }
+}
+
 void fleet_control::on_reachability(bool is_reachable) {
     if (is_reachable != is_store_reachable_) {
         is_store_reachable_ = is_reachable;
--- a/src/proxy/fleet_control.h
+++ b/src/proxy/fleet_control.h
@@ -99,6 +99,8 @@
     void on_reachability(bool is_reachable);
 
     // Worker threads.
+    /** Begins to leave when an operator drained this VM. */
+    void follow_own_entry(const std::vector<state::member>& list);
     void exchange_with(const coordination::send_digest& call);
     void fetch_configuration(const state::member& peer, std::uint64_t after);
     void ask_observation(const state::member& peer, const protocol::observation_message& question);
@@ -152,6 +154,7 @@
     std::atomic<bool> is_stopping_{false};
     state::time_point store_asked_at_{};  ///< Only on the thread of platform_sync.
     bool is_store_reachable_ = true;      ///< Only on the thread of platform_sync.
+    bool was_listed_live_ = false;        ///< The VM list named this VM as not leaving.
     std::thread control_thread_;
 
     // control thread
--- a/src/proxy/fleet_events.h
+++ b/src/proxy/fleet_events.h
@@ -26,4 +26,6 @@
 inline constexpr transport::event_type event_promotion_finished{2013, "promotion_finished",
                                                                 transport::event_severity::warning};
 
+inline constexpr transport::event_type event_vm_drained{2014, "vm_drained"};
+
 }  // namespace hornbeamhook::proxy
