Never choose the target that is lost now while a majority of others is fenced

Cause: two losses of a group of three within a minute marked two targets as recently failed. No steady majority was left, the rule fell back to all fenced targets and promoted the cut-off primary again, which has the longest log (terms 3, 4 and 5 went to the same target; no write for over 15 s). Ruled out: the fence wait; all three targets were fenced within 31 ms. Change: without a steady majority, a majority without the currently lost target is used first.

--- a/src/coordination/failover.cpp
+++ b/src/coordination/failover.cpp
@@ -326,6 +326,17 @@
     return failed != state.failed_at.end() && now - failed->second <= recent_failure;
 }
 
+template <typename Predicate>
+fenced_targets select_fenced(const failover_state& state, const Predicate& is_wanted) {
+    fenced_targets selected;
+    for (const auto& [name, status] : state.fenced) {
+        if (is_wanted(name)) {
+            selected.emplace(name, status);
+        }
+    }
+    return selected;
+}
+
 /**
  * The fenced targets to choose from, or empty while others may still answer.
  *
@@ -345,16 +356,19 @@
     if (state.reason == loss_reason::planned || state.reason == loss_reason::replica_stranded) {
         return may_wait ? std::nullopt : std::optional(state.fenced);
     }
-    fenced_targets steady;
-    for (const auto& [name, status] : state.fenced) {
-        if (!has_failed_lately(state, name, now)) {
-            steady.emplace(name, status);
-        }
-    }
+    const fenced_targets steady = select_fenced(
+        state, [&](const std::string& name) { return !has_failed_lately(state, name, now); });
     if (steady.size() >= quorum) {
         return steady;
     }
-    return may_wait ? std::nullopt : std::optional(state.fenced);
+    if (may_wait) {
+        return std::nullopt;
+    }
+    // In a group of three, two losses within a minute leave no steady majority; the one that is
+    // lost now must still not be chosen again.
+    fenced_targets others = select_fenced(
+        state, [&](const std::string& name) { return !state.lost || state.lost->target != name; });
+    return others.size() >= quorum ? std::move(others) : state.fenced;
 }
 
 void advance_fencing(failover_state& state, time_point now, action_list& actions,
--- a/tests/coordination/failover_test.cpp
+++ b/tests/coordination/failover_test.cpp
@@ -219,6 +219,17 @@
     EXPECT_EQ(get_calls(true), (names{"b"}));
 }
 
+// Guards against promoting a cut-off primary again because another target was lost just before.
+TEST_F(failover_test, the_lost_primary_is_not_chosen_after_an_earlier_loss) {
+    failover_.failed_at["b"] = at(0);
+    claim();
+    fence("a", 20, 610);
+    fence("b", 9, 620);
+    fence("c", 9, 630);
+    ASSERT_EQ(failover_.phase, failover_phase::promoting);
+    EXPECT_EQ(failover_.chosen, "c");
+}
+
 // Guards against a group that stays without primary when only the old one and a replica are left.
 TEST_F(failover_test, the_lost_primary_is_chosen_when_nothing_else_is_left) {
     claim();
