--- a/src/coordination/configuration_confirmation.cpp
+++ b/src/coordination/configuration_confirmation.cpp
@@ -43,7 +43,7 @@
     configuration_confirmation_state state, const confirmation_event& event, time_point now) {
     std::visit([&](const auto& value) { apply(state, value); }, event);
     // Without other VMs nobody can have learned a change that this proxy missed.
-    const bool is_recent = state.last_contact && now - *state.last_contact < state.patience;
+    const bool is_recent = state.last_contact && now - *state.last_contact < state.contact_timeout;
     const bool is_confirmed = is_recent || state.other_vms == 0;
     std::vector<confirmation_action> actions;
     if (is_confirmed != state.is_confirmed) {
--- a/src/coordination/configuration_confirmation.h
+++ b/src/coordination/configuration_confirmation.h
@@ -47,7 +47,7 @@
 /** Whether this proxy may assume that its configuration is in force. */
 struct configuration_confirmation_state {
     /// Bound of docs/design.md section 7.
-    std::chrono::milliseconds patience{3000};
+    std::chrono::milliseconds contact_timeout{3000};
     std::uint64_t adopted_version = 0;
     std::optional<state::time_point> last_contact;  ///< When the version was last confirmed.
     std::optional<version_heard> pending;           ///< A version that is still to be adopted.
--- a/src/coordination/failover.cpp
+++ b/src/coordination/failover.cpp
@@ -24,21 +24,21 @@
 /// Observations older than this do not count.
 constexpr milliseconds observation_validity{1000};
 /// When replicas still hear the primary, all pollers must agree for this long.
-constexpr milliseconds contradicted_patience{1500};
+constexpr milliseconds contradicted_delay{1500};
 /// Fence and promote calls without answer are repeated after this time.
 constexpr milliseconds resend_interval{300};
 /// A promote that stays without answer for this long is given up for a new term.
-constexpr milliseconds promote_patience{1000};
+constexpr milliseconds promote_timeout{1000};
 /// A claim that does not fence a majority for this long is started anew.
-constexpr milliseconds fence_patience{2000};
+constexpr milliseconds fence_timeout{2000};
 /// The new primary's replicas normally follow within one heartbeat.
-constexpr milliseconds adoption_patience{2000};
+constexpr milliseconds adoption_timeout{2000};
 /// Slower targets get this long to be fenced too, where a better choice depends on them.
 constexpr milliseconds fence_grace{200};
 /// Writes under way when a planned change pauses the homes get this long to finish.
 constexpr milliseconds settle_time{100};
 /// Bound of docs/design.md section 5 for a planned change.
-constexpr milliseconds catch_up_patience{2000};
+constexpr milliseconds catch_up_timeout{2000};
 constexpr int min_retry_ms = 50;
 constexpr int max_retry_ms = 250;
 /// Window and waits of the hysteresis of docs/design.md section 5.
@@ -148,7 +148,7 @@
         return false;
     }
     return !counts.is_contradicted ||
-           (state.agreed_since && now - *state.agreed_since >= contradicted_patience);
+           (state.agreed_since && now - *state.agreed_since >= contradicted_delay);
 }
 
 loss_reason find_loss(failover_state& state, time_point now) {
@@ -231,7 +231,7 @@
         return_to_watching(state, actions, "the primary changed meanwhile");
         return;
     }
-    if (now - planned.requested_at >= catch_up_patience) {
+    if (now - planned.requested_at >= catch_up_timeout) {
         return_to_watching(state, actions, "the target did not catch up in 2 s");
         return;
     }
@@ -386,7 +386,7 @@
     }
     const bool is_hopeless =
         state.evidence.targets.size() < state.refused.size() + state.evidence.majority;
-    if (is_hopeless || now - state.claimed_at >= fence_patience) {
+    if (is_hopeless || now - state.claimed_at >= fence_timeout) {
         retry_later(state, now, actions);
         return;
     }
@@ -416,7 +416,7 @@
         begin_adopting(state, now, actions);
         return;
     }
-    if (now - state.fenced_at >= promote_patience) {
+    if (now - state.fenced_at >= promote_timeout) {
         retry_later(state, now, actions);
         return;
     }
@@ -463,7 +463,7 @@
     });
     const bool is_adopted = !is_superseded && state.evidence.primary &&
                             static_cast<std::size_t>(followers) >= state.evidence.majority;
-    if (!is_superseded && !is_adopted && now - state.promoted_at < adoption_patience) {
+    if (!is_superseded && !is_adopted && now - state.promoted_at < adoption_timeout) {
         if (now - state.asked_at >= suspicion_interval / 2) {
             state.asked_at = now;
             actions.emplace_back(poll_targets{});
--- a/src/coordination/group_monitor.cpp
+++ b/src/coordination/group_monitor.cpp
@@ -14,13 +14,13 @@
 using std::chrono::milliseconds;
 
 /// A claimant that fenced a majority gets this long to promote before others step in.
-constexpr milliseconds superseded_patience{300};
+constexpr milliseconds superseded_delay{300};
 /// A group without known primary may have one that this poller cannot reach.
-constexpr milliseconds no_primary_patience{1500};
+constexpr milliseconds no_primary_delay{1500};
 /// A replica fenced by an unfinished claim is repaired after this time.
-constexpr milliseconds stranded_patience{2000};
+constexpr milliseconds stranded_delay{2000};
 /// Ages reported right after a pause of the replicas themselves vanish within this time.
-constexpr milliseconds cut_off_patience{100};
+constexpr milliseconds cut_off_delay{100};
 
 bool is_current(const target_view& target, time_point now) {
     return target.status && target.consecutive_failures == 0 &&
@@ -180,8 +180,8 @@
     }
 }
 
-bool has_lasted(const std::optional<time_point>& since, milliseconds patience, time_point now) {
-    return since && now - *since >= patience;
+bool has_lasted(const std::optional<time_point>& since, milliseconds duration, time_point now) {
+    return since && now - *since >= duration;
 }
 
 void apply(group_monitor_state& state, const poll_answered& event) {
@@ -305,10 +305,10 @@
             history.counted_failures >= 2 &&
             history.last_failure - history.first_failure >= refused_spacing;
     }
-    evidence.is_primary_cut_off = has_lasted(state.cut_off_since, cut_off_patience, now);
-    evidence.is_superseded = has_lasted(state.superseded_since, superseded_patience, now);
-    evidence.is_without_primary = has_lasted(state.no_primary_since, no_primary_patience, now);
-    evidence.is_replica_stranded = has_lasted(state.stranded_since, stranded_patience, now);
+    evidence.is_primary_cut_off = has_lasted(state.cut_off_since, cut_off_delay, now);
+    evidence.is_superseded = has_lasted(state.superseded_since, superseded_delay, now);
+    evidence.is_without_primary = has_lasted(state.no_primary_since, no_primary_delay, now);
+    evidence.is_replica_stranded = has_lasted(state.stranded_since, stranded_delay, now);
     return evidence;
 }
 
--- a/src/load/load_settings.h
+++ b/src/load/load_settings.h
@@ -36,8 +36,8 @@
     std::optional<double> rate;  ///< Requests per second; without it each client waits.
     std::chrono::milliseconds duration{10'000};
     std::chrono::milliseconds warm_up{1'000};
-    std::chrono::milliseconds deadline{4'000};   ///< Of one request.
-    std::chrono::milliseconds patience{15'000};  ///< A caller repeats for this long.
+    std::chrono::milliseconds deadline{4'000};        ///< Of one request.
+    std::chrono::milliseconds retry_timeout{15'000};  ///< A caller repeats for this long.
     std::optional<std::chrono::milliseconds> kill_primary_at;
     bool are_refusals_repeated = true;  ///< Whether callers repeat after not_run.
 };
--- a/src/load/session.cpp
+++ b/src/load/session.cpp
@@ -72,7 +72,7 @@
     std::size_t index = 0;
     const workload_operation& operation = choose_operation(index);
     const std::string& pool = settings_.pools[random_() % settings_.pools.size()];
-    const time_point give_up_at = steady_clock::now() + settings_.patience;
+    const time_point give_up_at = steady_clock::now() + settings_.retry_timeout;
     operation_sample sample;
     if (operation.is_read()) {
         sample = run_read(operation, pool, give_up_at);
--- a/src/load/session.h
+++ b/src/load/session.h
@@ -45,7 +45,7 @@
     attempt send(const std::string& pool, const std::string& path, nlohmann::json body,
                  const std::string& expected_echo, bool is_in_transaction);
     void count(const api_answer& answer);
-    /** Waits before a repetition; returns false when the caller's patience has ended. */
+    /** Waits before a repetition; returns false when the retry timeout has passed. */
     bool wait_before_retry(time_point give_up_at, int attempts);
 
     operation_sample run_write(const workload_operation& operation, const std::string& pool,
--- a/src/main/hornbeamhook_load.cpp
+++ b/src/main/hornbeamhook_load.cpp
@@ -90,7 +90,7 @@
     }
     settings.duration = get_seconds(arguments, "duration");
     settings.warm_up = get_seconds(arguments, "warm-up");
-    settings.patience = get_seconds(arguments, "patience");
+    settings.retry_timeout = get_seconds(arguments, "retry-timeout");
     settings.deadline = milliseconds(arguments["deadline-ms"].as<int>());
     settings.are_refusals_repeated = arguments.count("no-retry") == 0;
     if (arguments.count("kill-primary-at") > 0) {
@@ -144,7 +144,7 @@
                                   cxxopts::value<double>()->default_value("10"))(
         "warm-up", "Seconds at the start that are not measured",
         cxxopts::value<double>()->default_value("1"))(
-        "patience", "Seconds for which a caller repeats a request",
+        "retry-timeout", "Seconds for which a caller repeats a request",
         cxxopts::value<double>()->default_value("15"))(
         "deadline-ms", "Deadline of one request", cxxopts::value<int>()->default_value("4000"))(
         "no-retry", "Callers do not repeat refused requests")(
--- a/tests/coordination/configuration_exploration_test.cpp
+++ b/tests/coordination/configuration_exploration_test.cpp
@@ -53,8 +53,8 @@
  */
 class fleet_simulation {
 public:
-    fleet_simulation(std::uint64_t seed, adopter rule, milliseconds patience)
-        : random_(seed), adopt_(rule), patience_(patience) {
+    fleet_simulation(std::uint64_t seed, adopter rule, milliseconds contact_timeout)
+        : random_(seed), adopt_(rule), contact_timeout_(contact_timeout) {
         for (std::size_t i = 0; i < node_count; ++i) {
             restart(i);
         }
@@ -183,7 +183,7 @@
         value->members.self.incarnation = ++sequence_;
         value->members.random = random_();
         value->confirmation.last_contact = now_;
-        value->confirmation.patience = patience_;
+        value->confirmation.contact_timeout = contact_timeout_;
         nodes_[p] = value;
         exchange(p, value);
         read_store(p, value);
@@ -358,7 +358,7 @@
 
     std::mt19937_64 random_;
     adopter adopt_;
-    const milliseconds patience_;
+    const milliseconds contact_timeout_;
     const time_point origin_{std::chrono::hours(1)};
     time_point now_{std::chrono::hours(1)};
     std::uint64_t sequence_ = 0;
@@ -392,10 +392,10 @@
 };
 
 exploration_result explore(std::uint64_t seed, int runs, adopter adopt,
-                           milliseconds patience = in_force_bound) {
+                           milliseconds contact_timeout = in_force_bound) {
     exploration_result result;
     for (int i = 0; i < runs; ++i) {
-        fleet_simulation run(seed + static_cast<std::uint64_t>(i), adopt, patience);
+        fleet_simulation run(seed + static_cast<std::uint64_t>(i), adopt, contact_timeout);
         run.add_faults();
         run.run_until(fault_time);
         run.heal();
--- a/tests/proxy/entry_service_test.cpp
+++ b/tests/proxy/entry_service_test.cpp
@@ -14,7 +14,7 @@
 using nlohmann::json;
 using std::chrono::milliseconds;
 
-constexpr std::chrono::seconds patience{20};
+constexpr std::chrono::seconds answer_timeout{20};
 constexpr const char* path = "/v1/pools/p/statements";
 
 protocol::proxy_settings make_settings() {
@@ -49,7 +49,7 @@
             for (const char* name : {"p", "q"}) {
                 state::pool_description& pool = config->pools[name];
                 pool.name = name;
-                pool.default_deadline = patience;
+                pool.default_deadline = answer_timeout;
                 for (const char* each : {"primary", "replica"}) {
                     pool.targets.push_back({each, "127.0.0.1:1", "a", "a-1", 20, 3, false});
                     view.homes[std::string(name) + "/" + each] = {view.self};
@@ -89,7 +89,7 @@
         entry.handle(request, [promise](transport::http_response response) {
             promise->set_value(std::move(response));
         });
-        if (answer.wait_for(patience) != std::future_status::ready) {
+        if (answer.wait_for(answer_timeout) != std::future_status::ready) {
             ADD_FAILURE() << "no answer to " << body;
             return {};
         }
--- a/tests/proxy/home_service_test.cpp
+++ b/tests/proxy/home_service_test.cpp
@@ -22,7 +22,7 @@
 using std::chrono::milliseconds;
 
 // Long enough that no test depends on the speed of the machine.
-constexpr std::chrono::seconds patience{20};
+constexpr std::chrono::seconds answer_timeout{20};
 
 protocol::proxy_settings make_settings() {
     protocol::proxy_settings settings;
@@ -84,7 +84,7 @@
         request.caller = "c";
         request.is_write = is_write;
         request.statements = {{sql, {}}};
-        request.deadline = patience;
+        request.deadline = answer_timeout;
         return request;
     }
 
@@ -108,7 +108,7 @@
 
     execute_answer call(execute_request request) {
         std::future<execute_answer> answer = start(std::move(request));
-        if (answer.wait_for(patience) != std::future_status::ready) {
+        if (answer.wait_for(answer_timeout) != std::future_status::ready) {
             ADD_FAILURE() << "no answer";
             return {};
         }
@@ -149,7 +149,7 @@
     });
     EXPECT_TRUE(is_pending(answer)) << "one of three is no majority";
     set_positions(11);
-    ASSERT_EQ(answer.wait_for(patience), std::future_status::ready);
+    ASSERT_EQ(answer.wait_for(answer_timeout), std::future_status::ready);
     const execute_answer result = answer.get();
     EXPECT_EQ(result.outcome, outcome::ok);
     EXPECT_EQ(result.point, (state::log_point{3, 11}));
@@ -163,7 +163,7 @@
         view.targets["replica1"].status = make_status(10, true, 4);
         view.targets["replica2"].status = make_status(10, false, 4);
     });
-    ASSERT_EQ(answer.wait_for(patience), std::future_status::ready);
+    ASSERT_EQ(answer.wait_for(answer_timeout), std::future_status::ready);
     EXPECT_EQ(answer.get().outcome, outcome::unknown);
 }
 
@@ -183,7 +183,7 @@
     const execute_answer second = call(request);
     EXPECT_EQ(second.outcome, outcome::unknown) << "the first copy may have run";
     set_positions(11);
-    ASSERT_EQ(first.wait_for(patience), std::future_status::ready);
+    ASSERT_EQ(first.wait_for(answer_timeout), std::future_status::ready);
     EXPECT_EQ(first.get().outcome, outcome::ok);
     EXPECT_EQ(target.rows["INSERT <a>"], 1);
 }
@@ -252,7 +252,7 @@
     groups.set_group("p", [](state::group_view& view) {
         view.proof = state::freshness_proof{std::chrono::steady_clock::now(), {3, 10}, 3};
     });
-    ASSERT_EQ(answer.wait_for(patience), std::future_status::ready);
+    ASSERT_EQ(answer.wait_for(answer_timeout), std::future_status::ready);
     EXPECT_EQ(answer.get().outcome, outcome::ok);
 }
 
@@ -301,7 +301,7 @@
     std::future<execute_answer> answer = start(commit);
     EXPECT_TRUE(is_pending(answer));
     set_positions(11);
-    ASSERT_EQ(answer.wait_for(patience), std::future_status::ready);
+    ASSERT_EQ(answer.wait_for(answer_timeout), std::future_status::ready);
     EXPECT_EQ(answer.get().outcome, outcome::ok);
     EXPECT_EQ(target.rows["INSERT <t>"], 1);
     EXPECT_EQ(transactions.get_open(), 0U);
