--- a/scripts/measure.py
+++ b/scripts/measure.py
@@ -6,6 +6,7 @@
 """
 
 import argparse
+import itertools
 import json
 import os
 import platform
@@ -222,12 +223,12 @@
     def layouts(self):
         self.print_header("layouts", "Homes against a fixed split of the connections")
         print("96 clients, closed loop, statements of 5 ms.\n")
-        print("| layout | goodput/s | read p50/p99 ms | write p50/p99 ms | replica share | refusals", end="")
-        print(" | violations |")
-        print("|---|---|---|---|---|---|---|")
-        for layout in ("homes", "fixed_split"):
+        print("| deployment | layout | goodput/s | read p50/p99 ms | write p50/p99 ms", end="")
+        print(" | replica share | refusals | violations |")
+        print("|---|---|---|---|---|---|---|---|")
+        for deployment, layout in itertools.product(DEPLOYMENTS, ("homes", "fixed_split")):
             with fleet_module.Fleet(
-                "nile_horn",
+                deployment,
                 lag_ms=20,
                 seed=self.seed,
                 target_settings={"statement_cost_us": 5000},
@@ -235,8 +236,9 @@
             ) as fleet:
                 report = self.run_load(fleet, "--clients", 96, "--warm-up", 3)
             print(
-                "| %s | %.0f | %s | %s | %.1f %% | %d | %d |"
+                "| %s | %s | %.0f | %s | %s | %.1f %% | %d | %d |"
                 % (
+                    deployment,
                     layout,
                     report["goodput_per_second"],
                     self.show(report["latency_ms"]["all_reads"]),
