Share settings, options and signal handling between the programs

Cause: the proxy's and the platform stand-in's main files repeated each other line by line; all four servers blocked and awaited the same signals. Change: transport/program.h holds run_program() and termination_signals. Options and messages of the two stand-ins that word them differently stay as they are.

--- a/src/main/hornbeamhook_fault_proxy.cpp
+++ b/src/main/hornbeamhook_fault_proxy.cpp
@@ -2,7 +2,6 @@
 #include <sys/resource.h>
 
 #include <boost/leaf.hpp>
-#include <csignal>
 #include <cxxopts.hpp>
 #include <exception>
 #include <fstream>
@@ -15,6 +14,7 @@
 #include "state/json_reader.h"
 #include "state/state_error.h"
 #include "transport/log_event.h"
+#include "transport/program.h"
 
 namespace {
 
@@ -47,18 +47,13 @@
 }
 
 int serve(const fault::relay_settings& settings) {
-    sigset_t signals;
-    sigemptyset(&signals);
-    sigaddset(&signals, SIGTERM);
-    sigaddset(&signals, SIGINT);
-    pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+    const hornbeamhook::transport::termination_signals signals;
     raise_descriptor_limit();
     fault::fault_relay relay(settings);
     relay.start();
     transport::log_event(fault::relay_started, {{"control_address", settings.control_address},
                                                 {"links", std::to_string(settings.links.size())}});
-    int received = 0;
-    sigwait(&signals, &received);
+    const int received = signals.wait();
     relay.stop();
     transport::log_event(fault::relay_stopped, {{"signal", std::to_string(received)}});
     return 0;
--- a/src/main/hornbeamhook_platform_standin.cpp
+++ b/src/main/hornbeamhook_platform_standin.cpp
@@ -1,51 +1,17 @@
-#include <csignal>
-#include <cxxopts.hpp>
-#include <fstream>
 #include <iostream>
-#include <sstream>
 
 #include "standin/platform/platform_service.h"
-#include "state/json_reader.h"
-#include "transport/log_event.h"
+#include "transport/program.h"
 
 namespace {
 
-namespace leaf = boost::leaf;
 using hornbeamhook::standin::platform::platform_service;
 using hornbeamhook::standin::platform::platform_settings;
 
-constexpr int exit_usage = 2;
 constexpr int exit_failure = 1;
 
-/** Reads the settings; prints the error and returns empty when they are wrong. */
-std::optional<platform_settings> read_settings(const std::string& path) {
-    std::ifstream file(path);
-    if (!file) {
-        std::cerr << "settings file " << path << " cannot be read\n";
-        return std::nullopt;
-    }
-    std::stringstream text;
-    text << file.rdbuf();
-    return leaf::try_handle_all(
-        [&]() -> leaf::result<std::optional<platform_settings>> {
-            BOOST_LEAF_AUTO(object, hornbeamhook::state::parse_json(text.str(), path));
-            BOOST_LEAF_AUTO(settings,
-                            hornbeamhook::standin::platform::parse_platform_settings(object));
-            return std::optional(settings);
-        },
-        [](const hornbeamhook::state::state_error& error) {
-            std::cerr << error.message << "\n";
-            return std::optional<platform_settings>();
-        },
-        [] { return std::optional<platform_settings>(); });
-}
-
 int run(const platform_settings& settings) {
-    sigset_t signals;
-    sigemptyset(&signals);
-    sigaddset(&signals, SIGTERM);
-    sigaddset(&signals, SIGINT);
-    pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+    const hornbeamhook::transport::termination_signals signals;
     platform_service service(settings);
     try {
         service.start();
@@ -53,8 +19,7 @@
         std::cerr << "cannot listen on " << settings.listen_address << ": " << error.what() << "\n";
         return exit_failure;
     }
-    int signal = 0;
-    sigwait(&signals, &signal);
+    signals.wait();
     service.stop();
     return 0;
 }
@@ -62,33 +27,8 @@
 }  // namespace
 
 int main(int argc, char** argv) {
-    cxxopts::Options options("hornbeamhook-platform-standin",
-                             "Table service, object store and VM list with settable faults");
-    options.add_options()("settings", "JSON settings file", cxxopts::value<std::string>())(
-        "help", "Show this text")("version", "Show the version");
-    try {
-        const cxxopts::ParseResult arguments = options.parse(argc, argv);
-        if (arguments.count("help") > 0) {
-            std::cout << options.help();
-            return 0;
-        }
-        if (arguments.count("version") > 0) {
-            std::cout << HORNBEAMHOOK_VERSION << "\n";
-            return 0;
-        }
-        if (arguments.count("settings") == 0) {
-            std::cerr << "--settings FILE is required\n";
-            return exit_usage;
-        }
-        const std::optional<platform_settings> settings =
-            read_settings(arguments["settings"].as<std::string>());
-        if (!settings) {
-            return exit_usage;
-        }
-        hornbeamhook::transport::initialise_logging(argv[0]);
-        return run(*settings);
-    } catch (const std::exception& error) {
-        std::cerr << error.what() << "\n";
-        return exit_usage;
-    }
+    return hornbeamhook::transport::run_program(
+        argc, argv, "hornbeamhook-platform-standin",
+        "Table service, object store and VM list with settable faults",
+        hornbeamhook::standin::platform::parse_platform_settings, run);
 }
--- a/src/main/hornbeamhook_target_standin.cpp
+++ b/src/main/hornbeamhook_target_standin.cpp
@@ -1,4 +1,3 @@
-#include <csignal>
 #include <cxxopts.hpp>
 #include <exception>
 #include <fstream>
@@ -11,6 +10,7 @@
 #include "standin/target/target_settings.h"
 #include "state/json_reader.h"
 #include "transport/log_event.h"
+#include "transport/program.h"
 
 namespace {
 
@@ -43,16 +43,10 @@
 }
 
 int serve(const target_settings& settings) {
-    // The signals are blocked in all threads and taken by sigwait().
-    sigset_t signals{};
-    sigemptyset(&signals);
-    sigaddset(&signals, SIGINT);
-    sigaddset(&signals, SIGTERM);
-    pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+    const hornbeamhook::transport::termination_signals signals;
     hornbeamhook::standin::target::target_server server(settings);
     server.start();
-    int received = 0;
-    sigwait(&signals, &received);
+    signals.wait();
     server.stop();
     return 0;
 }
