Count wrong answers to the load tool's final reads as violations

Cause: the load tool ended with exit code 3 and no report when a read after the run got the rows of another request.

Change: the reader records the wrong answer, reads the page again (at most 10 times) and hands the answers to the checker. A test answers exactly one final read wrongly.

--- a/src/load/fleet_reader.cpp
+++ b/src/load/fleet_reader.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cstdlib>
 #include <thread>
+#include <utility>
 
 #include "load/load_error.h"
 
@@ -19,6 +20,8 @@
 constexpr milliseconds retry_interval{50};
 constexpr milliseconds read_deadline{5'000};
 constexpr int page_rows = 1000;
+/// A fleet that answers this often with other requests' rows cannot be read at all.
+constexpr int max_wrong_answers = 10;
 
 }  // namespace
 
@@ -52,23 +55,51 @@
     return {};
 }
 
-leaf::result<std::size_t> fleet_reader::read_page(const std::string& pool, const std::string& echo,
-                                                  const nlohmann::json& statements,
-                                                  const row_handler& handle) {
+std::vector<answer_record> fleet_reader::take_wrong_answers() {
+    return std::exchange(wrong_answers_, {});
+}
+
+bool fleet_reader::is_own_answer(const std::string& pool, const std::string& echo,
+                                 const api_result& result) {
+    for (std::size_t row = 0; row < result.rows.size(); ++row) {
+        if (result.get_cell(row, 0) == echo) {
+            continue;
+        }
+        const proxy_endpoint& proxy =
+            settings_.proxies[(next_proxy_ - 1) % settings_.proxies.size()];
+        const time_point now = steady_clock::now();
+        wrong_answers_.push_back(
+            {proxy.name, pool, now, now, echo, result.get_cell(row, 0), "", false, 0});
+        return false;
+    }
+    return true;
+}
+
+leaf::result<api_result> fleet_reader::read_own_rows(const std::string& pool,
+                                                     const std::string& echo,
+                                                     const nlohmann::json& statements) {
     const nlohmann::json body{{"kind", "read"},
                               {"read_policy", {{"strict", true}}},
                               {"deadline_ms", read_deadline.count()},
                               {"statements", statements}};
-    BOOST_LEAF_AUTO(answer, repeat(pool, body));
-    if (answer.results.size() != 1) {
-        return leaf::new_error(load_error{"pool " + pool + ": a read returned no result"});
+    for (int attempt = 0; attempt < max_wrong_answers; ++attempt) {
+        BOOST_LEAF_AUTO(answer, repeat(pool, body));
+        if (answer.results.size() != 1) {
+            return leaf::new_error(load_error{"pool " + pool + ": a read returned no result"});
+        }
+        if (is_own_answer(pool, echo, answer.results.front())) {
+            return std::move(answer.results.front());
+        }
     }
-    const api_result& result = answer.results.front();
+    return leaf::new_error(
+        load_error{"pool " + pool + ": the final read got only answers of other requests"});
+}
+
+leaf::result<std::size_t> fleet_reader::read_page(const std::string& pool, const std::string& echo,
+                                                  const nlohmann::json& statements,
+                                                  const row_handler& handle) {
+    BOOST_LEAF_AUTO(result, read_own_rows(pool, echo, statements));
     for (std::size_t row = 0; row < result.rows.size(); ++row) {
-        if (result.get_cell(row, 0) != echo) {
-            return leaf::new_error(
-                load_error{"pool " + pool + ": the final read got the answer of another request"});
-        }
         handle(result, row);
     }
     return result.rows.size();
--- a/src/load/fleet_reader.h
+++ b/src/load/fleet_reader.h
@@ -6,7 +6,9 @@
 #include <functional>
 #include <nlohmann/json.hpp>
 #include <string>
+#include <vector>
 
+#include "load/answer_record.h"
 #include "load/caller_client.h"
 #include "load/final_state.h"
 #include "load/load_settings.h"
@@ -23,13 +25,22 @@
     /** Creates and fills the tables of one pool. Fails with load_error. */
     boost::leaf::result<void> prepare(const std::string& pool);
 
-    /** Reads all rows of one pool strictly. Fails with load_error. */
+    /**
+     * Reads all rows of one pool strictly. Reads again what was answered with the rows of another
+     * request. Fails with load_error.
+     */
     boost::leaf::result<final_state> read(const std::string& pool);
 
+    /** Returns the answers to other requests that reads got, and forgets them. */
+    std::vector<answer_record> take_wrong_answers();
+
 private:
     using row_handler = std::function<void(const api_result& result, std::size_t row)>;
 
     boost::leaf::result<api_answer> repeat(const std::string& pool, const nlohmann::json& body);
+    boost::leaf::result<api_result> read_own_rows(const std::string& pool, const std::string& echo,
+                                                  const nlohmann::json& statements);
+    bool is_own_answer(const std::string& pool, const std::string& echo, const api_result& result);
     boost::leaf::result<std::size_t> read_page(const std::string& pool, const std::string& echo,
                                                const nlohmann::json& statements,
                                                const row_handler& handle);
@@ -43,6 +54,7 @@
     caller_client& client_;
     std::uint64_t next_echo_ = 0;
     std::size_t next_proxy_ = 0;
+    std::vector<answer_record> wrong_answers_;
 };
 
 }  // namespace hornbeamhook::load
--- a/src/load/load_run.cpp
+++ b/src/load/load_run.cpp
@@ -62,6 +62,8 @@
         seen.append(caller->take_history());
         statistics.append(caller->take_statistics());
     }
+    seen.answers.insert(seen.answers.end(), wrong_final_answers_.begin(),
+                        wrong_final_answers_.end());
     seen.events = events_.get_events();
     const check_result checked = check_history(seen, pools);
     nlohmann::json report = make_report({settings_, seen, statistics, checked,
@@ -168,6 +170,7 @@
         }
         pools.emplace(pool, std::move(state));
     }
+    wrong_final_answers_ = reader.take_wrong_answers();
     return pools;
 }
 
--- a/src/load/load_run.h
+++ b/src/load/load_run.h
@@ -46,6 +46,7 @@
     std::unique_ptr<transport::http_server> control_;
     std::vector<std::unique_ptr<session>> sessions_;
     std::atomic<std::uint64_t> next_arrival_ = 0;
+    std::vector<answer_record> wrong_final_answers_;
 };
 
 }  // namespace hornbeamhook::load
--- a/tests/process/fake_proxy.py
+++ b/tests/process/fake_proxy.py
@@ -21,6 +21,7 @@
         self.transactions = {}
         self.next_transaction = 0
         self.answered = 0
+        self.has_crossed = False
         outer = self
 
         class Handler(http.server.BaseHTTPRequestHandler):
@@ -120,6 +121,10 @@
         self.answered += 1
         if self.defect == "wrong_answers" and self.answered % 20 == 0 and "number" not in text:
             results[-1][0][0] = "someone else's"
+        # Only the read of all stock rows after the run selects these columns.
+        if self.defect == "wrong_final_answer" and "item, version" in text and not self.has_crossed:
+            self.has_crossed = True
+            results[-1][0][0] = "someone else's"
         return self.ok(results)
 
     def execute(self, statements):
--- a/tests/process/test_load_tool.py
+++ b/tests/process/test_load_tool.py
@@ -75,6 +75,12 @@
                 self.assertEqual(code, 1, output)
                 self.assertGreater(report["violations"][defect], 0, output)
 
+    def test_counts_a_wrong_answer_to_a_final_read(self):
+        # Guards against a run that ends without a report when the last reads show the violation.
+        code, report, output = self.run_with("wrong_final_answer")
+        self.assertEqual(code, 1, output)
+        self.assertEqual(report["violations"]["wrong_answers"], 1, output)
+
     def test_bad_settings_name_the_field(self):
         # Guards against a run with settings that were misunderstood.
         with tempfile.NamedTemporaryFile("w", suffix=".json") as file:
