--- a/scripts/fleet.py
+++ b/scripts/fleet.py
@@ -5,6 +5,7 @@
 """
 
 import argparse
+import functools
 import hashlib
 import http.client
 import json
@@ -17,6 +18,7 @@
 import subprocess
 import sys
 import tempfile
+import threading
 import time
 
 ROOT = os.path.dirname(os.path.dirname(os.path.abspath(__file__)))
@@ -25,7 +27,8 @@
 # Ports are taken below the range the kernel uses for outgoing connections, so that a restarted
 # process finds its port free.
 FIRST_PORT = 12000
-LAST_PORT = 31000
+LAST_PORT = 32000
+PORT_BLOCK = 1000
 
 CREDENTIAL = "load-caller-credential"
 OPERATOR_CREDENTIAL = "operator-credential"
@@ -213,23 +216,47 @@
 
 
 class PortAllocator:
-    """Hands out free loopback ports, each once."""
+    """Hands out free loopback ports of one block, which only this process uses."""
 
     def __init__(self):
-        self.next = random.SystemRandom().randrange(FIRST_PORT, LAST_PORT)
+        self.lock = threading.Lock()
+        self.guard = None
+        first_ports = list(range(FIRST_PORT, LAST_PORT, PORT_BLOCK))
+        random.SystemRandom().shuffle(first_ports)
+        for first in first_ports:
+            guard = socket.socket()
+            try:
+                guard.bind(("127.0.0.1", first))
+            except OSError:
+                guard.close()
+                continue
+            # Held for the life of the process: several programs start fleets at the same time, and
+            # a port is only in use once the process it was taken for listens on it.
+            self.guard = guard
+            self.first = first
+            self.next = first
+            return
+        raise FleetError("no free block of ports")
 
     def take(self):
-        for _ in range(LAST_PORT - FIRST_PORT):
-            self.next = FIRST_PORT + (self.next + 1 - FIRST_PORT) % (LAST_PORT - FIRST_PORT)
-            with socket.socket() as probe:
-                try:
-                    probe.bind(("127.0.0.1", self.next))
-                except OSError:
-                    continue
-            return "127.0.0.1:%d" % self.next
+        with self.lock:
+            for _ in range(PORT_BLOCK):
+                self.next = self.first + 1 + (self.next - self.first) % (PORT_BLOCK - 1)
+                with socket.socket() as probe:
+                    try:
+                        probe.bind(("127.0.0.1", self.next))
+                    except OSError:
+                        continue
+                return "127.0.0.1:%d" % self.next
         raise FleetError("no free port")
 
 
+@functools.cache
+def get_ports():
+    """The allocator that all fleets of this process share."""
+    return PortAllocator()
+
+
 class Fleet:
     """All processes of one deployment. Use as a context manager."""
 
@@ -260,7 +287,7 @@
         self.directory = directory or tempfile.mkdtemp(prefix="hornbeamhook-fleet-")
         os.makedirs(self.directory, exist_ok=True)
         self.processes = {}
-        self.ports = PortAllocator()
+        self.ports = get_ports()
         self.links = []
         self.version = 0
         self.place_everything()
--- a/scripts/measure.py
+++ b/scripts/measure.py
@@ -6,6 +6,7 @@
 """
 
 import argparse
+import concurrent.futures
 import itertools
 import json
 import os
@@ -14,6 +15,7 @@
 import statistics
 import subprocess
 import sys
+import threading
 import time
 
 sys.path.insert(0, os.path.dirname(os.path.abspath(__file__)))
@@ -24,7 +26,11 @@
 # Statement time at the target, chosen so that nine targets reach their capacity long before this
 # machine does: 3 slots x 25 statements/s.
 OVERLOAD_STATEMENT_US = 40000
-GAP_LIMIT_S = 30
+LOSSES = ("killed", "stopped", "partitioned", "silent connections")
+# Bound of docs/design.md, section 1.
+MAX_GAP_MS = 6000
+# Between two looks at the version of a proxy; an upper bound of what a look adds to a figure.
+VERSION_LOOK_S = 0.02
 
 
 class Measurement:
@@ -33,6 +39,8 @@
         self.duration = arguments.duration
         self.violations = 0
         self.rounds = arguments.rounds
+        self.parallel = arguments.parallel
+        self.change_count = arguments.changes
 
     def print_header(self, name, text):
         print("## %s\n" % text)
@@ -253,35 +261,53 @@
     def failover(self):
         self.print_header("failover", "Failover gap per kind of loss")
         print(
-            "From the loss to the first acknowledged write that began after it; %d losses of each "
-            "kind, each with a fresh fleet, so that hysteresis adds nothing.\n" % self.rounds
+            "From the loss to the first acknowledged write that began after it; 3 losses in each of "
+            "%d fleets, one per pool, so that hysteresis adds nothing. %d fleets at a time. The "
+            "store is down (it does not answer) from before the loss in the rows that say so.\n"
+            % (self.rounds, self.parallel)
+        )
+        print("| deployment | store | kind of loss | losses | p50 ms | max ms", end="")
+        print(" | over 6 s | without a write within the run | violations |")
+        print("|---|---|---|---|---|---|---|---|---|")
+        for deployment, store in itertools.product(DEPLOYMENTS, ("up", "down")):
+            for label in LOSSES:
+                with concurrent.futures.ThreadPoolExecutor(self.parallel) as executor:
+                    rounds = executor.map(
+                        lambda number: self.lose_primaries(deployment, store, label, number),
+                        range(self.rounds),
+                    )
+                    reports = [report for fleet_reports in rounds for report in fleet_reports]
+                self.print_failover_row(deployment, store, label, reports)
+
+    def lose_primaries(self, deployment, store, label, number):
+        reports = []
+        with fleet_module.Fleet(deployment, lag_ms=20, seed=self.seed + number) as fleet:
+            if store == "down":
+                fleet.platform_fault(outage="hang")
+            for pool in fleet.pools:
+                reports.append(self.lose_one(fleet, pool, label))
+                fleet.fault("*", "restore")
+        return reports
+
+    @staticmethod
+    def print_failover_row(deployment, store, label, reports):
+        gaps = [report["failover_gap_ms"] for report in reports]
+        known = [gap for gap in gaps if gap is not None]
+        print(
+            "| %s | %s | %s | %d | %s | %s | %d | %d | %d |"
+            % (
+                deployment,
+                store,
+                label,
+                len(gaps),
+                "%.0f" % statistics.median(known) if known else "-",
+                "%.0f" % max(known) if known else "-",
+                sum(gap > MAX_GAP_MS for gap in known),
+                len(gaps) - len(known),
+                sum(report["violations_total"] for report in reports),
+            ),
+            flush=True,
         )
-        print("| kind of loss | p50 ms | max ms | losses without a write within the run | violations |")
-        print("|---|---|---|---|---|")
-        for label in ("killed", "stopped", "partitioned", "silent connections"):
-            gaps, missing, violations = [], 0, 0
-            for number in range(self.rounds):
-                with fleet_module.Fleet("nile_horn", lag_ms=20, seed=self.seed + number) as fleet:
-                    for pool in fleet.pools:
-                        report = self.lose_one(fleet, pool, label)
-                        violations += report["violations_total"]
-                        gap = report["failover_gap_ms"]
-                        missing += gap is None
-                        if gap is not None:
-                            gaps.append(gap)
-                        fleet.fault("*", "restore")
-            print(
-                "| %s | %s | %s | %d of %d | %d |"
-                % (
-                    label,
-                    "%.0f" % statistics.median(gaps) if gaps else "-",
-                    "%.0f" % max(gaps) if gaps else "-",
-                    missing,
-                    missing + len(gaps),
-                    violations,
-                ),
-                flush=True,
-            )
 
     def lose_one(self, fleet, pool, label):
         load = fleet.start_load(
@@ -451,48 +477,135 @@
             )
         )
 
-    def get_versions(self, fleet):
-        versions = []
-        for proxy in fleet.proxies.values():
-            status = fleet_module.call_http(
-                proxy["address"],
-                "GET",
-                "/internal/v1/status",
-                headers={"X-Hornbeamhook-Fleet": fleet_module.FLEET_SECRET},
-            )[1]
-            versions.append(status["configuration_version"])
-        return versions
-
     def changes(self):
         self.print_header("changes", "Time until a configuration change is in force on 8 proxies")
-        spans = []
-        with fleet_module.Fleet("nile_horn", seed=self.seed) as fleet:
-            pool = fleet.pools[0]
-            until = time.monotonic() + self.duration
-            while time.monotonic() < until:
-                version = fleet.change_configuration(
-                    [{"kind": "pool", "name": pool, "value": {"queue_length": 200 + len(spans) % 50}}]
-                )
-                began = time.monotonic()
-                fleet_module.wait_for(
-                    lambda: min(self.get_versions(fleet)) >= version, 10, "version %d" % version
-                )
-                spans.append((time.monotonic() - began) * 1000)
-        spans.sort()
-        print("| changes | p50 ms | p99 ms | max ms | over 3 s |")
-        print("|---|---|---|---|---|")
         print(
-            "| %d | %.0f | %.0f | %.0f | %d |"
+            "One change each 100 ms. A change is in force when every proxy reports its version; each "
+            "proxy is asked every %d ms, which is part of the figures. While a proxy is cut off from "
+            "the store and all peers (5 s of every 20 s) it refuses work and does not count; "
+            "afterwards it must report the newest version.\n" % (VERSION_LOOK_S * 1000)
+        )
+        print("| store | changes | p50 ms | p99 ms | max ms | over 3 s | reverted versions", end="")
+        print(" | return of the cut-off proxy, max ms |")
+        print("|---|---|---|---|---|---|---|---|")
+        cases = (
+            ("up", {}, False),
+            ("500 ms slower", {"latency_ms": 500}, False),
+            ("up, one proxy cut off at times", {}, True),
+        )
+        for label, faults, cuts in cases:
+            with fleet_module.Fleet("nile_horn", seed=self.seed) as fleet:
+                if faults:
+                    fleet.platform_fault(**faults)
+                self.measure_changes(fleet, label, cuts)
+
+    def measure_changes(self, fleet, label, cuts):
+        watch = VersionWatch(fleet)
+        committed, returns = [], []
+        cut_proxy = list(fleet.proxies)[-1]
+        began = time.monotonic()
+        cut_at = None
+        for number in range(self.change_count):
+            elapsed = time.monotonic() - began
+            if cuts and cut_at is None and elapsed % 20 > 10 and elapsed % 20 < 14:
+                cut_at = time.monotonic()
+                watch.exclude(cut_proxy)
+                fleet.fault([cut_proxy + ">*", "*>" + cut_proxy], "cut")
+            if cut_at is not None and time.monotonic() - cut_at > 5:
+                fleet.fault("*", "restore")
+                returns.append(watch.wait_back(cut_proxy, fleet.version))
+                cut_at = None
+            version = fleet.change_configuration(
+                [{"kind": "pool", "name": fleet.pools[0], "value": {"queue_length": 200 + number % 50}}]
+            )
+            committed.append((version, time.monotonic()))
+            time.sleep(max(0, began + (number + 1) * 0.1 - time.monotonic()))
+        if cut_at is not None:
+            fleet.fault("*", "restore")
+            returns.append(watch.wait_back(cut_proxy, fleet.version))
+        spans = sorted(1000 * span for span in watch.finish(committed))
+        self.violations += watch.reverted + sum(span > 3000 for span in spans)
+        print(
+            "| %s | %d | %.0f | %.0f | %.0f | %d | %d | %s |"
             % (
+                label,
                 len(spans),
                 statistics.median(spans),
-                spans[int(len(spans) * 0.99)] if spans else 0,
+                spans[int(len(spans) * 0.99)],
                 spans[-1],
                 sum(span > 3000 for span in spans),
-            )
+                watch.reverted,
+                "%.0f" % (1000 * max(returns)) if returns else "-",
+            ),
+            flush=True,
         )
 
 
+class VersionWatch:
+    """Asks every proxy for its configuration version, one thread each, and keeps when it rose."""
+
+    def __init__(self, fleet):
+        self.fleet = fleet
+        self.lock = threading.Lock()
+        self.seen = {name: [] for name in fleet.proxies}  # (version, time) of each rise
+        self.excluded = {name: [] for name in fleet.proxies}  # (from, until)
+        self.reverted = 0
+        self.is_stopping = False
+        self.threads = [threading.Thread(target=self.run, args=(name,)) for name in fleet.proxies]
+        for thread in self.threads:
+            thread.start()
+
+    def run(self, name):
+        version = 0
+        address = self.fleet.proxies[name]["address"]
+        headers = {"X-Hornbeamhook-Fleet": fleet_module.FLEET_SECRET}
+        while not self.is_stopping:
+            now = fleet_module.call_http(
+                address, "GET", "/internal/v1/status", headers=headers
+            )[1]["configuration_version"]
+            with self.lock:
+                self.reverted += now < version
+                if now > version:
+                    self.seen[name].append((now, time.monotonic()))
+            version = now
+            time.sleep(VERSION_LOOK_S)
+
+    def exclude(self, name):
+        with self.lock:
+            self.excluded[name].append([time.monotonic(), float("inf")])
+
+    def wait_back(self, name, version):
+        """Waits until the proxy reports `version`; returns the seconds since this call."""
+        began = time.monotonic()
+        fleet_module.wait_for(
+            lambda: self.seen[name] and self.seen[name][-1][0] >= version, 30, name + " to return"
+        )
+        with self.lock:
+            self.excluded[name][-1][1] = time.monotonic()
+        return time.monotonic() - began
+
+    def finish(self, committed):
+        """Seconds from each commit until the last proxy that counts reported the version."""
+        last = committed[-1][0]
+        fleet_module.wait_for(
+            lambda: all(seen and seen[-1][0] >= last for seen in self.seen.values()),
+            30,
+            "the last version everywhere",
+        )
+        self.is_stopping = True
+        for thread in self.threads:
+            thread.join()
+        return [self.get_span(version, at) for version, at in committed]
+
+    def get_span(self, version, at):
+        span = 0.0
+        for name, seen in self.seen.items():
+            if any(start - 1 < at < until for start, until in self.excluded[name]):
+                continue
+            span = max(span, next(when for number, when in seen if number >= version) - at)
+        return span
+
+
 def main():
     names = ("replica_share", "strict_reads", "goodput", "layouts", "failover", "direct", "control", "changes")
     parser = argparse.ArgumentParser(
@@ -502,6 +615,8 @@
     parser.add_argument("--seed", type=int, default=1)
     parser.add_argument("--duration", type=float, default=12, help="seconds of each load")
     parser.add_argument("--rounds", type=int, default=1, help="fleets per kind of loss")
+    parser.add_argument("--parallel", type=int, default=1, help="fleets at a time (failover)")
+    parser.add_argument("--changes", type=int, default=1000, help="configuration changes (changes)")
     arguments = parser.parse_args()
     measurement = Measurement(arguments)
     getattr(measurement, arguments.measurement)()
