Ask any home for the primary when a proxy knows none

Cause: a proxy that polls no target of a pool learns its primary only from the answers of homes. On an idle machine proxies start as homes of everything and learn the primaries then, which hid the fault.

Change: with an unknown primary a write goes to any home of the pool, which refuses it before it is queued and names the primary in the answer.

--- a/src/coordination/routing.cpp
+++ b/src/coordination/routing.cpp
@@ -88,7 +88,8 @@
         return {};
     }
     const std::optional<state::primary_view> primary = find_primary(view, request.pool);
-    const bool is_primary_only = request.is_write || request.must_use_primary;
+    // Homes poll the group, so any of them can name the primary to a proxy that does not know it.
+    const bool is_primary_only = primary && (request.is_write || request.must_use_primary);
     std::vector<std::pair<route_rank, route_candidate>> ranked;
     for (const state::target_description& target : pool->targets) {
         const bool is_primary = primary && primary->target == target.name;
--- a/src/coordination/routing.h
+++ b/src/coordination/routing.h
@@ -32,9 +32,10 @@
 };
 
 /**
- * Ways to serve a request, best first. Writes go to the primary only. Reads go to the nearest
- * replica that can satisfy them, then to other replicas, then to the primary. Leaving targets and
- * leaving proxies are left out.
+ * Ways to serve a request, best first. Writes go to the primary only; while no primary is known
+ * they go to any home, which refuses them and names the primary. Reads go to the nearest replica
+ * that can satisfy them, then to other replicas, then to the primary. Leaving targets and leaving
+ * proxies are left out.
  */
 std::vector<route_candidate> plan_route(const state::fleet_view& view,
                                         const route_request& request);
