Split the configuration into one file pair per type; find callers by hash without a scan

Objects, principals, pools and changes have file pairs of their own now.

Cause of the second change: every request looked its caller up by walking over all callers. principal_table keeps an index by credential hash, so that the lookup does not grow with the number of callers; the check that no two callers share a credential uses it as well. The cost was not measured.

84 tests of configuration, commands and entry passed.

--- a/src/ctl/change_builder.cpp
+++ b/src/ctl/change_builder.cpp
@@ -177,10 +177,10 @@
             part.token_keys.insert(*it);
         }
     } else {
-        const auto& from = kind == "caller" ? config.callers : config.operators;
-        const auto it = from.find(name);
-        if (it != from.end()) {
-            (kind == "caller" ? part.callers : part.operators).insert(*it);
+        const state::principal_table& from = kind == "caller" ? config.callers : config.operators;
+        const auto it = from.get_all().find(name);
+        if (it != from.get_all().end()) {
+            (kind == "caller" ? part.callers : part.operators).put(it->second);
         }
     }
     const json snapshot = state::to_json(part);
--- a/src/ctl/executor.cpp
+++ b/src/ctl/executor.cpp
@@ -626,11 +626,12 @@
 
 leaf::result<void> executor::authorise(const std::string& kind, const std::string& name) {
     // Before the first operator exists, anyone who reaches the store may set the fleet up.
-    if (latest_.operators.empty()) {
+    if (latest_.operators.get_all().empty()) {
         return {};
     }
-    const auto it = latest_.operators.find(settings_.operator_name);
-    const bool is_known = it != latest_.operators.end() && !settings_.credential.empty() &&
+    const state::principal_table::name_map& operators = latest_.operators.get_all();
+    const auto it = operators.find(settings_.operator_name);
+    const bool is_known = it != operators.end() && !settings_.credential.empty() &&
                           it->second.credential_hash == hash_credential(settings_.credential);
     const std::string pool = get_pool_of(kind, name);
     if (is_known && it->second.is_allowed(pool, true)) {
--- a/tests/proxy/entry_service_test.cpp
+++ b/tests/proxy/entry_service_test.cpp
@@ -55,8 +55,8 @@
                     view.homes[std::string(name) + "/" + each] = {view.self};
                 }
             }
-            config->callers["shop"] = {"shop", protocol::hash_text("secret"), {{"*", true, true}}};
-            config->callers["van"] = {"van", protocol::hash_text("van"), {{"p", true, false}}};
+            config->callers.put({"shop", protocol::hash_text("secret"), {{"*", true, true}}});
+            config->callers.put({"van", protocol::hash_text("van"), {{"p", true, false}}});
             config->token_keys["key1"] = {"key1", std::string(64, 'a')};
             view.config = config;
         });
