Read the store with two proxies per data centre

Cause: every proxy read the configuration head and the whole VM list each second, which ends at about 950 proxies, and wrote usage rows every 10 s whatever the size of the fleet.

Change: step_store_reading() decides what a proxy reads and when: store readers each interval, the others at their start, when asked, and while no peer was heard for 2 s. The VM list is read at an interval that keeps its answers below 1 KB/s. step_vm_notices() decides which live members a reader tells that the list speaks against them (POST /internal/v1/vm_entry); the receiver reads the list itself before it drains. A VM is registered before its first read of the list, and leaving is registered without a read. The usage interval grows with the live members above 1,000.

--- a/src/proxy/fleet_control.cpp
+++ b/src/proxy/fleet_control.cpp
@@ -48,8 +48,6 @@
 constexpr std::size_t max_recent_changes = 1024;
 /// Body of an answer with the head row.
 constexpr std::size_t head_bytes = 110;
-/// Field names and punctuation of one entry of the VM list.
-constexpr std::size_t vm_entry_bytes = 70;
 
 time_point get_now() {
     return std::chrono::steady_clock::now();
@@ -198,6 +196,9 @@
     if (request.path == "/internal/v1/planned_change" && request.method == "POST") {
         return answer_planned_change(request);
     }
+    if (request.path == "/internal/v1/vm_entry" && request.method == "POST") {
+        return answer_vm_notice(request);
+    }
     if (request.path == "/internal/v1/status" && request.method == "GET") {
         return answer_status();
     }
@@ -339,6 +340,23 @@
     return make_error(503, "unavailable", "no home of the target can be reached");
 }
 
+http_response fleet_control::answer_vm_notice(const http_request& request) {
+    std::string error;
+    const auto notice =
+        parse_body<protocol::vm_notice_message>(request, protocol::parse_vm_notice_message, error);
+    if (!notice) {
+        return reject(request, error);
+    }
+    const state::member self = get_view()->self;
+    if (notice->vm != self.vm || notice->incarnation != self.incarnation) {
+        return make_error(409, "not_home", "the notice is for another process");
+    }
+    // The notice may be older than this process's own reads of the list, which decide.
+    platform_->read_vms_now();
+    traffic_.store.add(request.body.size(), http_overhead);
+    return make_json(200, nlohmann::json::object());
+}
+
 http_response fleet_control::answer_status() {
     const std::optional<nlohmann::json> answer =
         ask_control([this]() -> nlohmann::json { return get_status(); });
@@ -364,7 +382,7 @@
     callbacks.on_configuration = [this](configuration_update update) {
         on_configuration(std::move(update));
     };
-    callbacks.on_vms = [this](const std::vector<protocol::vm_entry>& vms) { on_vms(vms); };
+    callbacks.on_vms = [this](const vm_list_update& update) { on_vms(update); };
     callbacks.on_reachability = [this](bool is_reachable) { on_reachability(is_reachable); };
     return callbacks;
 }
@@ -383,28 +401,56 @@
     });
 }
 
-void fleet_control::on_vms(const std::vector<protocol::vm_entry>& vms) {
-    std::vector<member> list = to_members(vms);
-    std::size_t bytes = 0;
-    for (const member& value : list) {
-        bytes += value.vm.size() + value.address.size() + value.place.size() +
-                 value.data_center.size() + vm_entry_bytes;
-    }
-    traffic_.store.add(bytes, http_overhead);
-    queue_.push([this, list = std::move(list)] {
-        follow_own_entry(list);
+void fleet_control::on_vms(const vm_list_update& update) {
+    traffic_.store.add(update.bytes, http_overhead);
+    queue_.push([this, list = to_members(update.entries), is_registered = update.is_registered] {
+        follow_own_entry(list, is_registered);
+        notify_vms(list);
         step_members(coordination::vm_list_received{list});
         step_confirmation(coordination::other_vms_listed{count_listed_others(members_)});
     });
 }
 
-void fleet_control::follow_own_entry(const std::vector<member>& list) {
+void fleet_control::notify_vms(const std::vector<member>& list) {
+    if (!is_store_reader_) {
+        return;
+    }
+    coordination::vm_notice_step step = coordination::step_vm_notices(
+        std::move(vm_notices_), members_.self, list, members_.live, get_now());
+    vm_notices_ = std::move(step.state);
+    for (coordination::vm_notice& notice : step.notices) {
+        workers_.try_submit([this, notice = std::move(notice)] {
+            const member& peer = notice.peer;
+            log_event(event_vm_notified,
+                      {{"vm", peer.vm}, {"listed", notice.is_missing ? "missing" : "leaving"}});
+            // Repeated after the next read of the list while it is needed.
+            leaf::try_handle_all(
+                [&] {
+                    return peers_.send_vm_notice(peer,
+                                                 {peer.vm, peer.incarnation, notice.is_missing});
+                },
+                [] {});
+        });
+    }
+}
+
+void fleet_control::assign_store_reader() {
+    const bool is_reader = coordination::is_store_reader(members_.self, members_.live);
+    if (is_reader == is_store_reader_) {
+        return;
+    }
+    is_store_reader_ = is_reader;
+    log_event(event_store_reader_changed, {{"is_reader", is_reader ? "true" : "false"}});
+    platform_->set_reading(is_reader);
+}
+
+void fleet_control::follow_own_entry(const std::vector<member>& list, bool is_registered) {
     const auto own = std::ranges::find(list, settings_.vm, &member::vm);
     if (own == list.end()) {
         return;
     }
     if (own->state != state::member_state::leaving) {
-        was_listed_live_ = true;
+        was_listed_live_ = was_listed_live_ || is_registered;
         return;
     }
     // Before this process was listed as live, the entry may be that of a predecessor that left.
@@ -468,8 +514,10 @@
         },
         [&](const state::state_error& error) {
             log_event(event_configuration_invalid, {{"peer", peer.vm}, {"reason", error.message}});
+            platform_->poll_now();
         },
-        [] {});
+        // The peer names a version that it does not hand out.
+        [this] { platform_->poll_now(); });
     queue_.push([this] { is_fetching_ = false; });
 }
 
@@ -518,6 +566,9 @@
 }
 
 void fleet_control::step_members(const coordination::membership_event& event) {
+    if (platform_ && std::holds_alternative<coordination::digest_received>(event)) {
+        platform_->note_peer();
+    }
     coordination::membership_step step =
         coordination::step_membership(std::move(members_), event, get_now());
     members_ = std::move(step.state);
@@ -527,6 +578,7 @@
         } else if (std::holds_alternative<coordination::live_members_changed>(action)) {
             log_event(event_members_changed, {{"live", std::to_string(members_.live.size())}});
             assign_homes();
+            assign_store_reader();
         } else if (const auto* newer = std::get_if<coordination::newer_version_seen>(&action)) {
             if (!is_fetching_) {
                 is_fetching_ =
@@ -632,6 +684,7 @@
             {"groups", std::move(groups["groups"])},
             {"homes", std::move(homes)},
             {"primaries", std::move(groups["primaries"])},
+            {"is_store_reader", is_store_reader_},
             {"pauses_seen", pauses_seen_},
             {"traffic", traffic_.get_json()}};
 }
--- a/src/proxy/fleet_control.h
+++ b/src/proxy/fleet_control.h
@@ -12,6 +12,7 @@
 
 #include "coordination/configuration_confirmation.h"
 #include "coordination/membership.h"
+#include "coordination/store_reading.h"
 #include "protocol/peer_messages.h"
 #include "protocol/proxy_settings.h"
 #include "protocol/table_client.h"
@@ -71,21 +72,25 @@
     transport::http_response answer_planned_change(const transport::http_request& request);
     transport::http_response change_primary(const protocol::planned_change_message& message);
     transport::http_response forward_change(protocol::planned_change_message message);
+    transport::http_response answer_vm_notice(const transport::http_request& request);
     transport::http_response answer_status();
 
     // Thread of platform_sync.
     platform_callbacks make_platform_callbacks();
     void on_configuration(configuration_update update);
-    void on_vms(const std::vector<protocol::vm_entry>& vms);
+    void on_vms(const vm_list_update& update);
     void on_reachability(bool is_reachable);
 
     // Worker threads.
-    /** Begins to leave when an operator drained this VM. */
-    void follow_own_entry(const std::vector<state::member>& list);
     void exchange_with(const coordination::send_digest& call);
     void fetch_configuration(const state::member& peer, std::uint64_t after);
 
     // Control thread.
+    /** Begins to leave when an operator drained this VM. */
+    void follow_own_entry(const std::vector<state::member>& list, bool is_registered);
+    /** Tells live members of entries in the VM list that speak against them. */
+    void notify_vms(const std::vector<state::member>& list);
+    void assign_store_reader();
     void run_control();
     void tick(state::time_point now);
     void drop_views();
@@ -122,6 +127,8 @@
     home_table homes_;
     group_control groups_;
     state::time_point next_exchange_{};
+    coordination::vm_notice_state vm_notices_;
+    bool is_store_reader_ = true;
     bool is_fetching_ = false;
     bool is_dirty_ = true;
     std::uint64_t pauses_seen_ = 0;
--- a/src/proxy/fleet_events.h
+++ b/src/proxy/fleet_events.h
@@ -27,5 +27,7 @@
                                                                 transport::event_severity::warning};
 
 inline constexpr transport::event_type event_vm_drained{2014, "vm_drained"};
+inline constexpr transport::event_type event_vm_notified{2020, "vm_notified"};
+inline constexpr transport::event_type event_store_reader_changed{2021, "store_reader_changed"};
 
 }  // namespace hornbeamhook::proxy
--- a/src/proxy/peer_client.cpp
+++ b/src/proxy/peer_client.cpp
@@ -81,6 +81,14 @@
     return {};
 }
 
+leaf::result<void> peer_client::send_vm_notice(const member& peer,
+                                               const protocol::vm_notice_message& notice) {
+    http_call request = make_call(peer, "/internal/v1/vm_entry", exchange_timeout);
+    request.body = to_json(notice).dump();
+    BOOST_LEAF_CHECK(call(request, traffic_.store));
+    return {};
+}
+
 leaf::result<http_response> peer_client::forward_change(
     const member& peer, const protocol::planned_change_message& message, milliseconds timeout) {
     http_call request = make_call(peer, planned_change_path, timeout);
--- a/src/proxy/peer_client.h
+++ b/src/proxy/peer_client.h
@@ -7,6 +7,7 @@
 
 #include "protocol/peer_messages.h"
 #include "protocol/proxy_settings.h"
+#include "protocol/vm_notice_message.h"
 #include "proxy/control_traffic.h"
 #include "state/member.h"
 #include "transport/http_client.h"
@@ -40,6 +41,10 @@
     boost::leaf::result<void> send_pause(const state::member& peer, const std::string& pool,
                                          bool is_paused);
 
+    /** Tells the peer what the VM list shows of it. */
+    boost::leaf::result<void> send_vm_notice(const state::member& peer,
+                                             const protocol::vm_notice_message& notice);
+
     /** Hands a planned change to a poller of the group and returns its whole answer. */
     boost::leaf::result<transport::http_response> forward_change(
         const state::member& peer, const protocol::planned_change_message& message,
--- a/src/proxy/proxy_server.cpp
+++ b/src/proxy/proxy_server.cpp
@@ -201,6 +201,7 @@
         }
         if (count % ticks_per_maintenance == 0) {
             sessions.maintain();
+            usage.set_live_members(fleet.get_view()->live_members.size());
         }
         lock.lock();
     }
--- a/src/proxy/usage_recorder.cpp
+++ b/src/proxy/usage_recorder.cpp
@@ -7,6 +7,7 @@
 #include <thread>
 #include <utility>
 
+#include "coordination/store_reading.h"
 #include "protocol/table_client.h"
 #include "proxy/usage_ledger.h"
 #include "transport/log_event.h"
@@ -21,7 +22,6 @@
                                              transport::event_severity::warning};
 
 constexpr const char* usage_table = "usage";
-constexpr std::chrono::seconds write_interval{10};
 constexpr std::size_t rows_per_write = 50;
 // One row needs about 1 KB; the bound holds a day of store outage at today's size.
 constexpr std::size_t max_rows = 20'000;
@@ -49,6 +49,7 @@
     std::condition_variable has_changed;
     usage_ledger ledger;
     bool is_stopping = false;
+    std::size_t live_members = 1;
     bool has_failed = false;
     std::thread thread;
 
@@ -71,6 +72,11 @@
     implementation_->ledger.record(sample, hour);
 }
 
+void usage_recorder::set_live_members(std::size_t count) {
+    const std::scoped_lock lock(implementation_->mutex);
+    implementation_->live_members = count;
+}
+
 void usage_recorder::start() {
     implementation_->thread = std::thread([self = implementation_.get()] { self->run(); });
 }
@@ -88,7 +94,8 @@
 
 void usage_recorder::implementation::run() {
     std::unique_lock lock(mutex);
-    while (!has_changed.wait_for(lock, write_interval, [this] { return is_stopping; })) {
+    while (!has_changed.wait_for(lock, coordination::get_usage_interval(live_members),
+                                 [this] { return is_stopping; })) {
         lock.unlock();
         const bool is_written = write_all();
         if (!is_written && !has_failed) {
--- a/src/proxy/usage_recorder.h
+++ b/src/proxy/usage_recorder.h
@@ -21,7 +21,7 @@
 
 /**
  * Counts requests per pool, caller, place and hour, and writes cumulative rows to the table
- * service every 10 s. Rows are overwritten, so nothing is counted twice.
+ * service at coordination::get_usage_interval(). Rows are overwritten, so nothing is counted twice.
  */
 class usage_recorder {
 public:
@@ -33,6 +33,9 @@
     /** Counts one request. Thread safe, does not block on I/O. */
     void record(const usage_sample& sample);
 
+    /** The size of the fleet, which sets the interval of writes. Thread safe. */
+    void set_live_members(std::size_t count);
+
     /** Starts the writer thread. */
     void start();
 
