Poll a group with two active pollers and the others on standby

Cause: all pollers of a group polled each target every 250 ms, which passes the traffic budget at the two-year size.

Change: the first two pollers by rank keep heartbeat_interval, the others poll at standby_heartbeat_interval, on demand, and quickly while their view is doubtful. Failover decisions assumed polls of at most 250 ms of age: - a poller asks the others at the first failed poll of a target, not only when it has evidence; - a poller whose polls are older than 500 ms gives no observation, and the answer withdraws what it said before; - a majority of the answers that is not a majority of all pollers counts 100 ms after the first question, so that two active pollers with a shared fault do not decide before the others polled.

--- a/src/coordination/failover.cpp
+++ b/src/coordination/failover.cpp
@@ -23,6 +23,10 @@
 constexpr milliseconds suspicion_interval{100};
 /// Observations older than this do not count.
 constexpr milliseconds observation_validity{1000};
+/// A poller whose polls are older does not speak for a primary: a standby poller did not look.
+constexpr milliseconds answer_freshness{500};
+/// Pollers that were asked get this long to poll before a majority of the answers decides alone.
+constexpr milliseconds on_demand_time{100};
 /// When replicas still hear the primary, all pollers must agree for this long.
 constexpr milliseconds contradicted_delay{1500};
 /// Fence and promote calls without answer are repeated after this time.
@@ -147,6 +151,11 @@
     if (counts.is_newer_known || !is_majority) {
         return false;
     }
+    const bool is_majority_of_all =
+        static_cast<std::size_t>(counts.agreed) * 2 > state.pollers.vms.size();
+    if (!is_majority_of_all && now - state.suspected_at < on_demand_time) {
+        return false;
+    }
     return !counts.is_contradicted ||
            (state.agreed_since && now - *state.agreed_since >= contradicted_delay);
 }
@@ -258,9 +267,13 @@
 void advance_watching(failover_state& state, time_point now, action_list& actions) {
     if (has_evidence(state.evidence)) {
         state.phase = failover_phase::suspecting;
+        state.suspected_at = now;
         ask(state, now, actions);
         return;
     }
+    if (state.evidence.is_target_failing && now - state.asked_at >= suspicion_interval) {
+        ask(state, now, actions);
+    }
     if (state.planned) {
         advance_planned(state, now, actions);
     }
@@ -544,6 +557,11 @@
     });
 }
 
+void apply(failover_state& state, const observation_withdrawn& event, time_point /*now*/,
+           action_list& /*actions*/) {
+    state.observations.erase(event.observer);
+}
+
 void apply(failover_state& state, const term_call_ended& event, time_point now,
            action_list& actions) {
     // Answers to an earlier attempt say nothing about this one.
@@ -679,6 +697,14 @@
     return {std::move(state), std::move(actions)};
 }
 
+std::optional<primary_observation> answer_observation(const failover_state& state, time_point now) {
+    const group_evidence& evidence = state.evidence;
+    const bool is_recent =
+        evidence.is_primary_unreachable || now - evidence.primary_reached_at <= answer_freshness ||
+        (evidence.is_contradicted && now - evidence.contradicted_at <= answer_freshness);
+    return is_recent ? get_observation(state, now) : std::nullopt;
+}
+
 std::optional<primary_observation> get_observation(const failover_state& state, time_point now) {
     if (!state.evidence.primary) {
         return std::nullopt;
--- a/src/coordination/failover.h
+++ b/src/coordination/failover.h
@@ -71,6 +71,11 @@
     primary_observation observation;
 };
 
+/** Another poller answered that it has no observation that is recent enough. */
+struct observation_withdrawn {
+    std::string observer;
+};
+
 /** How a fence or promote call ended. */
 enum class call_outcome {
     accepted,
@@ -100,8 +105,8 @@
 };
 
 using failover_event =
-    std::variant<evidence_updated, pollers_assigned, observation_received, term_call_ended,
-                 failover_checked, claim_dropped, change_requested>;
+    std::variant<evidence_updated, pollers_assigned, observation_received, observation_withdrawn,
+                 term_call_ended, failover_checked, claim_dropped, change_requested>;
 
 /** Ask the other pollers about the primary, or tell them of a new one: both make them poll. */
 struct ask_observations {
@@ -181,6 +186,7 @@
     std::optional<state::primary_view> lost;  ///< The primary to be replaced.
     state::time_point last_reached{};         ///< Of the lost primary.
     state::time_point asked_at{};
+    state::time_point suspected_at{};  ///< When the others were first asked to confirm a loss.
     std::optional<state::time_point> agreed_since;  ///< All pollers call it unreachable since.
     state::time_point declared_at{};
     state::time_point claim_due{};
@@ -231,7 +237,15 @@
                             state::time_point now,
                             const failover_rules& rules = standard_failover_rules);
 
-/** This poller's answer to another one's question. Pure. */
+/**
+ * This poller's answer to another one's question: empty when its polls are too old to speak for or
+ * against the primary. A standby poller answers so until the polls that the question causes end.
+ * Pure.
+ */
+std::optional<primary_observation> answer_observation(const failover_state& state,
+                                                      state::time_point now);
+
+/** What this poller knows of the primary, however old. Pure. */
 std::optional<primary_observation> get_observation(const failover_state& state,
                                                    state::time_point now);
 
--- a/src/coordination/group_monitor.cpp
+++ b/src/coordination/group_monitor.cpp
@@ -21,6 +21,10 @@
 constexpr milliseconds stranded_delay{2000};
 /// Ages reported right after a pause of the replicas themselves vanish within this time.
 constexpr milliseconds cut_off_delay{100};
+/// The other pollers are warned of this many failed polls in a row.
+constexpr int warned_failures = 2;
+/// A target that fails longer is a known failure; as many polls are repeated quickly.
+constexpr int doubtful_failures = 20;
 
 bool is_current(const target_view& target, time_point now) {
     return target.status && target.consecutive_failures == 0 &&
@@ -277,12 +281,24 @@
     return {std::move(state), std::move(actions)};
 }
 
+bool is_doubtful(const group_monitor_state& state) {
+    const bool is_failing = std::ranges::any_of(state.view.targets, [](const auto& entry) {
+        return entry.second.consecutive_failures > 0 &&
+               entry.second.consecutive_failures <= doubtful_failures;
+    });
+    return is_failing || !state.view.primary || state.cut_off_since || state.superseded_since ||
+           state.no_primary_since || state.stranded_since;
+}
+
 group_evidence get_evidence(const group_monitor_state& state, time_point now) {
     group_evidence evidence;
     evidence.primary = state.view.primary;
     evidence.majority = state.view.majority;
     for (const auto& [name, target] : state.view.targets) {
         evidence.targets.push_back(name);
+        evidence.is_target_failing =
+            evidence.is_target_failing ||
+            (target.consecutive_failures > 0 && target.consecutive_failures <= warned_failures);
         if (target.status) {
             evidence.highest_term = std::max(
                 {evidence.highest_term, target.status->accepted_term, target.status->follow_term});
@@ -296,6 +312,7 @@
             target.status->follow_term == state.view.primary->term &&
             *target.status->primary_contact < contact_alive_age) {
             evidence.is_contradicted = true;
+            evidence.contradicted_at = std::max(evidence.contradicted_at, target.poll_ended);
         }
     }
     if (state.view.primary) {
--- a/src/coordination/group_monitor.h
+++ b/src/coordination/group_monitor.h
@@ -99,6 +99,13 @@
 group_monitor_step step_group_monitor(group_monitor_state state, const group_event& event,
                                       state::time_point now);
 
+/**
+ * Whether something in the view may become evidence: no primary is known, a condition of a loss
+ * holds but has not lasted yet, or a target failed a few polls. A target that failed for long does
+ * not count any more. Pure.
+ */
+bool is_doubtful(const group_monitor_state& state);
+
 /** What one poller knows about a loss of the primary. */
 struct group_evidence {
     std::optional<state::primary_view> primary;
@@ -114,6 +121,10 @@
     bool is_without_primary = false;
     /// A replica was fenced by a claim that did not finish and refuses the primary's log.
     bool is_replica_stranded = false;
+    /// A target just failed its first polls: the other pollers should poll now, so that they can
+    /// confirm or refute a loss when this poller has evidence of one.
+    bool is_target_failing = false;
+    state::time_point contradicted_at{};     ///< End of the newest poll behind is_contradicted.
     state::time_point primary_reached_at{};  ///< End of the last answered poll of the primary.
     state::term_number highest_term = 0;     ///< Over all accepted and followed terms seen.
 
--- a/src/coordination/poll_schedule.cpp
+++ b/src/coordination/poll_schedule.cpp
@@ -57,8 +57,18 @@
     }
 }
 
+void apply(poll_schedule_state& state, const heartbeat_changed& event, time_point /*now*/,
+           std::vector<schedule_action>& /*actions*/) {
+    state.heartbeat_interval = event.interval;
+}
+
 }  // namespace
 
+milliseconds get_heartbeat(std::size_t rank, bool is_doubtful,
+                           const heartbeat_intervals& intervals) {
+    return rank < active_pollers || is_doubtful ? intervals.active : intervals.standby;
+}
+
 time_point get_next_check(const poll_schedule_state& state, bool has_waiters) {
     if (state.failures > 0) {
         const bool is_quick = state.failures <= max_quick_failures;
--- a/src/coordination/poll_schedule.h
+++ b/src/coordination/poll_schedule.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <chrono>
+#include <cstddef>
 #include <optional>
 #include <variant>
 #include <vector>
@@ -22,13 +23,35 @@
     bool has_waiters = false;  ///< Readers still wait for a later state of the group.
 };
 
-using schedule_event = std::variant<poll_requested, poll_finished, schedule_checked>;
+/** The poller became active or standby. */
+struct heartbeat_changed {
+    std::chrono::milliseconds interval{250};
+};
+
+using schedule_event =
+    std::variant<poll_requested, poll_finished, schedule_checked, heartbeat_changed>;
 
 /** Begin one poll now. */
 struct begin_poll {};
 
 using schedule_action = std::variant<begin_poll>;
 
+/** Pollers of a group that poll at the short interval: declaring a loss requires two to agree. */
+inline constexpr std::size_t active_pollers = 2;
+
+/** Idle poll intervals of a group's pollers. */
+struct heartbeat_intervals {
+    std::chrono::milliseconds active{250};
+    std::chrono::milliseconds standby{1000};
+};
+
+/**
+ * The interval for the poller of this rank. A standby poller that sees something doubtful polls
+ * like an active one until it is settled. Pure.
+ */
+std::chrono::milliseconds get_heartbeat(std::size_t rank, bool is_doubtful,
+                                        const heartbeat_intervals& intervals);
+
 /** When to poll one target: at most one poll in flight and one queued. */
 struct poll_schedule_state {
     std::chrono::milliseconds heartbeat_interval{250};
--- a/src/protocol/proxy_settings.cpp
+++ b/src/protocol/proxy_settings.cpp
@@ -1,5 +1,7 @@
 #include "protocol/proxy_settings.h"
 
+#include <algorithm>
+
 #include "state/json_reader.h"
 
 namespace hornbeamhook::protocol {
@@ -33,6 +35,9 @@
 void read_durations(state::json_reader& reader, proxy_settings& settings) {
     settings.heartbeat_interval =
         read_duration(reader, "heartbeat_interval_ms", settings.heartbeat_interval);
+    settings.standby_heartbeat_interval = milliseconds(reader.get_integer(
+        "standby_heartbeat_interval_ms", settings.heartbeat_interval.count(), max_interval_ms,
+        std::max(settings.heartbeat_interval, settings.standby_heartbeat_interval).count()));
     settings.probe_timeout = read_duration(reader, "probe_timeout_ms", settings.probe_timeout);
     settings.exchange_interval =
         read_duration(reader, "exchange_interval_ms", settings.exchange_interval);
--- a/src/protocol/proxy_settings.h
+++ b/src/protocol/proxy_settings.h
@@ -32,7 +32,8 @@
     int http_threads = 4;
     int reserved_connections = 6;  ///< Per target, for control connections of the whole fleet.
     std::size_t max_request_bytes = 1U << 20U;
-    std::chrono::milliseconds heartbeat_interval{250};
+    std::chrono::milliseconds heartbeat_interval{250};           ///< Polls by active pollers.
+    std::chrono::milliseconds standby_heartbeat_interval{1000};  ///< Polls by the other pollers.
     std::chrono::milliseconds probe_timeout{300};
     std::chrono::milliseconds exchange_interval{500};
     std::chrono::milliseconds member_timeout{3000};
--- a/src/proxy/group_control.cpp
+++ b/src/proxy/group_control.cpp
@@ -86,7 +86,7 @@
     }
     // The next question should find an answer that is not older than this one.
     it->second.slot->request_poll();
-    return get_observation(it->second.failover, get_now());
+    return answer_observation(it->second.failover, get_now());
 }
 
 void group_control::request_change(const protocol::planned_change_message& message,
@@ -175,20 +175,26 @@
 void group_control::ask_observation(const member& peer,
                                     const protocol::observation_message& question) {
     protocol::observation_message answer;
+    bool is_answered = false;
     leaf::try_handle_all(
         [&]() -> leaf::result<void> {
             BOOST_LEAF_ASSIGN(answer, environment_.peers.ask_observation(peer, question));
+            is_answered = true;
             return {};
         },
         [] {});
-    environment_.queue.push(
-        [this, key = question.pool + "/" + peer.vm, pool = question.pool, answer] {
-            asked_.erase(key);
-            const auto it = groups_.find(pool);
-            if (it != groups_.end() && answer.observation) {
-                step_failover(it->second, coordination::observation_received{*answer.observation});
-            }
-        });
+    environment_.queue.push([this, vm = peer.vm, pool = question.pool, answer, is_answered] {
+        asked_.erase(pool + "/" + vm);
+        const auto it = groups_.find(pool);
+        if (it == groups_.end() || !is_answered) {
+            return;
+        }
+        if (answer.observation) {
+            step_failover(it->second, coordination::observation_received{*answer.observation});
+        } else {
+            step_failover(it->second, coordination::observation_withdrawn{vm});
+        }
+    });
 }
 
 void group_control::open_group(const state::pool_description& pool) {
@@ -221,6 +227,7 @@
         list.push_back(poller);
     }
     group.pollers.swap(pollers);
+    group.heartbeat.reset();
     group.slot->set_pollers(std::move(list));
     for (auto& [target, poller] : pollers) {
         if (poller) {
@@ -289,6 +296,7 @@
             is_changed_ = true;
         }
     }
+    set_heartbeat(group);
     coordination::group_evidence evidence = get_evidence(group.monitor, get_now());
     if (evidence != group.failover.evidence ||
         group.failover.phase != coordination::failover_phase::watching) {
@@ -409,9 +417,28 @@
         event.preference[target.name] = target.is_leaving ? -1 : pollers_by_place[target.place];
     }
     event.is_only_proxy = is_only_proxy;
+    set_heartbeat(group);
     step_failover(group, event);
 }
 
+void group_control::set_heartbeat(polled_group& group) {
+    const protocol::proxy_settings& settings = environment_.settings;
+    const auto own = std::ranges::find(group.ranked_pollers, settings.vm, &member::vm);
+    const auto rank = static_cast<std::size_t>(own - group.ranked_pollers.begin());
+    const milliseconds interval = coordination::get_heartbeat(
+        rank, is_doubtful(group.monitor),
+        {settings.heartbeat_interval, settings.standby_heartbeat_interval});
+    if (group.heartbeat == interval) {
+        return;
+    }
+    group.heartbeat = interval;
+    for (auto& [target, poller] : group.pollers) {
+        if (poller) {
+            poller->set_heartbeat(interval);
+        }
+    }
+}
+
 void group_control::replace_leaving_primary(polled_group& group, time_point now) {
     if (now < group.next_leave_check) {
         return;
--- a/src/proxy/group_control.h
+++ b/src/proxy/group_control.h
@@ -38,6 +38,8 @@
     coordination::failover_state failover;
     state::time_point next_leave_check{};  ///< When to look for a leaving primary again.
     std::vector<std::shared_ptr<std::promise<transport::http_response>>> change_waiters;
+    /// The interval its pollers have; set at the first assignment.
+    std::optional<std::chrono::milliseconds> heartbeat;
     nlohmann::json last_promotion;  ///< For /internal/v1/status.
 };
 
@@ -126,6 +128,7 @@
     void end_term_call(const std::string& pool, const term_result& result);
     void assign_pollers(polled_group& group, const std::vector<state::member>& pollers,
                         bool is_only_proxy);
+    void set_heartbeat(polled_group& group);
     void replace_leaving_primary(polled_group& group, state::time_point now);
     void publish_slots();
 
--- a/src/proxy/target_poller.cpp
+++ b/src/proxy/target_poller.cpp
@@ -79,6 +79,16 @@
     changed_.notify_one();
 }
 
+void target_poller::set_heartbeat(std::chrono::milliseconds interval) {
+    {
+        const std::scoped_lock lock(mutex_);
+        schedule_ =
+            step_poll_schedule(schedule_, coordination::heartbeat_changed{interval}, get_now())
+                .state;
+    }
+    changed_.notify_one();
+}
+
 void target_poller::submit(term_command command) {
     {
         const std::scoped_lock lock(mutex_);
--- a/src/proxy/target_poller.h
+++ b/src/proxy/target_poller.h
@@ -65,6 +65,9 @@
     /** Asks for a poll that begins after this call. Thread safe, does not block. */
     void request();
 
+    /** Sets the interval of idle polls, at once. Thread safe, does not block. */
+    void set_heartbeat(std::chrono::milliseconds interval);
+
     /** Queues a fence or promote call, ahead of the next poll. Thread safe, does not block. */
     void submit(term_command command);
 
--- a/tests/coordination/failover_exploration_test.cpp
+++ b/tests/coordination/failover_exploration_test.cpp
@@ -342,5 +342,56 @@
     }
 }
 
+/** Mean time until a promotion after `lose`, with six pollers. */
+double measure_loss(std::uint64_t seed, milliseconds standby_heartbeat,
+                    const std::function<void(group_simulation&)>& lose) {
+    constexpr int runs = 100;
+    constexpr milliseconds limit{10'000};
+    double total = 0;
+    for (int i = 0; i < runs; ++i) {
+        simulation_options options;
+        options.seed = seed + static_cast<std::uint64_t>(i);
+        options.claimants = 6;
+        options.standby_heartbeat = standby_heartbeat;
+        group_simulation run(options);
+        // Any phase of the pollers' heartbeats.
+        const milliseconds lost_at(3000 + run.pick(1000));
+        run.at(lost_at, [&run, &lose] { lose(run); });
+        run.run_until(lost_at);
+        milliseconds end = lost_at;
+        while (run.get_checker().count_promotions() == 0 && end < lost_at + limit) {
+            end += milliseconds(5);
+            run.run_until(end);
+        }
+        total += static_cast<double>((end - lost_at).count());
+    }
+    return total / runs;
+}
+
+// Guards against a loss that is judged more slowly because four of six pollers polled it only at
+// their long heartbeat. The active pollers alone find a loss 50 ms later on average than the first
+// of six; a standby poller whose opinion is waited for costs 300 ms or more.
+TEST(failover_exploration, standby_pollers_do_not_delay_a_failover) {
+    const std::uint64_t seed = tests::get_seed();
+    const std::vector<std::pair<std::string, std::function<void(group_simulation&)>>> losses = {
+        {"killed", [](group_simulation& run) { run.crash_target(0); }},
+        {"stopped", [](group_simulation& run) { run.freeze_target(0, milliseconds(60'000)); }},
+        {"partitioned from its peers",
+         [](group_simulation& run) {
+             run.cut_stream(0, 1, true);
+             run.cut_stream(0, 2, true);
+         }},
+    };
+    for (const auto& [name, lose] : losses) {
+        const double all_active = measure_loss(seed, milliseconds(250), lose);
+        const double standby = measure_loss(seed, milliseconds(1000), lose);
+        const double long_standby = measure_loss(seed, milliseconds(8000), lose);
+        std::cout << name << ": mean " << all_active << " ms with six active pollers, " << standby
+                  << " ms with four on standby at 1 s, " << long_standby << " ms at 8 s\n";
+        EXPECT_LE(standby, all_active + 100) << name;
+        EXPECT_LE(long_standby, all_active + 100) << name;
+    }
+}
+
 }  // namespace
 }  // namespace hornbeamhook::coordination
--- a/tests/coordination/failover_test.cpp
+++ b/tests/coordination/failover_test.cpp
@@ -427,5 +427,79 @@
     EXPECT_FALSE(find_action<change_finished>()->is_done);
 }
 
+// Guards against a poller that asks the others only when it has evidence, so that standby pollers
+// begin to look too late.
+TEST_F(failover_test, a_first_failure_makes_the_others_poll) {
+    evidence_.is_target_failing = true;
+    update(500);
+    EXPECT_EQ(failover_.phase, failover_phase::watching);
+    EXPECT_NE(find_action<ask_observations>(), nullptr);
+    update(550);
+    EXPECT_EQ(find_action<ask_observations>(), nullptr) << "asked lately";
+    update(600);
+    EXPECT_NE(find_action<ask_observations>(), nullptr);
+}
+
+// Guards against standby pollers that vouch for a primary they did not look at since it was lost:
+// their answers would outvote the active pollers.
+TEST_F(failover_test, old_polls_are_no_answer) {
+    evidence_.primary_reached_at = at(1000);
+    update(1000);
+    EXPECT_TRUE(answer_observation(failover_, at(1500)));
+    EXPECT_FALSE(answer_observation(failover_, at(1501)));
+    evidence_.is_contradicted = true;
+    evidence_.contradicted_at = at(1700);
+    update(1700);
+    ASSERT_TRUE(answer_observation(failover_, at(1800)));
+    EXPECT_TRUE(answer_observation(failover_, at(1800))->is_contradicted);
+    EXPECT_FALSE(answer_observation(failover_, at(2201)));
+    lose_primary(2300);
+    ASSERT_TRUE(answer_observation(failover_, at(9000))) << "it looked and found nobody";
+    EXPECT_TRUE(answer_observation(failover_, at(9000))->is_unreachable);
+}
+
+// Guards against an earlier answer that outvotes a loss although its poller no longer vouches.
+TEST_F(failover_test, a_withdrawn_observation_does_not_count) {
+    step(pollers_assigned{{"vm0", "vm1", "vm2", "vm3"}, false, {}}, 0);
+    lose_primary(500);
+    observe("vm1", true, 610);
+    EXPECT_EQ(failover_.phase, failover_phase::fencing);
+    step(claim_dropped{}, 700);
+    evidence_.is_primary_unreachable = false;
+    update(700);
+    lose_primary(1000);
+    observe("vm2", false, 1010);
+    observe("vm3", false, 1010);
+    observe("vm1", true, 1200);
+    EXPECT_EQ(failover_.phase, failover_phase::suspecting) << "two against two";
+    step(observation_withdrawn{"vm2"}, 1210);
+    EXPECT_EQ(failover_.phase, failover_phase::fencing) << "two against one";
+}
+
+// Guards against two pollers that share a lost link and promote before the others could poll.
+TEST_F(failover_test, a_minority_of_the_pollers_waits_for_the_others_polls) {
+    step(pollers_assigned{{"vm0", "vm1", "vm2", "vm3", "vm4", "vm5"}, false, {}}, 0);
+    lose_primary(500);
+    observe("vm1", true, 510);
+    EXPECT_EQ(failover_.phase, failover_phase::suspecting);
+    check(599);
+    EXPECT_EQ(failover_.phase, failover_phase::suspecting);
+    for (const char* vm : {"vm2", "vm3", "vm4"}) {
+        observe(vm, false, 599);
+    }
+    check(2000);
+    EXPECT_EQ(failover_.phase, failover_phase::suspecting) << "the others reach it";
+}
+
+// Guards against a loss that four of six pollers see and that waits all the same.
+TEST_F(failover_test, a_majority_of_all_pollers_declares_a_loss_at_once) {
+    step(pollers_assigned{{"vm0", "vm1", "vm2", "vm3", "vm4", "vm5"}, false, {}}, 0);
+    lose_primary(500);
+    for (const char* vm : {"vm1", "vm2", "vm3"}) {
+        observe(vm, true, 510);
+    }
+    EXPECT_EQ(failover_.phase, failover_phase::fencing);
+}
+
 }  // namespace
 }  // namespace hornbeamhook::coordination
--- a/tests/coordination/group_monitor_test.cpp
+++ b/tests/coordination/group_monitor_test.cpp
@@ -211,5 +211,41 @@
     EXPECT_FALSE(monitor_.view.targets.contains("b"));
 }
 
+// Guards against a standby poller whose long heartbeat delays the confirmation of what it saw, and
+// against one that polls quickly for ever because of a target that is down for long.
+TEST_F(group_monitor_test, a_view_is_doubtful_until_it_is_settled) {
+    EXPECT_TRUE(is_doubtful(monitor_)) << "no primary is known";
+    answer("a", 0, 1, primary(1, 5));
+    answer("b", 0, 1, replica(1, 5));
+    EXPECT_FALSE(is_doubtful(monitor_));
+    fail("c", 10, 20, poll_failure::refused);
+    EXPECT_TRUE(is_doubtful(monitor_));
+    for (int i = 1; i <= 20; ++i) {
+        fail("c", 10 + i * 50, 20 + i * 50, poll_failure::refused);
+    }
+    EXPECT_FALSE(is_doubtful(monitor_)) << "a known failure";
+    answer("c", 2000, 2001, replica(1, 5, milliseconds(900)));
+    EXPECT_FALSE(is_doubtful(monitor_)) << "one of two replicas";
+    answer("b", 2010, 2011, replica(1, 5, milliseconds(900)));
+    EXPECT_TRUE(is_doubtful(monitor_)) << "all replicas lost contact";
+    answer("b", 2020, 2021, replica(1, 5));
+    EXPECT_FALSE(is_doubtful(monitor_));
+}
+
+// Guards against pollers that are asked only once this one has its evidence: their own polls would
+// take as long again.
+TEST_F(group_monitor_test, the_first_failures_of_a_target_warn_the_others) {
+    answer("a", 0, 1, primary(1, 5));
+    answer("b", 0, 1, replica(1, 5));
+    EXPECT_FALSE(evidence(1).is_target_failing);
+    fail("a", 10, 310, poll_failure::silent);
+    EXPECT_TRUE(evidence(310).is_target_failing);
+    EXPECT_FALSE(evidence(310).is_primary_unreachable);
+    for (int i = 1; i <= 3; ++i) {
+        fail("a", 10 + i * 350, 310 + i * 350, poll_failure::silent);
+    }
+    EXPECT_FALSE(evidence(2000).is_target_failing);
+}
+
 }  // namespace
 }  // namespace hornbeamhook::coordination
--- a/tests/coordination/poll_schedule_test.cpp
+++ b/tests/coordination/poll_schedule_test.cpp
@@ -79,5 +79,43 @@
     EXPECT_LE(polls, 20 + 10'000 / 250);
 }
 
+// Guards against a poller that goes on at its old interval after its rank changed.
+TEST_F(poll_schedule_test, a_changed_heartbeat_takes_effect_at_once) {
+    EXPECT_FALSE(step(heartbeat_changed{milliseconds(1000)}, 0));
+    EXPECT_TRUE(step(schedule_checked{}, 0));
+    step(poll_finished{true}, 1);
+    EXPECT_FALSE(step(schedule_checked{}, 600));
+    step(heartbeat_changed{milliseconds(250)}, 600);
+    EXPECT_EQ(get_next_check(schedule_, false), start + milliseconds(250)) << "overdue";
+    EXPECT_TRUE(step(schedule_checked{}, 600));
+    step(poll_finished{true}, 601);
+    step(heartbeat_changed{milliseconds(1000)}, 602);
+    EXPECT_FALSE(step(schedule_checked{}, 1599));
+    EXPECT_TRUE(step(schedule_checked{}, 1600));
+}
+
+// Guards against a standby poller that lets a question, a failure or a read wait for its long
+// heartbeat.
+TEST_F(poll_schedule_test, a_standby_poller_polls_on_demand_at_once) {
+    step(heartbeat_changed{milliseconds(8000)}, 0);
+    EXPECT_TRUE(step(schedule_checked{}, 0));
+    step(poll_finished{true}, 1);
+    EXPECT_TRUE(step(poll_requested{}, 500));
+    step(poll_finished{false}, 501);
+    EXPECT_TRUE(step(schedule_checked{}, 551)) << "a failure is confirmed quickly";
+    step(poll_finished{true}, 552);
+    EXPECT_TRUE(step(schedule_checked{true}, 560)) << "a read waits";
+}
+
+// Guards against a group that nobody or everybody polls at the short interval.
+TEST_F(poll_schedule_test, the_first_two_pollers_are_active) {
+    const heartbeat_intervals intervals{milliseconds(2000), milliseconds(8000)};
+    for (std::size_t rank = 0; rank < 6; ++rank) {
+        EXPECT_EQ(get_heartbeat(rank, false, intervals),
+                  rank < 2 ? intervals.active : intervals.standby);
+        EXPECT_EQ(get_heartbeat(rank, true, intervals), intervals.active);
+    }
+}
+
 }  // namespace
 }  // namespace hornbeamhook::coordination
--- a/tests/support/group_simulation.h
+++ b/tests/support/group_simulation.h
@@ -15,6 +15,7 @@
 
 #include "coordination/failover.h"
 #include "coordination/group_monitor.h"
+#include "coordination/poll_schedule.h"
 #include "support/model_target.h"
 
 namespace hornbeamhook::tests {
@@ -23,6 +24,7 @@
 struct simulation_options {
     std::uint64_t seed = 1;
     int claimants = 3;
+    std::chrono::milliseconds standby_heartbeat{1000};  ///< Of pollers after the first two.
     const coordination::failover_rules* rules = &coordination::standard_failover_rules;
     acknowledgement_rule acknowledgement = is_acknowledging;
     std::chrono::milliseconds max_delay{5};         ///< One way, between proxies and targets.
@@ -197,6 +199,7 @@
         std::uint64_t in_flight = 0;
         bool is_queued = false;
         int failures = 0;
+        time_point began{};
     };
 
     struct poller_model {
@@ -294,9 +297,13 @@
 
     void tick_poll(std::size_t p, std::size_t t, const poller_pointer& life) {
         on_poller(p, life, [this, p, t, life] {
-            begin_poll(p, t, life);
+            const milliseconds interval = coordination::get_heartbeat(
+                p, is_doubtful(life->monitor), {milliseconds(250), options_.standby_heartbeat});
             const int failures = life->polls[t].failures;
             const bool is_quick = failures > 0 && failures <= 20;
+            if (is_quick || now_ - life->polls[t].began >= interval) {
+                begin_poll(p, t, life);
+            }
             at(milliseconds(is_quick ? 50 : 250), [this, p, t, life] { tick_poll(p, t, life); });
         });
     }
@@ -309,6 +316,7 @@
         }
         const std::uint64_t id = ++sequence_;
         poll.in_flight = id;
+        poll.began = now_;
         const time_point began = now_;
         on_target(
             p, t,
@@ -423,12 +431,14 @@
                     for (std::size_t t = 0; t < target_count; ++t) {
                         begin_poll(q, t, other);
                     }
-                    const auto answer = get_observation(other->failover, now_);
-                    if (answer && !cut_peer_[p][q] && !chance(loss_)) {
-                        at(get_delay(), [this, p, life, value = *answer] {
-                            on_poller(p, life, [this, p, value] {
-                                step_failover(p, coordination::observation_received{value});
-                            });
+                    coordination::failover_event answer =
+                        coordination::observation_withdrawn{other->failover.vm};
+                    if (const auto own_view = answer_observation(other->failover, now_)) {
+                        answer = coordination::observation_received{*own_view};
+                    }
+                    if (!cut_peer_[p][q] && !chance(loss_)) {
+                        at(get_delay(), [this, p, life, answer] {
+                            on_poller(p, life, [this, p, answer] { step_failover(p, answer); });
                         });
                     }
                 });
