Explore pairs of faults around a failover

No schedule covered a drain during a failover, a change of owners during a lost primary, two losses within a minute, or a flapping target with paused claimants. failover_exploration now runs 2,000, 2,000, 400 and 1,000 seeded schedules of them; a schedule can carry its own faults and length, and a simulated poller can be given its own view of the pollers.

--- a/tests/coordination/failover_exploration_test.cpp
+++ b/tests/coordination/failover_exploration_test.cpp
@@ -1,5 +1,6 @@
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <atomic>
 #include <chrono>
 #include <functional>
@@ -82,10 +83,123 @@
     }
 }
 
+void add_random_faults(group_simulation& run, const simulation_options& options,
+                       std::mt19937_64& random) {
+    const int faults = 1 + static_cast<int>(random() % 6);
+    for (int i = 0; i < faults; ++i) {
+        run.at(milliseconds(300 + random() % 3000),
+               [&run, claimants = options.claimants] { inject_fault(run, claimants); });
+    }
+}
+
+/** Takes the present primary away in one of three ways for `span`. */
+void lose_primary(group_simulation& run, milliseconds span) {
+    const std::size_t t = run.get_primary();
+    switch (run.pick(3)) {
+        case 0:
+            run.crash_target(t);
+            run.at(span, [&run, t] { run.restart_target(t); });
+            break;
+        case 1:
+            run.freeze_target(t, span);
+            break;
+        default:
+            for (const std::size_t u : {(t + 1) % 3, (t + 2) % 3}) {
+                run.cut_stream(t, u, true);
+                run.at(span, [&run, t, u] { run.cut_stream(t, u, false); });
+            }
+    }
+}
+
+std::vector<std::size_t> get_all_but(std::size_t left_out, int claimants) {
+    std::vector<std::size_t> rest;
+    for (std::size_t p = 0; p < static_cast<std::size_t>(claimants); ++p) {
+        if (p != left_out) {
+            rest.push_back(p);
+        }
+    }
+    return rest;
+}
+
+/** A poller leaves around the time of a loss; the others learn it at different times. */
+void add_drain_and_loss(group_simulation& run, const simulation_options& options,
+                        std::mt19937_64& random) {
+    const int lost_ms = 500 + static_cast<int>(random() % 1000);
+    const auto drained =
+        static_cast<std::size_t>(random() % 3) % static_cast<std::size_t>(options.claimants);
+    run.at(milliseconds(lost_ms),
+           [&run] { lose_primary(run, milliseconds(300 + run.pick(2500))); });
+    const int drained_ms = lost_ms - 400 + static_cast<int>(random() % 1800);
+    const std::vector<std::size_t> others = get_all_but(drained, options.claimants);
+    for (const std::size_t p : others) {
+        run.at(milliseconds(drained_ms + static_cast<int>(random() % 1000)),
+               [&run, p, others] { run.set_pollers(p, others); });
+    }
+    run.at(milliseconds(drained_ms + 1000 + static_cast<int>(random() % 500)),
+           [&run, drained] { run.crash_proxy(drained); });
+}
+
+/** Views of the pollers and their ranks change, each poller on its own, around a loss. */
+void add_ownership_changes_and_loss(group_simulation& run, const simulation_options& options,
+                                    std::mt19937_64& random) {
+    run.at(milliseconds(800), [&run] { lose_primary(run, milliseconds(300 + run.pick(2500))); });
+    for (int i = 0; i < 10; ++i) {
+        const auto p =
+            static_cast<std::size_t>(random()) % static_cast<std::size_t>(options.claimants);
+        std::vector<std::size_t> ranked =
+            get_all_but(static_cast<std::size_t>(random() % 5), options.claimants);
+        std::ranges::shuffle(ranked, random);
+        run.at(milliseconds(500 + random() % 3000),
+               [&run, p, ranked] { run.set_pollers(p, ranked); });
+        if (random() % 4 == 0) {
+            // A poller that ceases to be a home forgets the group; a new home knows nothing.
+            run.at(milliseconds(500 + random() % 3000), [&run, p] { run.restart(p); });
+        }
+    }
+}
+
+/** A second primary is lost within a minute of the first, which may be back or not. */
+void add_two_losses(group_simulation& run, const simulation_options& /*options*/,
+                    std::mt19937_64& random) {
+    const auto first = static_cast<int>(500 + random() % 2000);
+    const auto second =
+        first + static_cast<int>(random() % 2 == 0 ? random() % 3000 : random() % 50'000);
+    for (const int lost_ms : {first, second}) {
+        run.at(milliseconds(lost_ms),
+               [&run] { lose_primary(run, milliseconds(300 + run.pick(8000))); });
+    }
+}
+
+/** One target goes and returns again and again while claimants pause. */
+void add_flapping_and_pauses(group_simulation& run, const simulation_options& options,
+                             std::mt19937_64& random) {
+    // Target 0 is the first primary.
+    const std::size_t target = random() % 4 == 0 ? 1 : 0;
+    int at_ms = 300;
+    for (int i = 0; i < 10; ++i) {
+        at_ms += static_cast<int>(random() % 900);
+        run.at(milliseconds(at_ms), [&run, target] { run.crash_target(target); });
+        at_ms += 100 + static_cast<int>(random() % 1500);
+        run.at(milliseconds(at_ms), [&run, target] { run.restart_target(target); });
+        const auto p =
+            static_cast<std::size_t>(random()) % static_cast<std::size_t>(options.claimants);
+        const milliseconds span(100 + random() % 3000);
+        run.at(milliseconds(random() % 12'000), [&run, p, span] { run.pause_proxy(p, span); });
+    }
+}
+
+/** What goes wrong in a run, and for how long. */
+struct fault_schedule {
+    void (*add)(group_simulation& run, const simulation_options& options,
+                std::mt19937_64& random) = add_random_faults;
+    milliseconds length = fault_time;
+};
+
 /** The rules a run is made with; tests replace one by a wrong one. */
 struct rule_set {
     failover_rules failover = standard_failover_rules;
     tests::acknowledgement_rule acknowledgement = tests::is_acknowledging;
+    fault_schedule faults{};
 };
 
 void run_one(const rule_set& rules, std::uint64_t seed, exploration_result& result,
@@ -102,15 +216,12 @@
     options.duplication = static_cast<double>(random() % 3) * 0.2;
     options.interruption = static_cast<double>(random() % 4) * 0.1;
     group_simulation run(options);
-    const int faults = 1 + static_cast<int>(random() % 6);
-    for (int i = 0; i < faults; ++i) {
-        run.at(milliseconds(300 + random() % 3000),
-               [&run, &options] { inject_fault(run, options.claimants); });
-    }
-    run.run_until(fault_time);
+    rules.faults.add(run, options, random);
+    const milliseconds healed_at = rules.faults.length;
+    run.run_until(healed_at);
     run.heal();
     bool is_healthy = false;
-    for (milliseconds end = fault_time; end <= fault_time + recovery_time && !is_healthy;
+    for (milliseconds end = healed_at; end <= healed_at + recovery_time && !is_healthy;
          end += milliseconds(100)) {
         run.run_until(end);
         is_healthy = run.is_healthy();
@@ -211,6 +322,53 @@
     EXPECT_GT(explore(wrong, tests::get_seed(), 100'000, true).violations, 0U);
 }
 
+/** Pairs of faults, with the number of runs that takes a few seconds at most. */
+struct fault_pair {
+    std::string name;
+    fault_schedule faults;
+    int runs;
+};
+
+const std::vector<fault_pair>& get_fault_pairs() {
+    static const std::vector<fault_pair> pairs = {
+        {"drain during a failover", {add_drain_and_loss, milliseconds(5000)}, 2000},
+        {"ownership change during a lost primary",
+         {add_ownership_changes_and_loss, fault_time},
+         2000},
+        {"two losses within a minute", {add_two_losses, milliseconds(60'000)}, 400},
+        {"flapping target with paused claimants",
+         {add_flapping_and_pauses, milliseconds(16'000)},
+         1000},
+    };
+    return pairs;
+}
+
+// Guards against two primaries in one term, lost acknowledged writes, and failovers that stop when
+// a second fault meets the first.
+TEST(failover_exploration, no_pair_of_faults_breaks_the_rules) {
+    const std::uint64_t seed = tests::get_seed();
+    for (const fault_pair& pair : get_fault_pairs()) {
+        std::cout << pair.name << ": ";
+        const exploration_result result = explore(
+            {standard_failover_rules, tests::is_acknowledging, pair.faults}, seed, pair.runs);
+        EXPECT_EQ(result.violations, 0U) << pair.name;
+        EXPECT_EQ(result.unfinished, 0U) << pair.name;
+        EXPECT_GT(result.promotions, result.runs / 2) << pair.name;
+        EXPECT_GT(result.acknowledged, result.runs * 10) << pair.name;
+    }
+}
+
+// Guards against a checker that finds nothing in one of these schedules.
+TEST(failover_exploration, finds_a_wrong_choice_in_each_pair_of_faults) {
+    const failover_rules wrong{choose_first_fenced, get_quorum_of_one, false};
+    const std::uint64_t seed = tests::get_seed();
+    for (const fault_pair& pair : get_fault_pairs()) {
+        std::cout << pair.name << ": ";
+        const rule_set rules{wrong, tests::is_acknowledging, pair.faults};
+        EXPECT_GT(explore(rules, seed, pair.runs, true).violations, 0U) << pair.name;
+    }
+}
+
 /** Promotions of many runs of `span` in which `disturb` schedules what goes wrong. */
 std::size_t count_promotions(std::uint64_t seed, int runs, milliseconds span,
                              simulation_options options,
--- a/tests/support/group_simulation.h
+++ b/tests/support/group_simulation.h
@@ -111,6 +111,16 @@
         on_poller(p, pollers_[p],
                   [this, p, t] { step_failover(p, coordination::change_requested{get_name(t)}); });
     }
+    /** Tells poller `p` the pollers by rank, as its own view of the members has them. */
+    void set_pollers(std::size_t p, const std::vector<std::size_t>& ranked) {
+        on_poller(p, pollers_[p], [this, p, ranked] {
+            coordination::pollers_assigned assigned;
+            for (const std::size_t i : ranked) {
+                assigned.vms.push_back(get_vm(i));
+            }
+            step_failover(p, assigned);
+        });
+    }
     void set_loss(double loss) { loss_ = loss; }
     void set_interruption(double share) { options_.interruption = share; }
 
@@ -129,6 +139,7 @@
             if (!pollers_[p]->is_up) {
                 restart(p);
             }
+            assign(p);
         }
         acknowledged_at_heal_ = checker_.count_acknowledged();
     }
