Check decisions while homes change during a lost primary

The matrix had no unit test for transactions and requests in flight while homes change, drain or die during a failover. transaction_registry is compared with a model over 5,000 seeded schedules, request_attempt tells the truth over 50,000 requests around a replaced primary, and home_assignment keeps one home of each target over the loss of any member in 5,000 cases. Each check has a wrong rule that it must find.

--- a/tests/coordination/home_assignment_test.cpp
+++ b/tests/coordination/home_assignment_test.cpp
@@ -3,6 +3,7 @@
 #include <gtest/gtest.h>
 
 #include <algorithm>
+#include <functional>
 #include <iostream>
 #include <map>
 #include <random>
@@ -178,6 +179,63 @@
     EXPECT_GT(most, 10U);
 }
 
+using home_function = std::vector<member> (*)(const std::string&, const state::target_description&,
+                                              const std::vector<member>&, int);
+
+/** Wrong on purpose: homes by position in the list, as in a modulo scheme. */
+std::vector<member> get_homes_by_position(const std::string& /*pool*/,
+                                          const state::target_description& target,
+                                          const std::vector<member>& members, int count) {
+    std::vector<member> homes;
+    const auto begin =
+        std::hash<std::string>{}(target.name) % std::max<std::size_t>(1, members.size());
+    for (int i = 0; i < count && static_cast<std::size_t>(i) < members.size(); ++i) {
+        homes.push_back(members[(begin + static_cast<std::size_t>(i)) % members.size()]);
+    }
+    return homes;
+}
+
+std::vector<member> get_homes_by_weight(const std::string& pool,
+                                        const state::target_description& target,
+                                        const std::vector<member>& members, int count) {
+    return get_homes(pool, target, members, count);
+}
+
+/** Cases in which the loss of one member leaves a target without any of its former homes. */
+int count_forgotten_targets(home_function find_homes, std::uint64_t seed) {
+    std::mt19937_64 random(seed);
+    int forgotten = 0;
+    for (int i = 0; i < 5000; ++i) {
+        std::vector<member> members;
+        const int size = 3 + static_cast<int>(random() % 10);
+        for (int j = 0; j < size; ++j) {
+            members.push_back(make_member(static_cast<int>(random() % 100'000),
+                                          random() % 2 != 0 ? "cairo" : "aswan",
+                                          random() % 2 != 0 ? "cairo-1" : "cairo-2"));
+        }
+        const state::target_description target = make_target(i);
+        const std::vector<member> before = find_homes("ledger", target, members, homes_per_target);
+        const std::vector<member> after = find_homes(
+            "ledger", target, without(members, random() % members.size()), homes_per_target);
+        const bool is_any_kept = std::ranges::any_of(after, [&](const member& value) {
+            return std::ranges::find(before, value) != before.end();
+        });
+        forgotten += is_any_kept ? 0 : 1;
+    }
+    return forgotten;
+}
+
+// Guards against a proxy's loss together with a primary's that leaves no home with open connections
+// and evidence of the primary.
+TEST(home_assignment, one_home_of_each_target_outlives_the_loss_of_a_member) {
+    EXPECT_EQ(count_forgotten_targets(get_homes_by_weight, tests::get_seed()), 0);
+}
+
+// Guards against a check that finds nothing.
+TEST(home_assignment, finds_homes_that_move_with_every_member) {
+    EXPECT_GT(count_forgotten_targets(get_homes_by_position, tests::get_seed()), 0);
+}
+
 // Guards against ranks that differ between proxies, so that two claim at once.
 TEST(home_assignment, all_proxies_rank_the_pollers_alike) {
     state::pool_description pool;
--- a/tests/coordination/request_attempt_test.cpp
+++ b/tests/coordination/request_attempt_test.cpp
@@ -194,6 +194,123 @@
     }
 }
 
+using judge_function = std::pair<request_attempt, attempt_decision> (*)(request_attempt,
+                                                                        const attempt_result&,
+                                                                        state::time_point, double);
+
+/** Wrong on purpose: what an old primary may have kept is forgotten once another home answers. */
+std::pair<request_attempt, attempt_decision> judge_without_memory(request_attempt attempt,
+                                                                  const attempt_result& result,
+                                                                  state::time_point now,
+                                                                  double jitter) {
+    attempt.may_have_run = false;
+    return judge_result(attempt, result, now, jitter);
+}
+
+/** A group whose primary is lost and replaced while the homes of both change. */
+struct failover_model {
+    bool is_replaced = false;
+    bool was_lost = false;
+    int effects = 0;  ///< In the log of the present primary.
+    int pending = 0;  ///< Sends that may still reach the present primary.
+
+    void run(bool is_keyed) { effects += is_keyed && effects > 0 ? 0 : 1; }
+
+    /** The new primary has an entry that nobody acknowledged, or not. */
+    void replace(std::mt19937_64& random) {
+        is_replaced = true;
+        // What the old primary did not run before it was fenced, it never runs.
+        pending = 0;
+        effects = random() % 2 == 0 ? effects : 0;
+    }
+};
+
+attempt_result play_failover(failover_model& group, bool is_keyed, std::mt19937_64& random) {
+    switch (random() % 7) {
+        case 0:
+            return {outcome::not_run, error_code::not_home, false, false};
+        case 1:
+            return {outcome::not_run, error_code::draining, false, false};
+        case 2:
+            // The target was fenced: it rolled back and says so.
+            return {outcome::not_run, error_code::no_primary, group.was_lost, false};
+        case 3:
+            return {outcome::not_run, error_code::unavailable, false, false};
+        case 4:
+            ++group.pending;
+            return {outcome::unknown, error_code::outcome_unknown, true, false};
+        default:
+            group.run(is_keyed);
+            // Without a majority nothing is acknowledged.
+            return group.was_lost && !group.is_replaced
+                       ? attempt_result{outcome::unknown, error_code::outcome_unknown, true, false}
+                       : attempt_result{outcome::ok, error_code::ok, true, false};
+    }
+}
+
+/** One request around a failover; returns whether its outcome was untrue. */
+bool is_told_wrong(judge_function judge_next, std::mt19937_64& random, int (&outcomes)[3]) {
+    const bool is_keyed = random() % 4 != 0;
+    failover_model group;
+    request_attempt attempt;
+    attempt.is_write = true;
+    attempt.is_keyed = is_keyed;
+    attempt.deadline = deadline;
+    state::time_point now = start;
+    const state::time_point lost_at = start + milliseconds(random() % 1500);
+    const state::time_point replaced_at = lost_at + milliseconds(500 + random() % 5000);
+    attempt_decision decision;
+    do {
+        group.was_lost = group.was_lost || now >= lost_at;
+        if (now >= replaced_at && !group.is_replaced) {
+            group.replace(random);
+        }
+        if (group.was_lost && !group.is_replaced && random() % 2 == 0) {
+            decision = judge_missing_route(attempt, now);
+        } else {
+            attempt = record_send(attempt);
+            const attempt_result result = play_failover(group, is_keyed, random);
+            now += milliseconds(random() % 400);
+            std::tie(attempt, decision) = judge_next(attempt, result, now, 0.3);
+        }
+        now += decision.pause;
+    } while (decision.step == attempt_step::send);
+    if (decision.outcome != outcome::ok && group.was_lost && !group.is_replaced) {
+        group.replace(random);
+    }
+    for (; group.pending > 0; --group.pending) {
+        group.run(is_keyed);
+    }
+    ++outcomes[static_cast<int>(decision.outcome)];
+    return group.effects > 1 || (decision.outcome == outcome::ok && group.effects != 1) ||
+           (decision.outcome == outcome::not_run && group.effects != 0);
+}
+
+// Guards against an untrue answer when homes change or drain while the primary is lost.
+TEST(request_attempt, failovers_with_changes_of_homes_tell_the_truth) {
+    std::mt19937_64 random(tests::get_seed("request_attempt", 2025));
+    int outcomes[3] = {0, 0, 0};
+    int wrong = 0;
+    for (int round = 0; round < 50'000; ++round) {
+        wrong += is_told_wrong(judge_result, random, outcomes) ? 1 : 0;
+    }
+    EXPECT_EQ(wrong, 0);
+    for (const int count : outcomes) {
+        EXPECT_GT(count, 500) << "every outcome has to occur";
+    }
+}
+
+// Guards against a model that finds nothing.
+TEST(request_attempt, finds_a_judgement_that_forgets_an_unknown_send) {
+    std::mt19937_64 random(tests::get_seed("request_attempt", 2025));
+    int outcomes[3] = {0, 0, 0};
+    int wrong = 0;
+    for (int round = 0; round < 50'000; ++round) {
+        wrong += is_told_wrong(judge_without_memory, random, outcomes) ? 1 : 0;
+    }
+    EXPECT_GT(wrong, 0);
+}
+
 // Guards against an endless loop of immediate sends.
 TEST(request_attempt, every_refusal_ends_at_the_deadline) {
     request_attempt attempt = make_attempt(true, true);
--- a/tests/coordination/transaction_registry_test.cpp
+++ b/tests/coordination/transaction_registry_test.cpp
@@ -2,6 +2,12 @@
 
 #include <gtest/gtest.h>
 
+#include <iostream>
+#include <map>
+#include <random>
+
+#include "support/seed.h"
+
 namespace hornbeamhook::coordination {
 namespace {
 
@@ -49,5 +55,126 @@
     EXPECT_NE(registry.open("p", "a", start), first);
 }
 
+/** What a transaction is, told apart from the registry. */
+struct expected_transaction {
+    std::string caller;
+    state::time_point opened{};
+    state::time_point last_used{};
+    bool is_busy = true;
+};
+
+/** Wrong on purpose: a busy transaction ends at its limits like an idle one. */
+class registry_without_busy : public transaction_registry {
+public:
+    using transaction_registry::transaction_registry;
+
+    std::vector<std::uint64_t> expire(state::time_point now) {
+        for (std::uint64_t number = 1; number <= 64; ++number) {
+            release(number, now - milliseconds(10'000));
+        }
+        return transaction_registry::expire(now);
+    }
+};
+
+/** Plays requests, retries of other callers and a drain; returns how often the registry was wrong.
+ */
+template <typename registry_type>
+int count_wrong_claims(std::uint64_t seed) {
+    constexpr transaction_limits limits{milliseconds(500), milliseconds(2000)};
+    std::mt19937_64 random(seed);
+    const auto pick = [&](int limit) { return static_cast<int>(random() % limit); };
+    registry_type registry(limits);
+    std::map<std::uint64_t, expected_transaction> expected;
+    state::time_point now = start;
+    std::uint64_t last = 0;
+    int wrong = 0;
+    const auto is_over = [&](const expected_transaction& value) {
+        return now - value.opened >= limits.total || now - value.last_used >= limits.idle;
+    };
+    // A drain accepts no transaction from its begin on and waits until the open ones end.
+    const int drained_at = 20 + pick(40);
+    for (int step = 0; step < 100; ++step) {
+        now += milliseconds(pick(200));
+        const std::uint64_t number = 1 + random() % (last + 2);
+        const std::string caller = pick(4) == 0 ? "b" : "a";
+        const auto it = expected.find(number);
+        switch (step < drained_at ? pick(5) : 1 + pick(4)) {
+            case 0:
+                last = registry.open("p", "a", now);
+                expected[last] = {"a", now, now, true};
+                break;
+            case 1: {
+                transaction_claim right = transaction_claim::gone;
+                if (it != expected.end() && it->second.caller == caller) {
+                    right = it->second.is_busy    ? transaction_claim::busy
+                            : is_over(it->second) ? transaction_claim::gone
+                                                  : transaction_claim::granted;
+                }
+                const transaction_claim claimed = registry.claim(number, "p", caller, now);
+                wrong += claimed == right ? 0 : 1;
+                if (right == transaction_claim::granted) {
+                    it->second.is_busy = true;
+                }
+                break;
+            }
+            case 2:
+                if (it != expected.end() && it->second.is_busy) {
+                    registry.release(number, now);
+                    it->second.is_busy = false;
+                    it->second.last_used = now;
+                }
+                break;
+            case 3:
+                if (it != expected.end() && it->second.is_busy) {
+                    registry.close(number);
+                    expected.erase(it);
+                }
+                break;
+            default: {
+                std::vector<std::uint64_t> right;
+                for (const auto& [key, value] : expected) {
+                    if (!value.is_busy && is_over(value)) {
+                        right.push_back(key);
+                    }
+                }
+                wrong += registry.expire(now) == right ? 0 : 1;
+                for (const std::uint64_t key : right) {
+                    expected.erase(key);
+                }
+            }
+        }
+        wrong += registry.get_size() == expected.size() ? 0 : 1;
+    }
+    // Whatever a lost caller left behind ends by its limits, so that a drain can end.
+    for (auto& [key, value] : expected) {
+        if (value.is_busy) {
+            registry.release(key, now);
+        }
+    }
+    registry.expire(now + limits.total);
+    return wrong + static_cast<int>(registry.get_size());
+}
+
+// Guards against a transaction that is granted after it ended or to two at once, and against one
+// that a drain waits for in vain.
+TEST(transaction_registry, random_schedules_agree_with_the_model) {
+    const std::uint64_t seed = tests::get_seed();
+    int wrong = 0;
+    for (std::uint64_t i = 0; i < 5000; ++i) {
+        wrong += count_wrong_claims<transaction_registry>(seed + i);
+    }
+    EXPECT_EQ(wrong, 0);
+}
+
+// Guards against a model that finds nothing.
+TEST(transaction_registry, finds_a_registry_that_ends_busy_transactions) {
+    const std::uint64_t seed = tests::get_seed();
+    int wrong = 0;
+    for (std::uint64_t i = 0; i < 100; ++i) {
+        wrong += count_wrong_claims<registry_without_busy>(seed + i);
+    }
+    EXPECT_GT(wrong, 0);
+}
+
 }  // namespace
 }  // namespace hornbeamhook::coordination
