--- a/scripts/fleet.py
+++ b/scripts/fleet.py
@@ -596,6 +596,13 @@
 
     # Faults and inspection
 
+    def target_fault(self, name, **faults):
+        """Changes the faults of one target stand-in."""
+        address = self.targets[name]["control_address"]
+        status, answer = call_http(address, "POST", "/control/faults", faults)
+        if status != 200:
+            raise FleetError("faults of %s: %s" % (name, answer))
+
     def fault(self, links, action, **arguments):
         """Applies a fault to all links that match one of the name patterns."""
         links = [links] if isinstance(links, str) else list(links)
@@ -658,9 +665,10 @@
 
     # Load
 
-    def make_load_settings(self, control_address=None, pools=None):
+    def make_load_settings(self, control_address=None, pools=None, workload=None):
+        """Settings of the load tool; `workload` is a deployment, by default that of the fleet."""
         settings = {
-            "deployment": self.deployment,
+            "deployment": workload or self.deployment,
             "credential": CREDENTIAL,
             "pools": pools or self.pools,
             "proxies": [
@@ -672,8 +680,8 @@
             settings["control_address"] = control_address
         return settings
 
-    def start_load(self, *options, pools=None):
-        return LoadRun(self, options, pools)
+    def start_load(self, *options, pools=None, workload=None):
+        return LoadRun(self, options, pools, workload)
 
 
 class LoadRun:
@@ -681,11 +689,13 @@
 
     number = 0
 
-    def __init__(self, fleet, options, pools=None):
+    def __init__(self, fleet, options, pools=None, workload=None):
         LoadRun.number += 1
         name = "load%d" % LoadRun.number
         self.control = fleet.ports.take()
-        settings = fleet.write_settings(name, fleet.make_load_settings(self.control, pools))
+        settings = fleet.write_settings(
+            name, fleet.make_load_settings(self.control, pools, workload)
+        )
         self.report_path = os.path.join(fleet.directory, name + "-report.json")
         self.output_path = os.path.join(fleet.directory, name + ".log")
         command = [os.path.join(BUILD, "hornbeamhook-load"), "--settings", settings]
--- a/tests/coordination/home_assignment_test.cpp
+++ b/tests/coordination/home_assignment_test.cpp
@@ -76,6 +76,7 @@
     constexpr int target_count = 2000;
     for (const int size : {3, 8, 40}) {
         std::vector<member> members;
+        members.reserve(static_cast<std::size_t>(size));
         for (int i = 0; i < size; ++i) {
             members.push_back(make_member(i, "cairo", "cairo-1"));
         }
@@ -110,6 +111,7 @@
     for (int i = 0; i < 5000; ++i) {
         std::vector<member> members;
         const int size = 2 + static_cast<int>(random() % 8);
+        members.reserve(static_cast<std::size_t>(size));
         for (int j = 0; j < size; ++j) {
             members.push_back(make_member(static_cast<int>(random() % 100'000),
                                           random() % 3 != 0 ? "cairo" : "aswan",
@@ -164,8 +166,9 @@
             }
         }
         std::ranges::sort(next, {}, &member::vm);
-        const auto same = std::ranges::unique(next, {}, &member::vm);
-        next.erase(same.begin(), same.end());
+        // clang-tidy 14 cannot compile std::ranges::unique of this standard library.
+        const auto is_same = [](const member& a, const member& b) { return a.vm == b.vm; };
+        next.erase(std::unique(next.begin(), next.end(), is_same), next.end());
         const member_change change = compare_members(members, next);
         members = next;
         most = std::max(most, members.size());
@@ -208,6 +211,7 @@
     for (int i = 0; i < 5000; ++i) {
         std::vector<member> members;
         const int size = 3 + static_cast<int>(random() % 10);
+        members.reserve(static_cast<std::size_t>(size));
         for (int j = 0; j < size; ++j) {
             members.push_back(make_member(static_cast<int>(random() % 100'000),
                                           random() % 2 != 0 ? "cairo" : "aswan",
@@ -242,6 +246,7 @@
     pool.name = "ledger";
     pool.targets = {make_target(1), make_target(2), make_target(3)};
     std::vector<member> members;
+    members.reserve(9);
     for (int i = 0; i < 9; ++i) {
         members.push_back(make_member(i, i % 2 == 0 ? "cairo" : "aswan", "cairo-1"));
     }
--- a/tests/process/fleet_case.py
+++ b/tests/process/fleet_case.py
@@ -43,9 +43,17 @@
             if name in self.fleet.targets and not process.is_running():
                 self.fleet.start_target(name)
 
-    def start_load(self, duration, clients=24, *options, pools=None):
+    def start_load(self, duration, clients=24, *options, pools=None, workload=None):
         load = self.fleet.start_load(
-            "--duration", duration, "--clients", clients, "--seed", SEED, *options, pools=pools
+            "--duration",
+            duration,
+            "--clients",
+            clients,
+            "--seed",
+            SEED,
+            *options,
+            pools=pools,
+            workload=workload,
         )
         load.wait_running()
         return load
