--- a/tests/coordination/home_assignment_test.cpp
+++ b/tests/coordination/home_assignment_test.cpp
@@ -3,6 +3,7 @@
 #include <gtest/gtest.h>
 
 #include <algorithm>
+#include <functional>
 #include <iostream>
 #include <map>
 #include <random>
@@ -75,6 +76,7 @@
     constexpr int target_count = 2000;
     for (const int size : {3, 8, 40}) {
         std::vector<member> members;
+        members.reserve(static_cast<std::size_t>(size));
         for (int i = 0; i < size; ++i) {
             members.push_back(make_member(i, "cairo", "cairo-1"));
         }
@@ -109,6 +111,7 @@
     for (int i = 0; i < 5000; ++i) {
         std::vector<member> members;
         const int size = 2 + static_cast<int>(random() % 8);
+        members.reserve(static_cast<std::size_t>(size));
         for (int j = 0; j < size; ++j) {
             members.push_back(make_member(static_cast<int>(random() % 100'000),
                                           random() % 3 != 0 ? "cairo" : "aswan",
@@ -163,8 +166,9 @@
             }
         }
         std::ranges::sort(next, {}, &member::vm);
-        const auto same = std::ranges::unique(next, {}, &member::vm);
-        next.erase(same.begin(), same.end());
+        // clang-tidy 14 cannot compile std::ranges::unique of this standard library.
+        const auto is_same = [](const member& a, const member& b) { return a.vm == b.vm; };
+        next.erase(std::unique(next.begin(), next.end(), is_same), next.end());
         const member_change change = compare_members(members, next);
         members = next;
         most = std::max(most, members.size());
@@ -178,12 +182,71 @@
     EXPECT_GT(most, 10U);
 }
 
+using home_function = std::vector<member> (*)(const std::string&, const state::target_description&,
+                                              const std::vector<member>&, int);
+
+/** Wrong on purpose: homes by position in the list, as in a modulo scheme. */
+std::vector<member> get_homes_by_position(const std::string& /*pool*/,
+                                          const state::target_description& target,
+                                          const std::vector<member>& members, int count) {
+    std::vector<member> homes;
+    const auto begin =
+        std::hash<std::string>{}(target.name) % std::max<std::size_t>(1, members.size());
+    for (int i = 0; i < count && static_cast<std::size_t>(i) < members.size(); ++i) {
+        homes.push_back(members[(begin + static_cast<std::size_t>(i)) % members.size()]);
+    }
+    return homes;
+}
+
+std::vector<member> get_homes_by_weight(const std::string& pool,
+                                        const state::target_description& target,
+                                        const std::vector<member>& members, int count) {
+    return get_homes(pool, target, members, count);
+}
+
+/** Cases in which the loss of one member leaves a target without any of its former homes. */
+int count_forgotten_targets(home_function find_homes, std::uint64_t seed) {
+    std::mt19937_64 random(seed);
+    int forgotten = 0;
+    for (int i = 0; i < 5000; ++i) {
+        std::vector<member> members;
+        const int size = 3 + static_cast<int>(random() % 10);
+        members.reserve(static_cast<std::size_t>(size));
+        for (int j = 0; j < size; ++j) {
+            members.push_back(make_member(static_cast<int>(random() % 100'000),
+                                          random() % 2 != 0 ? "cairo" : "aswan",
+                                          random() % 2 != 0 ? "cairo-1" : "cairo-2"));
+        }
+        const state::target_description target = make_target(i);
+        const std::vector<member> before = find_homes("ledger", target, members, homes_per_target);
+        const std::vector<member> after = find_homes(
+            "ledger", target, without(members, random() % members.size()), homes_per_target);
+        const bool is_any_kept = std::ranges::any_of(after, [&](const member& value) {
+            return std::ranges::find(before, value) != before.end();
+        });
+        forgotten += is_any_kept ? 0 : 1;
+    }
+    return forgotten;
+}
+
+// Guards against a proxy's loss together with a primary's that leaves no home with open connections
+// and evidence of the primary.
+TEST(home_assignment, one_home_of_each_target_outlives_the_loss_of_a_member) {
+    EXPECT_EQ(count_forgotten_targets(get_homes_by_weight, tests::get_seed()), 0);
+}
+
+// Guards against a check that finds nothing.
+TEST(home_assignment, finds_homes_that_move_with_every_member) {
+    EXPECT_GT(count_forgotten_targets(get_homes_by_position, tests::get_seed()), 0);
+}
+
 // Guards against ranks that differ between proxies, so that two claim at once.
 TEST(home_assignment, all_proxies_rank_the_pollers_alike) {
     state::pool_description pool;
     pool.name = "ledger";
     pool.targets = {make_target(1), make_target(2), make_target(3)};
     std::vector<member> members;
+    members.reserve(9);
     for (int i = 0; i < 9; ++i) {
         members.push_back(make_member(i, i % 2 == 0 ? "cairo" : "aswan", "cairo-1"));
     }
