Show transactions, connections and callers of each proxy, and end a stuck transaction

Cause: show sessions and show connections of hornbeamhook-ctl asked /internal/v1/status, which never had such sections, so every row said "not reported"; a stuck transaction could only be waited for.

Change: a proxy answers GET /internal/v1/sessions with its open transactions, pooled connections, queues and limits per target, and the 200 callers it served last. The tool shows these as rows that filter by pool or target and can be queried; a proxy that gives no answer has a row that says why. end transaction ID rolls a transaction back at its home, after the running statement if there is one; the tool and the home each append an audit record.

--- /dev/null
+++ b/src/coordination/recent_callers.h
@@ -0,0 +1,68 @@
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <list>
+#include <map>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "state/group_view.h"
+
+namespace hornbeamhook::coordination {
+
+/** The requests of one caller in one pool since its entry was made. */
+struct caller_activity {
+    std::string pool;
+    std::string caller;
+    std::uint64_t reads = 0;
+    std::uint64_t writes = 0;
+    std::uint64_t refused = 0;
+    state::time_point last_request{};
+
+    bool operator==(const caller_activity&) const = default;
+};
+
+/** What recent_callers holds at a moment. */
+struct caller_snapshot {
+    std::vector<caller_activity> entries;  ///< The caller seen last first.
+    std::uint64_t evicted = 0;             ///< Entries that made room for others.
+
+    bool operator==(const caller_snapshot&) const = default;
+};
+
+/** How one request of a caller ended. */
+enum class caller_request_end { read, write, refused };
+
+/**
+ * Request counts of the callers seen last, in a table of fixed capacity: sessions live in tokens,
+ * so this is all that a proxy knows of them. The caller whose last request is the oldest makes room
+ * for a new one. Not thread safe.
+ */
+class recent_callers {
+public:
+    /** Precondition: `capacity` > 0. */
+    explicit recent_callers(std::size_t capacity) : capacity_(capacity) {}
+
+    ~recent_callers() = default;
+    recent_callers(const recent_callers&) = delete;
+    recent_callers& operator=(const recent_callers&) = delete;
+
+    /** Counts one request. */
+    void record(const std::string& pool, const std::string& caller, caller_request_end end,
+                state::time_point now);
+
+    /** All entries and the number of those that are lost. */
+    caller_snapshot get_snapshot() const;
+
+private:
+    using key = std::pair<std::string, std::string>;
+
+    std::size_t capacity_;
+    std::list<caller_activity> entries_;  ///< Last seen first.
+    std::map<key, std::list<caller_activity>::iterator> places_;
+    std::uint64_t evicted_ = 0;
+};
+
+}  // namespace hornbeamhook::coordination
--- a/src/coordination/transaction_registry.cpp
+++ b/src/coordination/transaction_registry.cpp
@@ -5,12 +5,13 @@
 std::uint64_t transaction_registry::open(const std::string& pool, const std::string& caller,
                                          state::time_point now) {
     const std::uint64_t number = next_number_++;
-    entries_.emplace(number, entry{pool, caller, now, now, true});
+    entries_.emplace(number, entry{pool, caller, now, now, true, false});
     return number;
 }
 
 bool transaction_registry::is_past_limit(const entry& value, state::time_point now) const {
-    return now - value.opened >= limits_.total || now - value.last_used >= limits_.idle;
+    return value.is_ended || now - value.opened >= limits_.total ||
+           now - value.last_used >= limits_.idle;
 }
 
 transaction_claim transaction_registry::claim(std::uint64_t number, const std::string& pool,
@@ -41,6 +42,25 @@
     entries_.erase(number);
 }
 
+transaction_end transaction_registry::end(std::uint64_t number, const std::string& pool) {
+    const auto it = entries_.find(number);
+    if (it == entries_.end() || it->second.pool != pool) {
+        return transaction_end::gone;
+    }
+    it->second.is_ended = true;
+    return it->second.is_busy ? transaction_end::in_use : transaction_end::idle;
+}
+
+std::vector<open_transaction> transaction_registry::get_open() const {
+    std::vector<open_transaction> result;
+    result.reserve(entries_.size());
+    for (const auto& [number, each] : entries_) {
+        result.push_back(
+            {number, each.pool, each.caller, each.opened, each.last_used, each.is_busy});
+    }
+    return result;
+}
+
 state::time_point transaction_registry::get_end(std::uint64_t number) const {
     const auto it = entries_.find(number);
     return it == entries_.end() ? state::time_point{} : it->second.opened + limits_.total;
--- a/src/coordination/transaction_registry.h
+++ b/src/coordination/transaction_registry.h
@@ -17,6 +17,25 @@
     busy,  ///< Another statement of the same transaction is running.
 };
 
+/** Answer to an operator's wish to end a transaction. */
+enum class transaction_end {
+    gone,    ///< Never existed here, or ended already.
+    idle,    ///< Not in use: expire() returns it from now on.
+    in_use,  ///< expire() returns it once the running statement has ended.
+};
+
+/** One open transaction. */
+struct open_transaction {
+    std::uint64_t number = 0;
+    std::string pool;
+    std::string caller;
+    state::time_point opened{};
+    state::time_point last_used{};
+    bool is_busy = false;  ///< A statement of it is running.
+
+    bool operator==(const open_transaction&) const = default;
+};
+
 /** Time limits of open transactions. */
 struct transaction_limits {
     std::chrono::milliseconds idle{5000};
@@ -42,10 +61,17 @@
     /** Removes a transaction. */
     void close(std::uint64_t number);
 
+    /** Marks a transaction of `pool` as ended: no request can claim it any more. A running
+     * statement is not interrupted. */
+    transaction_end end(std::uint64_t number, const std::string& pool);
+
+    /** All open transactions, by number. */
+    std::vector<open_transaction> get_open() const;
+
     /** Until when a claimed transaction may go on. */
     state::time_point get_end(std::uint64_t number) const;
 
-    /** Removes and returns transactions that are past a limit and not in use. */
+    /** Removes and returns transactions that are past a limit or marked, and not in use. */
     std::vector<std::uint64_t> expire(state::time_point now);
 
     /** Open transactions. */
@@ -58,6 +84,7 @@
         state::time_point opened{};
         state::time_point last_used{};
         bool is_busy = true;
+        bool is_ended = false;  ///< By an operator.
     };
 
     bool is_past_limit(const entry& value, state::time_point now) const;
--- a/src/ctl/executor.cpp
+++ b/src/ctl/executor.cpp
@@ -15,6 +15,7 @@
 #include "ctl/report.h"
 #include "ctl/time_text.h"
 #include "protocol/audit_key.h"
+#include "protocol/end_transaction_message.h"
 
 namespace hornbeamhook::ctl {
 
@@ -180,8 +181,11 @@
     if (item.what == "failovers") {
         return execute(select_statement{{}, "failovers", {}, {}, {}, {}});
     }
-    if (item.what == "homes" || item.what == "connections" || item.what == "sessions") {
-        return show_from_proxies(item.what, item.name);
+    if (item.what == "homes") {
+        return show_homes(item.name);
+    }
+    if (item.what == "connections" || item.what == "sessions") {
+        return show_sessions(item.what, item.name);
     }
     return show_objects(item);
 }
@@ -280,8 +284,24 @@
     return answer;
 }
 
-executor::answer_result executor::show_from_proxies(const std::string& what,
-                                                    const std::string& name) {
+leaf::result<source_rows> executor::read_rows(const std::string& source) {
+    if (source != "sessions" && source != "connections") {
+        return with_store([&] { return read_source(client_, source); });
+    }
+    BOOST_LEAF_AUTO(vms, with_store([&] { return client_.get_vms(); }));
+    return make_session_rows(source, proxies_.get_sessions(vms));
+}
+
+executor::answer_result executor::show_sessions(const std::string& what, const std::string& name) {
+    BOOST_LEAF_AUTO(source, read_rows(what));
+    filter_session_rows(source, name);
+    statement_answer answer;
+    answer.table = result_table{std::move(source.columns), std::move(source.rows)};
+    return answer;
+}
+
+executor::answer_result executor::show_homes(const std::string& name) {
+    const std::string what = "homes";
     BOOST_LEAF_AUTO(vms, with_store([&] { return client_.get_vms(); }));
     result_table table{{"name"}, {}};
     std::set<std::string> columns;
@@ -494,6 +514,84 @@
         "the primary was not changed:" + (reasons.empty() ? " no proxy is listed" : reasons));
 }
 
+executor::answer_result executor::execute(const end_statement& item) {
+    if (!base_error_.empty()) {
+        return fail(command_failure::unavailable, base_error_);
+    }
+    const std::optional<transaction_name> transaction = parse_transaction_name(item.id);
+    if (!transaction) {
+        return fail(command_failure::rejected,
+                    "\"" + item.id +
+                        "\" is not the id of a transaction; allowed: VM/INCARNATION/NUMBER, see: "
+                        "show sessions;");
+    }
+    BOOST_LEAF_AUTO(vms, with_store([&] { return client_.get_vms(); }));
+    const std::vector<proxy_answer> answers = proxies_.get_sessions(vms);
+    const auto home = std::find_if(answers.begin(), answers.end(), [&](const proxy_answer& proxy) {
+        return proxy.vm.vm == transaction->vm;
+    });
+    if (home == answers.end()) {
+        return fail(command_failure::rejected,
+                    "vm " + transaction->vm + " is not in the VM list, and no proxy names it");
+    }
+    if (home->failure != proxy_failure::none) {
+        return fail(command_failure::unavailable,
+                    "nothing changed, the proxy of the transaction, " + transaction->vm +
+                        ", did not answer: " + home->message);
+    }
+    for (const json& row : make_session_rows("sessions", {*home}).rows) {
+        if (row.value("id", json()) == item.id) {
+            BOOST_LEAF_CHECK(authorise("pool", row.value("pool", std::string())));
+            return post_end(*home, *transaction, row);
+        }
+    }
+    return fail(command_failure::rejected,
+                "transaction " + item.id + " is not open; see: show sessions;");
+}
+
+executor::answer_result executor::post_end(const proxy_answer& home,
+                                           const transaction_name& transaction, const json& was) {
+    const std::string pool = was.value("pool", std::string());
+    const std::string subject = "pool " + pool;
+    const std::string id = was.value("id", std::string());
+    json details{{"author", settings_.operator_name}, {"transaction", was}};
+    if (is_dry_run_) {
+        return statement_answer{
+            "dry run, nothing changed: transaction " + id + " would be ended: " + to_text(was),
+            {},
+            std::move(details),
+            false};
+    }
+    const proxy_answer reply = proxies_.post(
+        home.vm, "/internal/v1/end_transaction",
+        protocol::to_json(protocol::end_transaction_message{
+            transaction.incarnation, transaction.number, pool, settings_.operator_name}));
+    if (reply.failure == proxy_failure::none) {
+        const std::string state = reply.body.value("state", "ending");
+        details["outcome"] = state;
+        append_audit("end_transaction", subject, details);
+        return statement_answer{
+            "transaction " + id +
+                (state == "rolled_back" ? " is rolled back" : " ends after its running statement"),
+            {},
+            std::move(details),
+            false};
+    }
+    const bool is_gone = reply.status == 404;  // Nothing was changed by this statement.
+    const bool may_have_run =
+        reply.was_sent && reply.status != 403 && reply.status != 404 && reply.status != 400;
+    details["outcome"] = may_have_run ? "unknown" : "not made";
+    details["error"] = reply.message;
+    append_audit("end_transaction", subject, std::move(details));
+    if (may_have_run) {
+        return fail(command_failure::unknown, "whether transaction " + id +
+                                                  " was ended is not known (" + reply.message +
+                                                  "); see: show sessions;");
+    }
+    return fail(is_gone ? command_failure::rejected : command_failure::unavailable,
+                "transaction " + id + " was not ended: " + reply.message);
+}
+
 executor::answer_result executor::execute(const wait_statement& item) {
     std::uint64_t version = item.version.value_or(last_version_);
     if (version == 0) {
@@ -538,7 +636,7 @@
 }
 
 executor::answer_result executor::execute(const select_statement& item) {
-    BOOST_LEAF_AUTO(source, with_store([&] { return read_source(client_, item.source); }));
+    BOOST_LEAF_AUTO(source, read_rows(item.source));
     BOOST_LEAF_AUTO(table, run_query(item, source.rows, source.columns));
     statement_answer answer;
     answer.table = std::move(table);
--- a/src/ctl/executor.h
+++ b/src/ctl/executor.h
@@ -10,8 +10,10 @@
 
 #include "ctl/change_builder.h"
 #include "ctl/ctl_settings.h"
+#include "ctl/platform_rows.h"
 #include "ctl/proxy_client.h"
 #include "ctl/result_table.h"
+#include "ctl/session_rows.h"
 #include "ctl/statement.h"
 #include "protocol/configuration_store.h"
 #include "protocol/table_client.h"
@@ -53,6 +55,7 @@
     answer_result execute(const drop_statement& item);
     answer_result execute(const drain_statement& item);
     answer_result execute(const primary_statement& item);
+    answer_result execute(const end_statement& item);
     answer_result execute(const wait_statement& item);
     answer_result execute(const select_statement& item);
     answer_result execute(const explain_statement& item);
@@ -67,7 +70,11 @@
     answer_result show_versions();
     answer_result show_vms();
     answer_result show_change(const std::string& id);
-    answer_result show_from_proxies(const std::string& what, const std::string& name);
+    answer_result show_homes(const std::string& name);
+    answer_result show_sessions(const std::string& what, const std::string& name);
+    answer_result post_end(const proxy_answer& home, const transaction_name& transaction,
+                           const nlohmann::json& was);
+    boost::leaf::result<source_rows> read_rows(const std::string& source);
     answer_result write_report(const report_statement& item);
 
     boost::leaf::result<void> authorise(const std::string& kind, const std::string& name);
--- a/src/ctl/help_text.cpp
+++ b/src/ctl/help_text.cpp
@@ -14,11 +14,11 @@
     std::string_view text;
 };
 
-constexpr std::array<help_entry, 13> entries{{
+constexpr std::array<help_entry, 14> entries{{
     {"help", "help [COMMAND];", "Shows the commands, or the form of one."},
     {"show",
-     "show pools|callers|operators|token_keys|vms|failovers|homes|connections|sessions;\n"
-     "show targets [of POOL];\nshow versions;\nshow change 'ID';",
+     "show pools|callers|operators|token_keys|vms|failovers;\n"
+     "show targets|homes|connections|sessions [of POOL];\nshow versions;\nshow change 'ID';",
      "Shows the configuration, the VM list, or what the proxies report of themselves.\n"
      "`show change` tells whether a change whose answer was lost took effect."},
     {"create", "create pool|target|caller|operator|token_key NAME [with FIELD = VALUE, ...];",
@@ -38,11 +38,14 @@
     {"undrain", "undrain vm NAME;\nundrain target POOL/TARGET;", "Ends a drain."},
     {"change", "change primary of POOL to TARGET;",
      "Replaces the primary once the target has caught up."},
+    {"end", "end transaction ID;",
+     "Rolls back an open transaction; `show sessions` names them. A statement that is running\n"
+     "ends first; a commit that is running is not interrupted."},
     {"wait", "wait [for version N] [within SECONDS];",
      "Waits until every live proxy reports the version (default: that of the last change),\n"
      "at most 10 s or the time given."},
     {"select",
-     "select *|ITEM, ... from usage|audit|failovers [where CONDITION]\n"
+     "select *|ITEM, ... from usage|audit|failovers|sessions|connections [where CONDITION]\n"
      "  [group by FIELD, ...] [order by COLUMN [asc|desc], ...] [limit N];",
      "ITEM: FIELD, count(), sum(F), min(F), max(F), percentile(F, P), each with [as NAME]\n"
      "CONDITION: FIELD =|!=|<|<=|>|>=|like VALUE, joined by and, or, not and parentheses"},
--- a/src/ctl/parser.cpp
+++ b/src/ctl/parser.cpp
@@ -24,7 +24,8 @@
 const std::vector<std::string> shown_things{"pools",      "targets",     "callers",  "operators",
                                             "token_keys", "vms",         "versions", "failovers",
                                             "homes",      "connections", "sessions", "change"};
-const std::vector<std::string> query_sources{"usage", "audit", "failovers"};
+const std::vector<std::string> query_sources{"usage", "audit", "failovers", "sessions",
+                                             "connections"};
 const std::vector<std::string> drain_kinds{"vm", "target"};
 const std::vector<std::string> operations{"=", "!=", "<", "<=", ">", ">=", "like"};
 const std::map<std::string, aggregate> aggregates{{"count", aggregate::count},
@@ -206,9 +207,9 @@
 };
 
 const std::vector<std::string>& get_commands() {
-    static const std::vector<std::string> commands{
-        "help",   "show", "create", "alter",   "drop",   "drain", "undrain",
-        "change", "wait", "select", "explain", "report", "exit"};
+    static const std::vector<std::string> commands{"help",   "show",    "create", "alter", "drop",
+                                                   "drain",  "undrain", "change", "end",   "wait",
+                                                   "select", "explain", "report", "exit"};
     return commands;
 }
 
@@ -237,6 +238,10 @@
         result.body = std::move(drain);
     } else if (command == "change") {
         BOOST_LEAF_ASSIGN(result.body, parse_primary());
+    } else if (command == "end") {
+        BOOST_LEAF_CHECK(expect_word("transaction"));
+        BOOST_LEAF_AUTO(id, expect_name("the id of a transaction"));
+        result.body = end_statement{std::move(id)};
     } else if (command == "wait") {
         BOOST_LEAF_ASSIGN(result.body, parse_wait());
     } else if (command == "select") {
@@ -555,10 +560,10 @@
     const std::string& command = words.front();
     if (words.size() == 1) {
         static const std::map<std::string, std::vector<std::string>> second{
-            {"help", get_commands()},  {"show", shown_things},        {"create", object_kinds},
-            {"alter", object_kinds},   {"drop", object_kinds},        {"drain", drain_kinds},
-            {"undrain", drain_kinds},  {"change", {"primary"}},       {"wait", {"for", "within"}},
-            {"explain", {"failover"}}, {"report", {"month", "night"}}};
+            {"help", get_commands()},  {"show", shown_things},   {"create", object_kinds},
+            {"alter", object_kinds},   {"drop", object_kinds},   {"drain", drain_kinds},
+            {"undrain", drain_kinds},  {"change", {"primary"}},  {"wait", {"for", "within"}},
+            {"explain", {"failover"}}, {"end", {"transaction"}}, {"report", {"month", "night"}}};
         const auto it = second.find(command);
         return it == second.end() ? std::vector<std::string>() : it->second;
     }
--- a/src/ctl/proxy_client.cpp
+++ b/src/ctl/proxy_client.cpp
@@ -16,6 +16,8 @@
 using nlohmann::json;
 
 namespace {
+constexpr const char* status_path = "/internal/v1/status";
+constexpr const char* sessions_path = "/internal/v1/sessions";
 constexpr std::size_t max_threads = 16;
 constexpr std::chrono::milliseconds status_timeout{2000};
 // Members named by members are all that a second round can add in a connected fleet.
@@ -45,7 +47,7 @@
 proxy_client::proxy_client(ctl_settings settings) : settings_(std::move(settings)) {}
 
 std::vector<proxy_answer> proxy_client::get_status(const std::vector<protocol::vm_entry>& vms) {
-    std::vector<proxy_answer> answers = get_status_of(vms);
+    std::vector<proxy_answer> answers = get_from(vms, status_path);
     std::set<std::string> asked;
     for (const protocol::vm_entry& vm : vms) {
         asked.insert(vm.address);
@@ -62,7 +64,7 @@
         if (unlisted.empty()) {
             break;
         }
-        for (proxy_answer& answer : get_status_of(unlisted)) {
+        for (proxy_answer& answer : get_from(unlisted, status_path)) {
             answers.push_back(std::move(answer));
         }
     }
@@ -72,13 +74,31 @@
     return answers;
 }
 
-std::vector<proxy_answer> proxy_client::get_status_of(const std::vector<protocol::vm_entry>& vms) {
+std::vector<proxy_answer> proxy_client::get_sessions(const std::vector<protocol::vm_entry>& vms) {
+    std::vector<proxy_answer> answers = get_status(vms);
+    std::vector<protocol::vm_entry> reachable;
+    std::vector<std::size_t> places;
+    for (std::size_t i = 0; i < answers.size(); ++i) {
+        if (answers[i].failure == proxy_failure::none) {
+            reachable.push_back(answers[i].vm);
+            places.push_back(i);
+        }
+    }
+    std::vector<proxy_answer> sessions = get_from(reachable, sessions_path);
+    for (std::size_t i = 0; i < places.size(); ++i) {
+        answers[places[i]] = std::move(sessions[i]);
+    }
+    return answers;
+}
+
+std::vector<proxy_answer> proxy_client::get_from(const std::vector<protocol::vm_entry>& vms,
+                                                 const std::string& path) {
     std::vector<proxy_answer> answers(vms.size());
     std::atomic<std::size_t> next = 0;
     const auto work = [&] {
         for (std::size_t i = next++; i < vms.size(); i = next++) {
             transport::http_call request;
-            request.target = "/internal/v1/status";
+            request.target = path;
             request.timeout = std::min(status_timeout, settings_.proxy_timeout);
             answers[i] = call(vms[i], std::move(request));
         }
--- a/src/ctl/proxy_client.h
+++ b/src/ctl/proxy_client.h
@@ -40,12 +40,17 @@
      */
     std::vector<proxy_answer> get_status(const std::vector<protocol::vm_entry>& vms);
 
+    /** GET /internal/v1/sessions of the same proxies; one that gave no status is not asked again.
+     */
+    std::vector<proxy_answer> get_sessions(const std::vector<protocol::vm_entry>& vms);
+
     /** POST to one proxy. */
     proxy_answer post(const protocol::vm_entry& vm, const std::string& path,
                       const nlohmann::json& body);
 
 private:
-    std::vector<proxy_answer> get_status_of(const std::vector<protocol::vm_entry>& vms);
+    std::vector<proxy_answer> get_from(const std::vector<protocol::vm_entry>& vms,
+                                       const std::string& path);
     proxy_answer call(const protocol::vm_entry& vm, transport::http_call request);
 
     ctl_settings settings_;
--- a/src/ctl/statement.h
+++ b/src/ctl/statement.h
@@ -80,6 +80,13 @@
     bool operator==(const primary_statement&) const = default;
 };
 
+/** `end transaction ID` */
+struct end_statement {
+    std::string id;  ///< "VM/INCARNATION/NUMBER", as `show sessions` names it.
+
+    bool operator==(const end_statement&) const = default;
+};
+
 /** `wait [for version N] [within SECONDS]` */
 struct wait_statement {
     std::optional<std::uint64_t> version;
@@ -181,8 +188,8 @@
 /** One statement with its place in the input. */
 struct statement {
     std::variant<help_statement, show_statement, create_statement, alter_statement, drop_statement,
-                 drain_statement, primary_statement, wait_statement, select_statement,
-                 explain_statement, report_statement, exit_statement>
+                 drain_statement, primary_statement, end_statement, wait_statement,
+                 select_statement, explain_statement, report_statement, exit_statement>
         body;
     input_position at;
     std::string text;  ///< As written, without the ";".
--- a/src/proxy/data_events.h
+++ b/src/proxy/data_events.h
@@ -22,5 +22,7 @@
     1023, "acknowledgement_handed_over"};
 inline constexpr transport::event_type event_transaction_expired{
     1030, "transaction_expired", transport::event_severity::warning};
+inline constexpr transport::event_type event_transaction_ended{1031, "transaction_ended",
+                                                               transport::event_severity::warning};
 
 }  // namespace hornbeamhook::proxy
--- a/src/proxy/home_runtime.cpp
+++ b/src/proxy/home_runtime.cpp
@@ -268,6 +268,20 @@
         std::chrono::duration_cast<std::chrono::milliseconds>(time * acknowledgement_safety));
 }
 
+std::vector<lane_usage> home_runtime::get_lane_usage() {
+    const std::scoped_lock lock(mutex_);
+    std::vector<lane_usage> result;
+    for (const auto& [name, lane] : lanes_) {
+        using coordination::request_kind;
+        result.push_back({name, lane->get_queued(request_kind::read),
+                          lane->get_queued(request_kind::write),
+                          lane->get_queued(request_kind::transaction), lane->get_in_flight(),
+                          lane->get_limit(request_kind::read), lane->get_limit(request_kind::write),
+                          lane->get_limit(request_kind::transaction)});
+    }
+    return result;
+}
+
 void home_runtime::add_gauges(gauge_sample& gauges) {
     const std::scoped_lock lock(mutex_);
     for (const auto& [name, lane] : lanes_) {
--- a/src/proxy/home_runtime.h
+++ b/src/proxy/home_runtime.h
@@ -7,6 +7,7 @@
 #include <mutex>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "protocol/execute_message.h"
 #include "protocol/proxy_settings.h"
@@ -24,6 +25,20 @@
 /** Sends the answer of a home; called exactly once. */
 using execute_responder = std::function<void(protocol::execute_answer)>;
 
+/** The queues and the limit of one target at this home. */
+struct lane_usage {
+    std::string target;  ///< "pool/target".
+    std::size_t queued_reads = 0;
+    std::size_t queued_writes = 0;
+    std::size_t queued_transactions = 0;
+    int in_flight = 0;   ///< Requests and transactions that hold a place.
+    int read_limit = 0;  ///< Reads that may hold a place.
+    int write_limit = 0;
+    int transaction_limit = 0;
+
+    bool operator==(const lane_usage&) const = default;
+};
+
 /** What the home's services share: lanes, threads, checks and the wait for acknowledgements. */
 class home_runtime {
 public:
@@ -75,6 +90,9 @@
     /** Sums over all lanes. Thread safe. */
     void add_gauges(gauge_sample& gauges);
 
+    /** The lanes of all targets, by name. Thread safe. */
+    std::vector<lane_usage> get_lane_usage();
+
     group_source& get_groups() { return groups_; }
     session_source& get_sessions() { return sessions_; }
     executor& get_executor() { return executor_; }
--- a/src/proxy/proxy_server.cpp
+++ b/src/proxy/proxy_server.cpp
@@ -8,6 +8,7 @@
 #include <utility>
 
 #include "protocol/authenticated_text.h"
+#include "protocol/end_transaction_message.h"
 #include "proxy/audit_log.h"
 #include "proxy/data_events.h"
 #include "proxy/data_metrics.h"
@@ -15,7 +16,9 @@
 #include "proxy/fleet_group_source.h"
 #include "proxy/fleet_service.h"
 #include "proxy/home_service.h"
+#include "proxy/json_response.h"
 #include "proxy/session_pool.h"
+#include "proxy/session_report.h"
 #include "proxy/transaction_service.h"
 #include "proxy/usage_recorder.h"
 #include "state/json_reader.h"
@@ -84,6 +87,9 @@
     void handle_internal(http_request request, const http_responder& respond);
     void handle_execute(const http_request& request, const http_responder& respond);
     http_response make_metrics();
+    http_response make_sessions();
+    http_response end_transaction(const http_request& request);
+    http_response end_transaction(const protocol::end_transaction_message& message);
     bool is_ready() const { return !is_unready && fleet.is_ready(); }
     void run_maintenance();
     void stop_maintenance();
@@ -125,6 +131,53 @@
     return {200, metrics.serialise(gauges), "text/plain; version=0.0.4; charset=utf-8"};
 }
 
+http_response proxy_server::implementation::make_sessions() {
+    const session_report report{settings.vm,
+                                incarnation,
+                                transactions.get_transactions(),
+                                usage.get_recent_callers(),
+                                sessions.get_usage(),
+                                runtime.get_lane_usage()};
+    return make_json(200, to_json(report, std::chrono::steady_clock::now()));
+}
+
+http_response proxy_server::implementation::end_transaction(const http_request& request) {
+    return leaf::try_handle_all(
+        [&]() -> leaf::result<http_response> {
+            BOOST_LEAF_AUTO(body, state::parse_json(request.body, "message"));
+            BOOST_LEAF_AUTO(message, protocol::parse_end_transaction_message(body));
+            return end_transaction(message);
+        },
+        [](const state::state_error& error) {
+            return make_error(400, "bad_request", error.message);
+        },
+        [] { return make_error(400, "bad_request", "the message cannot be parsed"); });
+}
+
+http_response proxy_server::implementation::end_transaction(
+    const protocol::end_transaction_message& message) {
+    ended_transaction done;
+    if (message.incarnation == incarnation) {
+        done = transactions.end(message.transaction, message.pool);
+    }
+    if (done.end == coordination::transaction_end::gone) {
+        return make_error(404, "transaction_gone", "no such transaction is open at this home");
+    }
+    nlohmann::json was =
+        to_json(done.was, settings.vm, incarnation, std::chrono::steady_clock::now());
+    was["operator"] = message.operator_name;
+    was["state"] = done.end == coordination::transaction_end::idle ? "rolled_back" : "ending";
+    audit.append({"transaction_ended", message.pool,
+                  "operator " + message.operator_name + " ended transaction " +
+                      was["id"].get<std::string>() + " of caller " + done.was.transaction.caller,
+                  was});
+    transport::log_event(event_transaction_ended,
+                         {{"transaction", std::to_string(message.transaction)},
+                          {"pool", message.pool},
+                          {"operator", message.operator_name}});
+    return make_json(200, was);
+}
+
 void proxy_server::implementation::handle(http_request request, http_responder respond) {
     if (request.path.starts_with("/v1/")) {
         last_work = std::chrono::steady_clock::now();
@@ -157,6 +210,14 @@
         handle_execute(request, respond);
         return;
     }
+    if (request.path == "/internal/v1/sessions" && request.method == "GET") {
+        respond(make_sessions());
+        return;
+    }
+    if (request.path == "/internal/v1/end_transaction" && request.method == "POST") {
+        respond(end_transaction(request));
+        return;
+    }
     const auto task = [this, request = std::move(request), respond] {
         respond(fleet.handle(request));
     };
--- a/src/proxy/session_pool.cpp
+++ b/src/proxy/session_pool.cpp
@@ -66,6 +66,31 @@
 
 }  // namespace
 
+connection_usage make_connection_usage(const std::string& target,
+                                       const coordination::connection_pool& pool) {
+    using phase = coordination::pooled_connection::phase;
+    connection_usage usage;
+    usage.target = target;
+    usage.quota = pool.limits.quota;
+    usage.allowed = pool.allowed;
+    usage.waiting = pool.waiters.size();
+    for (const auto& [id, connection] : pool.connections) {
+        switch (connection.current) {
+            case phase::opening:
+                ++usage.opening;
+                break;
+            case phase::idle:
+            case phase::testing:
+                ++usage.idle;
+                break;
+            case phase::lent:
+                ++usage.in_use;
+                break;
+        }
+    }
+    return usage;
+}
+
 session_pool::session_pool(const protocol::proxy_settings& settings, group_source& groups)
     : settings_(settings), groups_(groups) {}
 
@@ -131,16 +156,26 @@
                                                            : std::min(share, it->second.allowed);
 }
 
-void session_pool::maintain() {
-    const std::shared_ptr<const state::fleet_view> view = groups_.get_view();
+std::vector<std::pair<std::string, std::shared_ptr<target_pool>>> session_pool::get_pools() {
     std::vector<std::pair<std::string, std::shared_ptr<target_pool>>> pools;
-    {
-        const std::scoped_lock lock(mutex_);
-        for (const auto& [key, each] : entries_) {
-            pools.emplace_back(key, each.pool);
-        }
+    const std::scoped_lock lock(mutex_);
+    for (const auto& [key, each] : entries_) {
+        pools.emplace_back(key, each.pool);
+    }
+    return pools;
+}
+
+std::vector<connection_usage> session_pool::get_usage() {
+    std::vector<connection_usage> result;
+    for (const auto& [key, each] : get_pools()) {
+        result.push_back(make_connection_usage(key, each->get_state()));
     }
-    for (const auto& [key, each] : pools) {
+    return result;
+}
+
+void session_pool::maintain() {
+    const std::shared_ptr<const state::fleet_view> view = groups_.get_view();
+    for (const auto& [key, each] : get_pools()) {
         const std::size_t slash = key.find('/');
         const state::pool_description* pool = view->config->find_pool(key.substr(0, slash));
         const state::target_description* target =
--- a/src/proxy/session_pool.h
+++ b/src/proxy/session_pool.h
@@ -4,6 +4,8 @@
 #include <memory>
 #include <mutex>
 #include <string>
+#include <utility>
+#include <vector>
 
 #include "protocol/proxy_settings.h"
 #include "proxy/group_source.h"
@@ -12,6 +14,23 @@
 
 namespace hornbeamhook::proxy {
 
+/** The connections of this home to one target. */
+struct connection_usage {
+    std::string target;  ///< "pool/target".
+    int in_use = 0;      ///< Lent to a request or transaction.
+    int idle = 0;        ///< Including those being tested.
+    int opening = 0;
+    int quota = 0;            ///< This home's share of the target's connection limit.
+    int allowed = 0;          ///< The quota in force, lowered by refusals of the target.
+    std::size_t waiting = 0;  ///< Requests that wait for a connection.
+
+    bool operator==(const connection_usage&) const = default;
+};
+
+/** Counts the connections of one pool. Pure. */
+connection_usage make_connection_usage(const std::string& target,
+                                       const coordination::connection_pool& pool);
+
 /** The pools of connections to all targets, each with its share of the target's limit. Thread
  * safe. */
 class session_pool : public session_source {
@@ -24,6 +43,9 @@
                            state::time_point deadline) override;
     int get_quota(const std::string& pool, const state::target_description& target) override;
 
+    /** The connections to each target that this proxy connected to, by name. */
+    std::vector<connection_usage> get_usage();
+
     /** Follows the homes: a target this proxy serves no more keeps no connection. Call about once
      * a second. */
     void maintain();
@@ -40,6 +62,8 @@
     std::shared_ptr<target_pool> get_pool(const std::string& pool,
                                           const state::target_description& target);
 
+    std::vector<std::pair<std::string, std::shared_ptr<target_pool>>> get_pools();
+
     const protocol::proxy_settings& settings_;
     group_source& groups_;
     std::mutex mutex_;
--- a/src/proxy/transaction_service.cpp
+++ b/src/proxy/transaction_service.cpp
@@ -62,6 +62,42 @@
     return registry_.get_size();
 }
 
+transaction_state transaction_service::make_state(
+    const coordination::open_transaction& transaction) const {
+    transaction_state result{transaction, "", true};
+    if (const auto it = pinned_.find(transaction.number); it != pinned_.end()) {
+        result.target = it->second->target.name;
+        result.is_write = it->second->is_write;
+    }
+    return result;
+}
+
+std::vector<transaction_state> transaction_service::get_transactions() const {
+    const std::scoped_lock lock(mutex_);
+    std::vector<transaction_state> result;
+    for (const coordination::open_transaction& each : registry_.get_open()) {
+        result.push_back(make_state(each));
+    }
+    return result;
+}
+
+ended_transaction transaction_service::end(std::uint64_t number, const std::string& pool) {
+    ended_transaction result;
+    {
+        const std::scoped_lock lock(mutex_);
+        for (const coordination::open_transaction& each : registry_.get_open()) {
+            if (each.number == number) {
+                result.was = make_state(each);
+            }
+        }
+        result.end = registry_.end(number, pool);
+    }
+    if (result.end == coordination::transaction_end::idle) {
+        expire(std::chrono::steady_clock::now());
+    }
+    return result;
+}
+
 void transaction_service::handle(execute_request request, execute_responder respond) {
     const state::time_point arrival = std::chrono::steady_clock::now();
     const state::time_point deadline = arrival + request.deadline;
--- a/src/proxy/transaction_service.h
+++ b/src/proxy/transaction_service.h
@@ -6,6 +6,7 @@
 #include <mutex>
 #include <set>
 #include <string>
+#include <vector>
 
 #include "coordination/transaction_registry.h"
 #include "proxy/exchange_log.h"
@@ -13,6 +14,19 @@
 
 namespace hornbeamhook::proxy {
 
+/** An open transaction with the target that it holds a connection of. */
+struct transaction_state {
+    coordination::open_transaction transaction;
+    std::string target;
+    bool is_write = true;
+};
+
+/** What became of an operator's wish to end a transaction. */
+struct ended_transaction {
+    coordination::transaction_end end = coordination::transaction_end::gone;
+    transaction_state was;  ///< Unless it is gone.
+};
+
 /**
  * Open transactions at their home. Each pins one connection until it ends; when this process dies,
  * its connections close and the targets roll back.
@@ -37,6 +51,15 @@
     /** Open transactions. Thread safe. */
     std::size_t get_open() const;
 
+    /** All open transactions. Thread safe. */
+    std::vector<transaction_state> get_transactions() const;
+
+    /**
+     * Rolls back a transaction of `pool` for an operator; one with a running statement when that
+     * statement has ended. A running commit is not interrupted. Thread safe.
+     */
+    ended_transaction end(std::uint64_t number, const std::string& pool);
+
 private:
     /** A place of the lane, held from the begin of a transaction to its end. */
     struct held_place {
@@ -78,6 +101,7 @@
                         const execute_responder& respond, begin_function start);
     void give_up_place(const held_place& held);
     void end_place(const held_place& held);
+    transaction_state make_state(const coordination::open_transaction& transaction) const;
     bool ensure_key_table(const protocol::execute_request& request,
                           const state::target_description& target, state::time_point deadline);
 
--- a/src/proxy/usage_recorder.cpp
+++ b/src/proxy/usage_recorder.cpp
@@ -25,6 +25,8 @@
 constexpr std::size_t rows_per_write = 50;
 // One row needs about 1 KB; the bound holds a day of store outage at today's size.
 constexpr std::size_t max_rows = 20'000;
+// An entry takes about 200 bytes, and all of them go into one answer to the operator.
+constexpr std::size_t max_recent_callers = 200;
 // At the end of the process a lost answer is resolved by reading back and writing again.
 constexpr int last_attempts = 2;
 
@@ -48,6 +50,7 @@
     std::mutex mutex;
     std::condition_variable has_changed;
     usage_ledger ledger;
+    coordination::recent_callers callers{max_recent_callers};
     bool is_stopping = false;
     std::size_t live_members = 1;
     bool has_failed = false;
@@ -68,8 +71,19 @@
 
 void usage_recorder::record(const usage_sample& sample) {
     const std::string hour = get_hour();
+    const coordination::caller_request_end end =
+        !sample.refusal.empty() ? coordination::caller_request_end::refused
+        : sample.is_read        ? coordination::caller_request_end::read
+                                : coordination::caller_request_end::write;
     const std::scoped_lock lock(implementation_->mutex);
     implementation_->ledger.record(sample, hour);
+    implementation_->callers.record(sample.pool, sample.caller, end,
+                                    std::chrono::steady_clock::now());
+}
+
+coordination::caller_snapshot usage_recorder::get_recent_callers() const {
+    const std::scoped_lock lock(implementation_->mutex);
+    return implementation_->callers.get_snapshot();
 }
 
 void usage_recorder::set_live_members(std::size_t count) {
--- a/src/proxy/usage_recorder.h
+++ b/src/proxy/usage_recorder.h
@@ -4,6 +4,7 @@
 #include <memory>
 #include <string>
 
+#include "coordination/recent_callers.h"
 #include "protocol/proxy_settings.h"
 
 namespace hornbeamhook::proxy {
@@ -36,6 +37,10 @@
     /** The size of the fleet, which sets the interval of writes. Thread safe. */
     void set_live_members(std::size_t count);
 
+    /** The callers that sent requests to this entry last, with their counts since the process
+     * started or since they were forgotten. Thread safe. */
+    coordination::caller_snapshot get_recent_callers() const;
+
     /** Starts the writer thread. */
     void start();
 
--- a/tests/coordination/transaction_registry_test.cpp
+++ b/tests/coordination/transaction_registry_test.cpp
@@ -176,5 +176,28 @@
     EXPECT_GT(wrong, 0);
 }
 
+// Guards against a transaction that an operator ended and its caller goes on to use, and against
+// ending one in the middle of a statement.
+TEST(transaction_registry, an_operator_ends_a_transaction) {
+    transaction_registry registry({});
+    const std::uint64_t idle = registry.open("p", "a", start);
+    registry.release(idle, start);
+    const std::uint64_t busy = registry.open("p", "b", start);
+    const std::uint64_t other = registry.open("q", "a", start);
+    registry.release(other, start);
+    EXPECT_EQ(registry.end(other + 1, "p"), transaction_end::gone);
+    EXPECT_EQ(registry.end(idle, "q"), transaction_end::gone) << "of another pool";
+    EXPECT_EQ(registry.end(idle, "p"), transaction_end::idle);
+    EXPECT_EQ(registry.end(busy, "p"), transaction_end::in_use);
+    EXPECT_EQ(registry.claim(idle, "p", "a", start), transaction_claim::gone);
+    EXPECT_EQ(registry.expire(start), std::vector<std::uint64_t>{idle});
+    registry.release(busy, start);
+    EXPECT_EQ(registry.claim(busy, "p", "b", start), transaction_claim::gone);
+    EXPECT_EQ(registry.expire(start), std::vector<std::uint64_t>{busy});
+    EXPECT_EQ(registry.end(busy, "p"), transaction_end::gone);
+    const std::vector<open_transaction> left{{other, "q", "a", start, start, false}};
+    EXPECT_EQ(registry.get_open(), left);
+}
+
 }  // namespace
 }  // namespace hornbeamhook::coordination
