Record a promotion at every poller and tell it from any of the records

Cause: only the claimant recorded a promotion. When it died before the record was stored, for example in a store outage, no failover was listed. Its record also lacked the observations that led to it: by the time of the report the others' newest observations named the new primary.

Change: each other poller that sees a new term queues a second-hand record (promotion_seen) with the claimant, its own last answer of the old primary and the observations. The tool takes records of one pool and term within 10 minutes as one failover, the claimant's first, in queries, explain and both reports. Observations of a loss are kept until the report is made. explain names each step with its wall time and says observations in words; reports show from which target to which; explain failover last and report last HOURS are new.

--- a/scripts/fleet.py
+++ b/scripts/fleet.py
@@ -257,6 +257,11 @@
     return PortAllocator()
 
 
+def hash_credential(text):
+    """What the configuration holds of a credential."""
+    return hashlib.blake2b(text.encode(), digest_size=32).hexdigest()
+
+
 class Fleet:
     """All processes of one deployment. Use as a context manager."""
 
@@ -515,9 +520,6 @@
     # Configuration
 
     def make_configuration_puts(self):
-        def hash_credential(text):
-            return hashlib.blake2b(text.encode(), digest_size=32).hexdigest()
-
         everything = [{"pool": "*", "may_read": True, "may_write": True}]
         puts = [
             {"kind": "token_key", "name": "key1", "value": {"secret": TOKEN_SECRET}},
--- a/src/coordination/failover.cpp
+++ b/src/coordination/failover.cpp
@@ -447,6 +447,29 @@
     return std::max(milliseconds(0), duration_cast<milliseconds>(to - from));
 }
 
+/** What other pollers said of `primary`; that they could not reach it counts most. */
+std::vector<primary_observation> get_observations_of(const failover_state& state,
+                                                     const std::optional<primary_view>& primary) {
+    std::map<std::string, primary_observation> result;
+    for (const auto& [vm, observation] : state.loss_observations) {
+        if (primary && observation.primary == *primary) {
+            result.emplace(vm, observation);
+        }
+    }
+    for (const auto& [vm, timed] : state.observations) {
+        if (primary && timed.observation.primary == *primary) {
+            result.emplace(vm, timed.observation);
+        }
+    }
+    std::vector<primary_observation> list;
+    for (const auto& [vm, observation] : result) {
+        if (vm != state.vm) {
+            list.push_back(observation);
+        }
+    }
+    return list;
+}
+
 promotion_report make_report(const failover_state& state, bool is_adopted, time_point now) {
     promotion_report report;
     report.reason = state.reason;
@@ -460,11 +483,7 @@
     report.fencing = get_span(state.claimed_at, state.fenced_at);
     report.promotion = get_span(state.fenced_at, state.promoted_at);
     report.adoption = get_span(state.promoted_at, now);
-    for (const auto& [vm, timed] : state.observations) {
-        if (state.lost && timed.observation.primary == *state.lost) {
-            report.observations.push_back(timed.observation);
-        }
-    }
+    report.observations = get_observations_of(state, state.lost);
     report.fenced = state.fenced;
     return report;
 }
@@ -530,15 +549,63 @@
                   [&](const auto& entry) { return now - entry.second > hysteresis_window; });
 }
 
+loss_reason get_suspicion(const group_evidence& evidence) {
+    if (evidence.is_primary_unreachable) {
+        return loss_reason::unreachable;
+    }
+    return evidence.is_primary_cut_off ? loss_reason::cut_off : loss_reason::none;
+}
+
+/** What this poller saw of a promotion; `state` still holds what was known before it. */
+promotion_seen make_seen(const failover_state& state, const group_evidence& evidence,
+                         time_point now) {
+    promotion_seen seen;
+    seen.after = *evidence.primary;
+    const auto answer = evidence.answers.find(seen.after.target);
+    if (answer != evidence.answers.end() && answer->second.accepted_term == seen.after.term) {
+        seen.claimant = answer->second.accepted_claimant;
+    }
+    if (state.known) {
+        seen.suspicion = state.known->suspicion;
+        seen.before = state.known->primary;
+        seen.gap = get_span(state.known->reached_at, now);
+    }
+    seen.observations = get_observations_of(state, seen.before);
+    return seen;
+}
+
+/** Follows the primary; without one, what was known of the last stays. */
+void update_known(failover_state& state, const group_evidence& evidence) {
+    if (!evidence.primary) {
+        return;
+    }
+    if (state.known && state.known->primary != *evidence.primary) {
+        std::erase_if(state.loss_observations, [&](const auto& entry) {
+            return entry.second.primary.term < state.known->primary.term;
+        });
+    }
+    state.known =
+        known_primary{*evidence.primary, evidence.primary_reached_at, get_suspicion(evidence)};
+}
+
+bool is_own_promotion(const failover_state& state, state::term_number term) {
+    return state.term == term &&
+           (state.phase == failover_phase::promoting || state.phase == failover_phase::adopting);
+}
+
 void apply(failover_state& state, const evidence_updated& event, time_point now,
-           action_list& /*actions*/) {
+           action_list& actions) {
     const std::optional<primary_view>& before = state.evidence.primary;
     const std::optional<primary_view>& after = event.evidence.primary;
     // The first primary ever seen is not a promotion.
     const state::term_number known = before ? before->term : state.lost ? state.lost->term : 0;
     if (after && known != 0 && after->term > known) {
-        state.promotions.try_emplace(after->term, now);
+        const bool is_new = state.promotions.try_emplace(after->term, now).second;
+        if (is_new && !is_own_promotion(state, after->term)) {
+            actions.emplace_back(make_seen(state, event.evidence, now));
+        }
     }
+    update_known(state, event.evidence);
     state.evidence = event.evidence;
     state.highest_term = std::max(state.highest_term, event.evidence.highest_term);
     forget_old_promotions(state, now);
@@ -552,6 +619,9 @@
 void apply(failover_state& state, const observation_received& event, time_point now,
            action_list& /*actions*/) {
     state.observations[event.observation.observer] = {event.observation, now};
+    if (event.observation.is_unreachable) {
+        state.loss_observations[event.observation.observer] = event.observation;
+    }
     std::erase_if(state.observations, [&](const auto& entry) {
         return now - entry.second.received_at > hysteresis_window;
     });
--- a/src/coordination/failover.h
+++ b/src/coordination/failover.h
@@ -157,8 +157,22 @@
     promotion_report report;
 };
 
+/**
+ * Another proxy's promotion as this poller saw it. It goes to the audit trail, because the
+ * claimant may die before its own record is stored.
+ */
+struct promotion_seen {
+    loss_reason suspicion = loss_reason::none;  ///< Own evidence of a loss before it, if any.
+    std::optional<state::primary_view> before;
+    state::primary_view after;
+    std::string claimant;  ///< As the new primary reports it, or empty.
+    /// Last answer of the old primary to this poller until the new one was seen.
+    std::chrono::milliseconds gap{0};
+    std::vector<primary_observation> observations;  ///< Of other pollers, about the old primary.
+};
+
 using failover_action = std::variant<ask_observations, poll_targets, send_term_call, pause_writes,
-                                     change_finished, promotion_finished>;
+                                     change_finished, promotion_finished, promotion_seen>;
 
 /** An observation and when it arrived. */
 struct timed_observation {
@@ -173,6 +187,13 @@
     state::time_point requested_at{};
 };
 
+/** The primary that was known last, with this poller's evidence against it. */
+struct known_primary {
+    state::primary_view primary;
+    state::time_point reached_at{};  ///< Its last answer to this poller.
+    loss_reason suspicion = loss_reason::none;
+};
+
 /** State of one poller for one group. */
 struct failover_state {
     std::string vm;
@@ -183,6 +204,10 @@
     failover_phase phase = failover_phase::watching;
     loss_reason reason = loss_reason::none;
     std::map<std::string, timed_observation> observations;
+    /// The newest of each poller that could not reach its primary. Apart from `observations`,
+    /// because these name the new primary before a report of the loss is made.
+    std::map<std::string, primary_observation> loss_observations;
+    std::optional<known_primary> known;       ///< Kept while a fenced group has no primary.
     std::optional<state::primary_view> lost;  ///< The primary to be replaced.
     state::time_point last_reached{};         ///< Of the lost primary.
     state::time_point asked_at{};
--- a/src/ctl/executor.cpp
+++ b/src/ctl/executor.cpp
@@ -97,6 +97,29 @@
     rows = std::move(merged);
 }
 
+/** Part of the time that a report of events covers. */
+struct report_span {
+    std::int64_t begin_ms = 0;
+    std::int64_t end_ms = 0;  ///< Exclusive.
+};
+
+leaf::result<report_span> get_report_span(const report_statement& item) {
+    const std::int64_t now = get_wall_ms();
+    if (item.period == "last") {
+        return report_span{now - static_cast<std::int64_t>(item.hours) * ms_per_hour, now + 1};
+    }
+    std::optional<std::int64_t> morning = parse_day(item.date);
+    if (!item.date.empty() && !morning) {
+        return fail(command_failure::rejected, "\"" + item.date + "\" is not a date");
+    }
+    if (!morning) {
+        // The night that began last: before 18:00 it is the one that ended this morning.
+        const std::int64_t today = now - now % ms_per_day;
+        morning = now - today >= night_begin_ms ? today + ms_per_day : today;
+    }
+    return report_span{*morning - ms_per_day + night_begin_ms, *morning + night_end_ms};
+}
+
 result_table make_object_table(const std::string& kind) {
     if (kind == "pool") {
         return {{"name", "default_read_policy", "queue_length", "default_deadline_ms", "version"},
@@ -645,12 +668,13 @@
 
 executor::answer_result executor::execute(const explain_statement& item) {
     BOOST_LEAF_AUTO(failovers, with_store([&] { return read_failovers(client_); }));
-    if (item.number == 0 || item.number > failovers.size()) {
-        return fail(command_failure::rejected, "failover " + std::to_string(item.number) +
+    const std::uint64_t number = item.number == 0 ? failovers.size() : item.number;
+    if (number == 0 || number > failovers.size()) {
+        return fail(command_failure::rejected, "failover " + std::to_string(number) +
                                                    " is not recorded; allowed: 1 to " +
                                                    std::to_string(failovers.size()));
     }
-    const json& failover = failovers[item.number - 1];
+    const json& failover = failovers[number - 1];
     statement_answer answer;
     answer.fields = {{"pool", failover["pool"]}, {"gap_ms", failover.value("gap_ms", json())}};
     answer.text =
@@ -668,30 +692,22 @@
     std::size_t skipped = 0;
     if (item.period == "month") {
         BOOST_LEAF_AUTO(usage, with_store([&] { return read_usage(client_, item.date, skipped); }));
-        BOOST_LEAF_AUTO(failovers, with_store([&] {
-                            return read_values(client_, "failover", item.date + "/");
-                        }));
-        value = make_month_report(item.date, usage, failovers);
+        BOOST_LEAF_AUTO(
+            records, with_store([&] { return read_values(client_, "failover", item.date + "/"); }));
+        value = make_month_report(item.date, usage, merge_failovers(std::move(records)));
     } else {
         if (item.format == "svg") {
             return fail(command_failure::rejected,
-                        "the format svg is not allowed for a night; allowed: table, csv");
-        }
-        std::optional<std::int64_t> morning = parse_day(item.date);
-        if (!item.date.empty() && !morning) {
-            return fail(command_failure::rejected, "\"" + item.date + "\" is not a date");
-        }
-        if (!morning) {
-            // The night that began last: before 18:00 it is the one that ended this morning.
-            const std::int64_t now = get_wall_ms();
-            const std::int64_t today = now - now % ms_per_day;
-            morning = now - today >= night_begin_ms ? today + ms_per_day : today;
+                        "the format svg is only allowed for a month; allowed: table, csv");
         }
+        BOOST_LEAF_AUTO(span, get_report_span(item));
         BOOST_LEAF_AUTO(usage, with_store([&] { return read_usage(client_, "", skipped); }));
         BOOST_LEAF_AUTO(audit, with_store([&] { return read_values(client_, "audit", ""); }));
         BOOST_LEAF_AUTO(failovers, with_store([&] { return read_failovers(client_); }));
-        value = make_night_report(*morning - ms_per_day + night_begin_ms, *morning + night_end_ms,
-                                  usage, audit, failovers);
+        value = make_night_report(span.begin_ms, span.end_ms, usage, audit, failovers);
+        if (item.period == "last") {
+            value.title = "Last " + std::to_string(item.hours) + " hours, " + value.title;
+        }
     }
     statement_answer answer;
     answer.fields = {{"title", value.title}, {"summary", value.summary}};
--- a/src/ctl/help_text.cpp
+++ b/src/ctl/help_text.cpp
@@ -49,10 +49,10 @@
      "  [group by FIELD, ...] [order by COLUMN [asc|desc], ...] [limit N];",
      "ITEM: FIELD, count(), sum(F), min(F), max(F), percentile(F, P), each with [as NAME]\n"
      "CONDITION: FIELD =|!=|<|<=|>|>=|like VALUE, joined by and, or, not and parentheses"},
-    {"explain", "explain failover N;", "Tells what happened in a promotion, in order."},
+    {"explain", "explain failover N|last;", "Tells what happened in a promotion, in order."},
     {"report",
      "report month YYYY-MM [as table|csv [FILE]|svg FILE];\n"
-     "report night [YYYY-MM-DD] [as table|csv [FILE]];",
+     "report night [YYYY-MM-DD]|last HOURS [as table|csv [FILE]];",
      "Share of reads served by replicas and failover gaps of a month; events of a night\n"
      "(18:00 to 06:00 UTC, named by its morning)."},
     {"exit", "exit;", "Ends the console or the script."},
--- a/src/ctl/parser.cpp
+++ b/src/ctl/parser.cpp
@@ -17,6 +17,7 @@
 
 // Nesting of conditions is bounded so that hostile input cannot exhaust the stack.
 constexpr int max_depth = 50;
+constexpr std::uint64_t max_report_hours = 8784;  // A leap year.
 constexpr int max_wait_seconds = 3600;
 constexpr std::uint64_t max_limit = 1'000'000;
 
@@ -248,7 +249,15 @@
         BOOST_LEAF_ASSIGN(result.body, parse_select());
     } else if (command == "explain") {
         BOOST_LEAF_CHECK(expect_word("failover"));
-        BOOST_LEAF_AUTO(number, expect_integer("the number of a failover", max_limit));
+        if (take_word("last")) {
+            result.body = explain_statement{};
+            return {};
+        }
+        const token item = peek();
+        BOOST_LEAF_AUTO(number, expect_integer("\"last\" or the number of a failover", max_limit));
+        if (number == 0) {
+            return fail(item, "the number of a failover, from 1");
+        }
         result.body = explain_statement{number};
     } else if (command == "report") {
         BOOST_LEAF_ASSIGN(result.body, parse_report());
@@ -509,9 +518,13 @@
 
 leaf::result<report_statement> parser::parse_report() {
     report_statement report;
-    BOOST_LEAF_ASSIGN(report.period, expect_choice({"month", "night"}));
+    BOOST_LEAF_ASSIGN(report.period, expect_choice({"month", "night", "last"}));
+    if (report.period == "last") {
+        BOOST_LEAF_ASSIGN(report.hours, expect_integer("hours", max_report_hours));
+    }
     const bool is_month = report.period == "month";
-    if (is_month || (peek().kind == token_kind::word && !is_word("as"))) {
+    if (is_month ||
+        (report.period == "night" && peek().kind == token_kind::word && !is_word("as"))) {
         const token date = take();
         if (!has_form(date.text, is_month ? "9999-99" : "9999-99-99")) {
             return fail(date, is_month ? "a month YYYY-MM" : "a date YYYY-MM-DD");
@@ -560,10 +573,12 @@
     const std::string& command = words.front();
     if (words.size() == 1) {
         static const std::map<std::string, std::vector<std::string>> second{
-            {"help", get_commands()},  {"show", shown_things},   {"create", object_kinds},
-            {"alter", object_kinds},   {"drop", object_kinds},   {"drain", drain_kinds},
-            {"undrain", drain_kinds},  {"change", {"primary"}},  {"wait", {"for", "within"}},
-            {"explain", {"failover"}}, {"end", {"transaction"}}, {"report", {"month", "night"}}};
+            {"help", get_commands()},    {"show", shown_things},
+            {"create", object_kinds},    {"alter", object_kinds},
+            {"drop", object_kinds},      {"drain", drain_kinds},
+            {"undrain", drain_kinds},    {"change", {"primary"}},
+            {"wait", {"for", "within"}}, {"explain", {"failover"}},
+            {"end", {"transaction"}},    {"report", {"month", "night", "last"}}};
         const auto it = second.find(command);
         return it == second.end() ? std::vector<std::string>() : it->second;
     }
--- a/src/ctl/platform_rows.cpp
+++ b/src/ctl/platform_rows.cpp
@@ -1,5 +1,7 @@
 #include "ctl/platform_rows.h"
 
+#include <cstdlib>
+#include <map>
 #include <utility>
 
 #include "ctl/time_text.h"
@@ -26,6 +28,36 @@
     return object;
 }
 
+// Pollers record a promotion within seconds. A pool that was dropped and created again has the same
+// terms again, so equal terms far apart are different promotions.
+constexpr std::int64_t max_record_distance_ms = 600'000;
+
+json get_term(const json& row) {
+    const json details = row.value("details", json::object());
+    const json after = details.is_object() ? details.value("after", json()) : json();
+    return after.is_object() ? after.value("term", json()) : json();
+}
+
+bool is_same_promotion(const json& a, const json& b) {
+    const json term = get_term(a);
+    return term.is_number_integer() && term == get_term(b) &&
+           a.value("subject", "") == b.value("subject", "") &&
+           std::abs(a.value("at_ms", std::int64_t{0}) - b.value("at_ms", std::int64_t{0})) <=
+               max_record_distance_ms;
+}
+
+/** Adds what another record says of the same promotion. */
+void join_record(json& row, json other) {
+    if (row.value("is_second_hand", false) && !other.value("is_second_hand", false)) {
+        std::swap(row, other);
+        row["seen_by"] = std::move(other["seen_by"]);
+    }
+    row["seen_by"].push_back({{"vm", other.value("vm", "")},
+                              {"at_ms", other.value("at_ms", json())},
+                              {"reason", other.value("reason", "")},
+                              {"gap_ms", other.value("gap_ms", json())}});
+}
+
 void add_time(json& row) {
     const auto at = row.find("at_ms");
     if (at != row.end() && at->is_number_integer()) {
@@ -68,8 +100,27 @@
     return rows;
 }
 
+std::vector<json> merge_failovers(std::vector<json> rows) {
+    std::vector<json> merged;
+    std::map<std::pair<std::string, std::string>, std::size_t> latest;  // By pool and term.
+    for (json& row : rows) {
+        row["is_second_hand"] = row.value("is_second_hand", false);
+        row["seen_by"] = json::array();
+        const std::pair key{row.value("subject", ""), get_term(row).dump()};
+        const auto [place, is_new] = latest.emplace(key, merged.size());
+        if (!is_new && is_same_promotion(merged[place->second], row)) {
+            join_record(merged[place->second], std::move(row));
+            continue;
+        }
+        place->second = merged.size();
+        merged.push_back(std::move(row));
+    }
+    return merged;
+}
+
 leaf::result<std::vector<json>> read_failovers(protocol::table_client& client) {
-    BOOST_LEAF_AUTO(rows, read_values(client, "failover", ""));
+    BOOST_LEAF_AUTO(records, read_values(client, "failover", ""));
+    std::vector<json> rows = merge_failovers(std::move(records));
     std::uint64_t number = 0;
     for (json& row : rows) {
         row["number"] = ++number;
@@ -82,7 +133,7 @@
 leaf::result<source_rows> read_source(protocol::table_client& client, const std::string& source) {
     source_rows result;
     if (source == "failovers") {
-        result.columns = {"number", "at", "pool", "reason", "gap_ms", "vm"};
+        result.columns = {"number", "at", "pool", "reason", "gap_ms", "vm", "is_second_hand"};
         BOOST_LEAF_ASSIGN(result.rows, read_failovers(client));
         return result;
     }
--- a/src/ctl/platform_rows.h
+++ b/src/ctl/platform_rows.h
@@ -27,7 +27,15 @@
                                                               const std::string& prefix,
                                                               std::size_t& skipped);
 
-/** Failover rows in order; each gets its `number`, from 1, and `at`. Fails with table_error. */
+/**
+ * Joins the records of one promotion, that is of one pool and term within 10 minutes: the
+ * claimant's own record stands for all, or the earliest second-hand one when the claimant's is
+ * missing. The others are listed under "seen_by". Keeps the order. Pure.
+ */
+std::vector<nlohmann::json> merge_failovers(std::vector<nlohmann::json> rows);
+
+/** Failovers in order, each promotion once; each gets its `number`, from 1, and `at`. Fails with
+ * table_error. */
 boost::leaf::result<std::vector<nlohmann::json>> read_failovers(protocol::table_client& client);
 
 /** The rows of "usage", "audit" or "failovers" for queries. Fails with table_error. */
--- a/src/ctl/report.cpp
+++ b/src/ctl/report.cpp
@@ -5,6 +5,7 @@
 #include <cmath>
 #include <cstdio>
 #include <map>
+#include <optional>
 
 #include "ctl/json_text.h"
 #include "ctl/time_text.h"
@@ -144,6 +145,103 @@
     return it->value("target", "") + " in term " + to_text(it->value("term", json(0)));
 }
 
+std::string describe_change(const json& row) {
+    const json details = row.value("details", json::object());
+    return describe_primary(details, "before") + " -> " + describe_primary(details, "after");
+}
+
+std::string describe_observation(const json& item) {
+    if (!item.is_object()) {
+        return to_text(item);
+    }
+    const std::string name = item.value("target", "");
+    return item.value("observer", "") +
+           (item.value("is_unreachable", false) ? " could not reach " : " reached ") +
+           (name.empty() ? "the primary" : name) +
+           (item.value("is_contradicted", false) ? ", but a replica heard from it" : "");
+}
+
+/** Rows of the story of one failover; times count from the last answer of the old primary. */
+class failover_story {
+public:
+    explicit failover_story(const json& failover) {
+        const json at = failover.value("at_ms", json());
+        const json gap = failover.value("gap_ms", json());
+        if (at.is_number_integer() && gap.is_number_integer()) {
+            begin_ms_ = at.get<std::int64_t>() - gap.get<std::int64_t>();
+        }
+    }
+
+    void add(std::optional<std::int64_t> after_ms, const std::string& event,
+             const std::string& detail) {
+        json row{{"at", nullptr}, {"after_ms", nullptr}, {"event", event}, {"detail", detail}};
+        if (after_ms) {
+            row["after_ms"] = *after_ms;
+            row["at"] = begin_ms_ ? json(format_time(*begin_ms_ + *after_ms)) : json();
+        }
+        table_.rows.push_back(std::move(row));
+    }
+
+    result_table get_table() const { return table_; }
+
+private:
+    std::optional<std::int64_t> begin_ms_;
+    result_table table_{{"at", "after_ms", "event", "detail"}, {}};
+};
+
+std::string describe_recorder(const json& failover) {
+    return "recorded by " + failover.value("vm", "") + " at " +
+           format_time(failover.value("at_ms", std::int64_t{0}));
+}
+
+std::optional<std::int64_t> get_gap(const json& failover) {
+    const json gap = failover.value("gap_ms", json());
+    return gap.is_number_integer() ? std::optional(gap.get<std::int64_t>()) : std::nullopt;
+}
+
+/** The story of a promotion whose claimant left no record. */
+void add_seen(failover_story& story, const json& failover, const json& details) {
+    story.add(get_gap(failover), "the new primary was seen",
+              describe_primary(details, "after") + ", claimed by " + details.value("claimant", "") +
+                  ", reason " + failover.value("reason", ""));
+    story.add({}, "second-hand: the record of the claimant is missing",
+              describe_recorder(failover) + "; its steps are not known");
+}
+
+void add_phases(failover_story& story, const json& failover, const json& details) {
+    constexpr std::array<std::pair<const char*, const char*>, 5> phases{
+        {{"detection_ms", "the loss of the primary was declared"},
+         {"claim_ms", "a term was claimed and the first fence call sent"},
+         {"fencing_ms", "a majority of the targets was fenced"},
+         {"promotion_ms", "the new primary accepted its promotion"},
+         {"adoption_ms", "a majority followed the new primary"}}};
+    std::int64_t after_ms = 0;
+    for (const auto& [field, event] : phases) {
+        const json duration = details.value(field, json());
+        if (!duration.is_number_integer()) {
+            continue;
+        }
+        after_ms += duration.get<std::int64_t>();
+        std::string detail = "took " + to_text(duration) + " ms";
+        if (std::string(field) == "detection_ms") {
+            detail += ", reason " + failover.value("reason", "");
+        } else if (std::string(field) == "claim_ms") {
+            detail += ", by " + details.value("claimant", "") + ", attempt " +
+                      to_text(details.value("attempts", json()));
+        } else if (std::string(field) == "fencing_ms") {
+            detail += ", fenced " + to_text(details.value("fenced", json::object()));
+        } else if (std::string(field) == "promotion_ms") {
+            detail += ", " + describe_primary(details, "after");
+        }
+        story.add(after_ms, event, detail);
+    }
+    const bool is_adopted = details.value("is_adopted", true);
+    story.add(
+        get_gap(failover),
+        is_adopted ? "writes were accepted again" : "no majority followed within the time allowed",
+        describe_recorder(failover));
+}
+
 }  // namespace
 
 report make_month_report(const std::string& month, const std::vector<state::usage_row>& usage,
@@ -190,17 +288,20 @@
     }
     report result;
     result.title = "Night from " + format_time(begin_ms) + " to " + format_time(end_ms);
-    result.table.columns = {"at", "kind", "subject", "vm", "reason", "gap_ms"};
+    result.table.columns = {"at", "kind", "subject", "vm", "reason", "gap_ms", "change"};
     for (const json& row : failovers) {
         if (is_within(row, begin_ms, end_ms)) {
             add_failover(total, row);
             json event = make_event(row);
             event["gap_ms"] = row.value("gap_ms", json());
+            event["change"] = describe_change(row);
             result.table.rows.push_back(std::move(event));
         }
     }
     for (const json& row : audit) {
-        if (is_within(row, begin_ms, end_ms) && row.value("kind", "") != "promotion") {
+        const std::string kind = row.value("kind", "");
+        // Promotions are listed once, from the failovers.
+        if (is_within(row, begin_ms, end_ms) && kind != "promotion" && kind != "promotion_seen") {
             result.table.rows.push_back(make_event(row));
         }
     }
@@ -266,48 +367,25 @@
 }
 
 result_table explain_failover(const json& failover) {
-    constexpr std::array<std::pair<const char*, const char*>, 5> phases{
-        {{"detection_ms", "the loss of the primary was declared"},
-         {"claim_ms", "a term was claimed and the first fence call sent"},
-         {"fencing_ms", "a majority of the targets was fenced"},
-         {"promotion_ms", "the new primary accepted its promotion"},
-         {"adoption_ms", "a majority followed the new primary"}}};
+    failover_story story(failover);
     const json details = failover.value("details", json::object());
-    result_table table{{"after_ms", "event", "detail"}, {}};
-    const auto add = [&](const json& after_ms, const std::string& event,
-                         const std::string& detail) {
-        table.rows.push_back({{"after_ms", after_ms}, {"event", event}, {"detail", detail}});
-    };
-    add(0, "last answer of the primary", describe_primary(details, "before"));
+    story.add(0, "last answer of the primary", describe_primary(details, "before"));
     for (const json& item : details.value("observations", json::array())) {
-        add(nullptr, "observation of another proxy", to_text(item));
+        story.add({}, "observation of another proxy", describe_observation(item));
     }
-    std::int64_t after_ms = 0;
-    for (const auto& [field, event] : phases) {
-        const json duration = details.value(field, json());
-        if (!duration.is_number_integer()) {
-            continue;
-        }
-        after_ms += duration.get<std::int64_t>();
-        std::string detail = "took " + to_text(duration) + " ms";
-        if (std::string(field) == "detection_ms") {
-            detail += ", reason " + failover.value("reason", "");
-        } else if (std::string(field) == "claim_ms") {
-            detail += ", by " + details.value("claimant", "") + ", attempt " +
-                      to_text(details.value("attempts", json()));
-        } else if (std::string(field) == "fencing_ms") {
-            detail += ", fenced " + to_text(details.value("fenced", json::object()));
-        } else if (std::string(field) == "promotion_ms") {
-            detail += ", " + describe_primary(details, "after");
-        }
-        add(after_ms, event, detail);
+    if (failover.value("is_second_hand", false)) {
+        add_seen(story, failover, details);
+    } else {
+        add_phases(story, failover, details);
     }
-    const bool is_adopted = details.value("is_adopted", true);
-    add(failover.value("gap_ms", json()),
-        is_adopted ? "writes were accepted again" : "no majority followed within the time allowed",
-        "recorded by " + failover.value("vm", "") + " at " +
-            format_time(failover.value("at_ms", std::int64_t{0})));
-    return table;
+    for (const json& other : failover.value("seen_by", json::array())) {
+        story.add({}, "also recorded by another proxy",
+                  other.value("vm", "") + " at " +
+                      format_time(other.value("at_ms", std::int64_t{0})) + ", reason " +
+                      other.value("reason", "") + ", gap as seen there " +
+                      to_text(other.value("gap_ms", json())) + " ms");
+    }
+    return story.get_table();
 }
 
 }  // namespace hornbeamhook::ctl
--- a/src/ctl/statement.h
+++ b/src/ctl/statement.h
@@ -163,19 +163,20 @@
     bool operator==(const select_statement&) const = default;
 };
 
-/** `explain failover N` */
+/** `explain failover N` or `explain failover last` */
 struct explain_statement {
-    std::uint64_t number = 0;
+    std::uint64_t number = 0;  ///< 0 for the newest.
 
     bool operator==(const explain_statement&) const = default;
 };
 
-/** `report month YYYY-MM | night [YYYY-MM-DD] [as table | csv [FILE] | svg FILE]` */
+/** `report month YYYY-MM | night [YYYY-MM-DD] | last HOURS [as table | csv [FILE] | svg FILE]` */
 struct report_statement {
-    std::string period;  ///< "month" or "night".
+    std::string period;  ///< "month", "night" or "last".
     std::string date;    ///< "YYYY-MM", "YYYY-MM-DD" or empty.
     std::string format = "table";
     std::string file;
+    std::uint64_t hours = 0;  ///< Only for "last".
 
     bool operator==(const report_statement&) const = default;
 };
--- a/src/protocol/peer_messages.cpp
+++ b/src/protocol/peer_messages.cpp
@@ -143,6 +143,22 @@
     return object;
 }
 
+nlohmann::json to_json(const coordination::promotion_seen& seen) {
+    nlohmann::json observations = nlohmann::json::array();
+    for (const coordination::primary_observation& observation : seen.observations) {
+        observations.push_back(make_observation(observation));
+    }
+    nlohmann::json object{{"before", nullptr},
+                          {"after", make_primary(seen.after)},
+                          {"claimant", seen.claimant},
+                          {"seen_gap_ms", seen.gap.count()},
+                          {"observations", std::move(observations)}};
+    if (seen.before) {
+        object["before"] = make_primary(*seen.before);
+    }
+    return object;
+}
+
 leaf::result<planned_change_message> parse_planned_change_message(const nlohmann::json& object) {
     state::json_reader reader(object, "");
     planned_change_message message;
--- a/src/protocol/peer_messages.h
+++ b/src/protocol/peer_messages.h
@@ -55,6 +55,9 @@
 /** A promotion as audit details. */
 nlohmann::json to_json(const coordination::promotion_report& report);
 
+/** What a poller saw of another proxy's promotion, for the audit trail. */
+nlohmann::json to_json(const coordination::promotion_seen& seen);
+
 /** Body of POST /internal/v1/planned_change: either a new primary, or a notice to homes. */
 struct planned_change_message {
     std::string pool;
--- a/src/proxy/audit_buffer.cpp
+++ b/src/proxy/audit_buffer.cpp
@@ -15,6 +15,7 @@
 constexpr const char* audit_table = "audit";
 constexpr const char* failover_table = "failover";
 constexpr const char* promotion_kind = "promotion";
+constexpr const char* promotion_seen_kind = "promotion_seen";
 // Phases of a promotion in order, as the fleet's audit records name them.
 constexpr std::array<const char*, 5> phase_names{"detection_ms", "claim_ms", "fencing_ms",
                                                  "promotion_ms", "adoption_ms"};
@@ -69,11 +70,14 @@
                {"subject", item.record.subject},
                {"reason", item.record.reason},
                {"details", item.record.details}};
-    if (item.record.kind == promotion_kind) {
+    const bool is_second_hand = item.record.kind == promotion_seen_kind;
+    if (item.record.kind == promotion_kind || is_second_hand) {
         // A table of its own, by month, so that reports need not read the whole audit trail.
         json failover = value;
         failover["audit_key"] = key;
-        failover["gap_ms"] = get_gap(item.record.details);
+        failover["gap_ms"] = is_second_hand ? item.record.details.value("seen_gap_ms", json())
+                                            : get_gap(item.record.details);
+        failover["is_second_hand"] = is_second_hand;
         batch_.push_back(
             {failover_table, protocol::make_failover_key(item.at_ms, key), std::move(failover)});
     }
--- a/src/proxy/group_control.cpp
+++ b/src/proxy/group_control.cpp
@@ -380,6 +380,14 @@
                                group.last_promotion});
 }
 
+void group_control::act(polled_group& group, const coordination::promotion_seen& action) {
+    const bool is_suspected = action.suspicion != coordination::loss_reason::none;
+    environment_.audit.append(
+        {"promotion_seen", group.pool.name,
+         is_suspected ? coordination::to_string(action.suspicion) : "not_known",
+         protocol::to_json(action)});
+}
+
 void group_control::end_term_call(const std::string& pool, const term_result& result) {
     const auto it = groups_.find(pool);
     if (it == groups_.end()) {
--- a/src/proxy/group_control.h
+++ b/src/proxy/group_control.h
@@ -125,6 +125,7 @@
     void act(polled_group& group, const coordination::pause_writes& action);
     void act(polled_group& group, const coordination::change_finished& action);
     void act(polled_group& group, const coordination::promotion_finished& action);
+    void act(polled_group& group, const coordination::promotion_seen& action);
     void end_term_call(const std::string& pool, const term_result& result);
     void assign_pollers(polled_group& group, const std::vector<state::member>& pollers,
                         bool is_only_proxy);
--- a/tests/coordination/failover_test.cpp
+++ b/tests/coordination/failover_test.cpp
@@ -315,6 +315,8 @@
     set_answers({{"b", primary(2, 9)}, {"c", replica(1, 9)}});
     update(660);
     EXPECT_EQ(find_action<promotion_finished>(), nullptr) << "no majority follows yet";
+    // The others' observations name the new primary before the report is made.
+    step(observation_received{{"vm1", {"b", 2}, false, false, 1}}, 670);
     set_answers({{"b", primary(2, 9)}, {"c", replica(2, 9)}});
     update(690);
     const promotion_finished* finished = find_action<promotion_finished>();
@@ -334,6 +336,50 @@
     EXPECT_EQ(failover_.phase, failover_phase::watching);
 }
 
+// Guards against a promotion without record when its claimant dies right after it, and against a
+// second record for each later poll.
+TEST_F(failover_test, anothers_promotion_is_recorded_once_as_seen) {
+    lose_primary(600);
+    observe("vm1", true, 610);
+    // Fenced by the claimant, the group has no primary for a moment, and the claimant's next
+    // observation names the new one.
+    evidence_.primary.reset();
+    evidence_.is_primary_unreachable = false;
+    update(650);
+    step(observation_received{{"vm1", {"b", 2}, false, false, 1}}, 690);
+    evidence_.primary = state::primary_view{"b", 2};
+    target_status promoted = primary(2, 9);
+    promoted.accepted_claimant = "vm1/7/1";
+    set_answers({{"b", promoted}, {"c", replica(1, 9)}});
+    update(700);
+    const promotion_seen* seen = find_action<promotion_seen>();
+    ASSERT_NE(seen, nullptr);
+    EXPECT_EQ(seen->suspicion, loss_reason::unreachable);
+    EXPECT_EQ(seen->before, (state::primary_view{"a", 1}));
+    EXPECT_EQ(seen->after, (state::primary_view{"b", 2}));
+    EXPECT_EQ(seen->claimant, "vm1/7/1");
+    EXPECT_EQ(seen->gap, milliseconds(700));
+    ASSERT_EQ(seen->observations.size(), 1U);
+    EXPECT_EQ(seen->observations[0].observer, "vm1");
+    update(710);
+    EXPECT_EQ(find_action<promotion_seen>(), nullptr);
+}
+
+// Guards against a second-hand record of an own promotion whose answer was lost.
+TEST_F(failover_test, an_own_promotion_is_not_recorded_as_seen) {
+    claim();
+    fence("b", 9, 630);
+    fence("c", 9, 640);
+    evidence_.primary = state::primary_view{"b", 2};
+    set_answers({{"b", primary(2, 9)}, {"c", replica(1, 9)}});
+    update(660);
+    EXPECT_EQ(find_action<promotion_seen>(), nullptr);
+    set_answers({{"b", primary(2, 9)}, {"c", replica(2, 9)}});
+    update(690);
+    EXPECT_EQ(find_action<promotion_seen>(), nullptr);
+    EXPECT_NE(find_action<promotion_finished>(), nullptr);
+}
+
 // Guards against a rapid row of promotions.
 TEST_F(failover_test, earlier_promotions_delay_the_next_one) {
     for (const auto& [promotions, wait] :
--- a/tests/ctl/parser_test.cpp
+++ b/tests/ctl/parser_test.cpp
@@ -67,6 +67,9 @@
     EXPECT_EQ(parse_one<wait_statement>("wait for version 9 within 3;"), (wait_statement{9, 3}));
     EXPECT_EQ(parse_one<wait_statement>("wait;"), (wait_statement{{}, 10}));
     EXPECT_EQ(parse_one<explain_statement>("explain failover 2;").number, 2U);
+    EXPECT_EQ(parse_one<explain_statement>("explain failover last;").number, 0U);
+    EXPECT_EQ(parse_one<report_statement>("report last 12 as csv;").hours, 12U);
+    EXPECT_EQ(parse_one<end_statement>("end transaction vm1/7/3;").id, "vm1/7/3");
     EXPECT_EQ(parse_one<show_statement>("show targets of ledger;").name, "ledger");
     EXPECT_EQ(parse_one<report_statement>("report month 2026-12 as svg 'a b.svg';"),
               (report_statement{"month", "2026-12", "svg", "a b.svg"}));
--- a/tests/ctl/report_test.cpp
+++ b/tests/ctl/report_test.cpp
@@ -118,6 +118,18 @@
     EXPECT_NE(text.find("b in term 4"), std::string::npos);
 }
 
+// Guards against a second-hand record that is told as if its steps were known.
+TEST(report, a_second_hand_record_says_so) {
+    json record = make_failover(night_ms, "unreachable", 900);
+    record["is_second_hand"] = true;
+    const result_table table = explain_failover(record);
+    const std::string text = json(table.rows).dump();
+    EXPECT_NE(text.find("second-hand"), std::string::npos) << text;
+    EXPECT_NE(text.find("vm-2 could not reach"), std::string::npos) << text;
+    EXPECT_NE(text.find("b in term 4"), std::string::npos) << text;
+    EXPECT_EQ(text.find("a majority followed"), std::string::npos) << text;
+}
+
 // Guards against a crash on a record without details.
 TEST(report, explains_what_it_has) {
     EXPECT_FALSE(explain_failover({{"at_ms", 5}, {"details", json::object()}}).rows.empty());
--- a/tests/process/fleet_case.py
+++ b/tests/process/fleet_case.py
@@ -20,13 +20,14 @@
     """Starts one fleet for all tests of the class."""
 
     deployment = "nile_horn"
+    fleet_class = fleet_module.Fleet
     lag_ms = 20
     fleet_arguments = {}
 
     @classmethod
     def setUpClass(cls):
         print("seed %d" % SEED, file=sys.stderr)
-        cls.fleet = fleet_module.Fleet(
+        cls.fleet = cls.fleet_class(
             cls.deployment, lag_ms=cls.lag_ms, seed=SEED, **cls.fleet_arguments
         )
         cls.addClassCleanup(cls.fleet.stop)
--- a/tests/support/group_simulation.h
+++ b/tests/support/group_simulation.h
@@ -520,6 +520,8 @@
 
     void act(std::size_t, const poller_pointer&, const coordination::pause_writes&) {}
     void act(std::size_t, const poller_pointer&, const coordination::change_finished&) {}
+    void act(std::size_t, const poller_pointer&, const coordination::promotion_seen&) {}
+
     void act(std::size_t, const poller_pointer&, const coordination::promotion_finished& finished) {
         reports_.push_back(finished.report);
     }
