--- a/src/ctl/executor.cpp
+++ b/src/ctl/executor.cpp
@@ -15,6 +15,7 @@
 #include "ctl/report.h"
 #include "ctl/time_text.h"
 #include "protocol/audit_key.h"
+#include "protocol/end_transaction_message.h"
 
 namespace hornbeamhook::ctl {
 
@@ -96,6 +97,29 @@
     rows = std::move(merged);
 }
 
+/** Part of the time that a report of events covers. */
+struct report_span {
+    std::int64_t begin_ms = 0;
+    std::int64_t end_ms = 0;  ///< Exclusive.
+};
+
+leaf::result<report_span> get_report_span(const report_statement& item) {
+    const std::int64_t now = get_wall_ms();
+    if (item.period == "last") {
+        return report_span{now - static_cast<std::int64_t>(item.hours) * ms_per_hour, now + 1};
+    }
+    std::optional<std::int64_t> morning = parse_day(item.date);
+    if (!item.date.empty() && !morning) {
+        return fail(command_failure::rejected, "\"" + item.date + "\" is not a date");
+    }
+    if (!morning) {
+        // The night that began last: before 18:00 it is the one that ended this morning.
+        const std::int64_t today = now - now % ms_per_day;
+        morning = now - today >= night_begin_ms ? today + ms_per_day : today;
+    }
+    return report_span{*morning - ms_per_day + night_begin_ms, *morning + night_end_ms};
+}
+
 result_table make_object_table(const std::string& kind) {
     if (kind == "pool") {
         return {{"name", "default_read_policy", "queue_length", "default_deadline_ms", "version"},
@@ -180,8 +204,11 @@
     if (item.what == "failovers") {
         return execute(select_statement{{}, "failovers", {}, {}, {}, {}});
     }
-    if (item.what == "homes" || item.what == "connections" || item.what == "sessions") {
-        return show_from_proxies(item.what, item.name);
+    if (item.what == "homes") {
+        return show_homes(item.name);
+    }
+    if (item.what == "connections" || item.what == "sessions") {
+        return show_sessions(item.what, item.name);
     }
     return show_objects(item);
 }
@@ -280,8 +307,24 @@
     return answer;
 }
 
-executor::answer_result executor::show_from_proxies(const std::string& what,
-                                                    const std::string& name) {
+leaf::result<source_rows> executor::read_rows(const std::string& source) {
+    if (source != "sessions" && source != "connections") {
+        return with_store([&] { return read_source(client_, source); });
+    }
+    BOOST_LEAF_AUTO(vms, with_store([&] { return client_.get_vms(); }));
+    return make_session_rows(source, proxies_.get_sessions(vms));
+}
+
+executor::answer_result executor::show_sessions(const std::string& what, const std::string& name) {
+    BOOST_LEAF_AUTO(source, read_rows(what));
+    filter_session_rows(source, name);
+    statement_answer answer;
+    answer.table = result_table{std::move(source.columns), std::move(source.rows)};
+    return answer;
+}
+
+executor::answer_result executor::show_homes(const std::string& name) {
+    const std::string what = "homes";
     BOOST_LEAF_AUTO(vms, with_store([&] { return client_.get_vms(); }));
     result_table table{{"name"}, {}};
     std::set<std::string> columns;
@@ -494,6 +537,84 @@
         "the primary was not changed:" + (reasons.empty() ? " no proxy is listed" : reasons));
 }
 
+executor::answer_result executor::execute(const end_statement& item) {
+    if (!base_error_.empty()) {
+        return fail(command_failure::unavailable, base_error_);
+    }
+    const std::optional<transaction_name> transaction = parse_transaction_name(item.id);
+    if (!transaction) {
+        return fail(command_failure::rejected,
+                    "\"" + item.id +
+                        "\" is not the id of a transaction; allowed: VM/INCARNATION/NUMBER, see: "
+                        "show sessions;");
+    }
+    BOOST_LEAF_AUTO(vms, with_store([&] { return client_.get_vms(); }));
+    const std::vector<proxy_answer> answers = proxies_.get_sessions(vms);
+    const auto home = std::find_if(answers.begin(), answers.end(), [&](const proxy_answer& proxy) {
+        return proxy.vm.vm == transaction->vm;
+    });
+    if (home == answers.end()) {
+        return fail(command_failure::rejected,
+                    "vm " + transaction->vm + " is not in the VM list, and no proxy names it");
+    }
+    if (home->failure != proxy_failure::none) {
+        return fail(command_failure::unavailable,
+                    "nothing changed, the proxy of the transaction, " + transaction->vm +
+                        ", did not answer: " + home->message);
+    }
+    for (const json& row : make_session_rows("sessions", {*home}).rows) {
+        if (row.value("id", json()) == item.id) {
+            BOOST_LEAF_CHECK(authorise("pool", row.value("pool", std::string())));
+            return post_end(*home, *transaction, row);
+        }
+    }
+    return fail(command_failure::rejected,
+                "transaction " + item.id + " is not open; see: show sessions;");
+}
+
+executor::answer_result executor::post_end(const proxy_answer& home,
+                                           const transaction_name& transaction, const json& was) {
+    const std::string pool = was.value("pool", std::string());
+    const std::string subject = "pool " + pool;
+    const std::string id = was.value("id", std::string());
+    json details{{"author", settings_.operator_name}, {"transaction", was}};
+    if (is_dry_run_) {
+        return statement_answer{
+            "dry run, nothing changed: transaction " + id + " would be ended: " + to_text(was),
+            {},
+            std::move(details),
+            false};
+    }
+    const proxy_answer reply = proxies_.post(
+        home.vm, "/internal/v1/end_transaction",
+        protocol::to_json(protocol::end_transaction_message{
+            transaction.incarnation, transaction.number, pool, settings_.operator_name}));
+    if (reply.failure == proxy_failure::none) {
+        const std::string state = reply.body.value("state", "ending");
+        details["outcome"] = state;
+        append_audit("end_transaction", subject, details);
+        return statement_answer{
+            "transaction " + id +
+                (state == "rolled_back" ? " is rolled back" : " ends after its running statement"),
+            {},
+            std::move(details),
+            false};
+    }
+    const bool is_gone = reply.status == 404;  // Nothing was changed by this statement.
+    const bool may_have_run =
+        reply.was_sent && reply.status != 403 && reply.status != 404 && reply.status != 400;
+    details["outcome"] = may_have_run ? "unknown" : "not made";
+    details["error"] = reply.message;
+    append_audit("end_transaction", subject, std::move(details));
+    if (may_have_run) {
+        return fail(command_failure::unknown, "whether transaction " + id +
+                                                  " was ended is not known (" + reply.message +
+                                                  "); see: show sessions;");
+    }
+    return fail(is_gone ? command_failure::rejected : command_failure::unavailable,
+                "transaction " + id + " was not ended: " + reply.message);
+}
+
 executor::answer_result executor::execute(const wait_statement& item) {
     std::uint64_t version = item.version.value_or(last_version_);
     if (version == 0) {
@@ -538,7 +659,7 @@
 }
 
 executor::answer_result executor::execute(const select_statement& item) {
-    BOOST_LEAF_AUTO(source, with_store([&] { return read_source(client_, item.source); }));
+    BOOST_LEAF_AUTO(source, read_rows(item.source));
     BOOST_LEAF_AUTO(table, run_query(item, source.rows, source.columns));
     statement_answer answer;
     answer.table = std::move(table);
@@ -547,12 +668,13 @@
 
 executor::answer_result executor::execute(const explain_statement& item) {
     BOOST_LEAF_AUTO(failovers, with_store([&] { return read_failovers(client_); }));
-    if (item.number == 0 || item.number > failovers.size()) {
-        return fail(command_failure::rejected, "failover " + std::to_string(item.number) +
+    const std::uint64_t number = item.number == 0 ? failovers.size() : item.number;
+    if (number == 0 || number > failovers.size()) {
+        return fail(command_failure::rejected, "failover " + std::to_string(number) +
                                                    " is not recorded; allowed: 1 to " +
                                                    std::to_string(failovers.size()));
     }
-    const json& failover = failovers[item.number - 1];
+    const json& failover = failovers[number - 1];
     statement_answer answer;
     answer.fields = {{"pool", failover["pool"]}, {"gap_ms", failover.value("gap_ms", json())}};
     answer.text =
@@ -570,30 +692,22 @@
     std::size_t skipped = 0;
     if (item.period == "month") {
         BOOST_LEAF_AUTO(usage, with_store([&] { return read_usage(client_, item.date, skipped); }));
-        BOOST_LEAF_AUTO(failovers, with_store([&] {
-                            return read_values(client_, "failover", item.date + "/");
-                        }));
-        value = make_month_report(item.date, usage, failovers);
+        BOOST_LEAF_AUTO(
+            records, with_store([&] { return read_values(client_, "failover", item.date + "/"); }));
+        value = make_month_report(item.date, usage, merge_failovers(std::move(records)));
     } else {
         if (item.format == "svg") {
             return fail(command_failure::rejected,
-                        "the format svg is not allowed for a night; allowed: table, csv");
-        }
-        std::optional<std::int64_t> morning = parse_day(item.date);
-        if (!item.date.empty() && !morning) {
-            return fail(command_failure::rejected, "\"" + item.date + "\" is not a date");
-        }
-        if (!morning) {
-            // The night that began last: before 18:00 it is the one that ended this morning.
-            const std::int64_t now = get_wall_ms();
-            const std::int64_t today = now - now % ms_per_day;
-            morning = now - today >= night_begin_ms ? today + ms_per_day : today;
+                        "the format svg is only allowed for a month; allowed: table, csv");
         }
+        BOOST_LEAF_AUTO(span, get_report_span(item));
         BOOST_LEAF_AUTO(usage, with_store([&] { return read_usage(client_, "", skipped); }));
         BOOST_LEAF_AUTO(audit, with_store([&] { return read_values(client_, "audit", ""); }));
         BOOST_LEAF_AUTO(failovers, with_store([&] { return read_failovers(client_); }));
-        value = make_night_report(*morning - ms_per_day + night_begin_ms, *morning + night_end_ms,
-                                  usage, audit, failovers);
+        value = make_night_report(span.begin_ms, span.end_ms, usage, audit, failovers);
+        if (item.period == "last") {
+            value.title = "Last " + std::to_string(item.hours) + " hours, " + value.title;
+        }
     }
     statement_answer answer;
     answer.fields = {{"title", value.title}, {"summary", value.summary}};
--- a/src/ctl/statement.h
+++ b/src/ctl/statement.h
@@ -80,6 +80,13 @@
     bool operator==(const primary_statement&) const = default;
 };
 
+/** `end transaction ID` */
+struct end_statement {
+    std::string id;  ///< "VM/INCARNATION/NUMBER", as `show sessions` names it.
+
+    bool operator==(const end_statement&) const = default;
+};
+
 /** `wait [for version N] [within SECONDS]` */
 struct wait_statement {
     std::optional<std::uint64_t> version;
@@ -156,19 +163,20 @@
     bool operator==(const select_statement&) const = default;
 };
 
-/** `explain failover N` */
+/** `explain failover N` or `explain failover last` */
 struct explain_statement {
-    std::uint64_t number = 0;
+    std::uint64_t number = 0;  ///< 0 for the newest.
 
     bool operator==(const explain_statement&) const = default;
 };
 
-/** `report month YYYY-MM | night [YYYY-MM-DD] [as table | csv [FILE] | svg FILE]` */
+/** `report month YYYY-MM | night [YYYY-MM-DD] | last HOURS [as table | csv [FILE] | svg FILE]` */
 struct report_statement {
-    std::string period;  ///< "month" or "night".
+    std::string period;  ///< "month", "night" or "last".
     std::string date;    ///< "YYYY-MM", "YYYY-MM-DD" or empty.
     std::string format = "table";
     std::string file;
+    std::uint64_t hours = 0;  ///< Only for "last".
 
     bool operator==(const report_statement&) const = default;
 };
@@ -181,8 +189,8 @@
 /** One statement with its place in the input. */
 struct statement {
     std::variant<help_statement, show_statement, create_statement, alter_statement, drop_statement,
-                 drain_statement, primary_statement, wait_statement, select_statement,
-                 explain_statement, report_statement, exit_statement>
+                 drain_statement, primary_statement, end_statement, wait_statement,
+                 select_statement, explain_statement, report_statement, exit_statement>
         body;
     input_position at;
     std::string text;  ///< As written, without the ";".
