--- a/src/coordination/configuration_confirmation.h
+++ b/src/coordination/configuration_confirmation.h
@@ -26,7 +26,7 @@
     std::uint64_t version = 0;
 };
 
-/** The VM list shows this many other VMs that are not leaving. */
+/** The VM list or other proxies show this many other VMs that are not leaving. */
 struct other_vms_listed {
     std::size_t count = 0;
 };
--- a/src/coordination/membership.cpp
+++ b/src/coordination/membership.cpp
@@ -1,6 +1,7 @@
 #include "coordination/membership.h"
 
 #include <algorithm>
+#include <bit>
 #include <set>
 #include <tuple>
 #include <utility>
@@ -14,31 +15,53 @@
 using state::time_point;
 using std::chrono::milliseconds;
 
-/// Up to this size every heartbeat passes through a digest within the member timeout; beyond it
-/// the timeout grows and failed calls are what finds dead members.
-constexpr std::size_t heartbeat_covered_members = 64;
-/// Dead members that the VM list no longer names are forgotten after this time.
+/// Dead members that a later VM list does not name are forgotten after this time.
 constexpr milliseconds forget_after{60'000};
-/// Half of a digest tells changes, the rest random entries, so that neither starves the other.
-constexpr std::size_t max_change_entries = 8;
-/// Random entries of a digest in a fleet too large to tell all members each time.
-constexpr std::size_t random_entries = 4;
-/// Changes older than this have reached everybody and need no preference.
-constexpr milliseconds change_spread_time{10'000};
+/// Dead members are forgotten after this time by a proxy that reads no VM list. It is longer than
+/// the hour for which regions lose each other, because forgotten members are never probed.
+constexpr std::chrono::hours forget_unlisted_after{2};
+/// Nothing listens at an address that refuses, so that silence need not be waited for.
+constexpr milliseconds refused_timeout{1000};
+/// Every n-th probe goes to a dead member; no proxy would notice a healed partition otherwise.
+constexpr std::uint64_t dead_probe_rounds = 4;
+/// With one probe a second, a killed member of 8 is first probed after more than 2 s in 9 % of the
+/// cases and could not leave the homes within 3 s; with two, in 0.3 %.
+constexpr std::size_t small_fleet = 16;
+constexpr std::size_t small_fleet_probes = 2;
+/// Members told at once that one refuses connections, besides the follow-up probe.
+constexpr std::size_t refusal_fanout = 2;
+/// Members asked to probe one that did not answer.
+constexpr std::size_t indirect_probe_count = 2;
+/// About so many members of the fleet check a suspicion that they hear of by an own probe.
+constexpr std::size_t suspicion_checks = 8;
 /// Peers that are told of a new configuration version; those left out learn it by exchange.
 constexpr std::size_t version_fanout = 3;
-/// A refused call is believed over heartbeats relayed by others until this many later ones.
-constexpr std::uint64_t refused_heartbeats = 2;
+/// Time in which updates reach all members; a digest that differs for longer shows lost ones.
+constexpr milliseconds update_spread_time{10'000};
+/// Shortest time between two fetches of a whole list, which has 390 KB with 3,900 members.
+constexpr milliseconds list_interval{30'000};
 
-std::uint64_t next_random(std::uint64_t& random) {
-    // SplitMix64: small state that travels with the decision state, so runs can be repeated.
-    random += 0x9E3779B97F4A7C15ULL;
-    std::uint64_t value = random;
+std::uint64_t mix(std::uint64_t value) {
     value = (value ^ (value >> 30U)) * 0xBF58476D1CE4E5B9ULL;
     value = (value ^ (value >> 27U)) * 0x94D049BB133111EBULL;
     return value ^ (value >> 31U);
 }
 
+std::uint64_t next_random(std::uint64_t& random) {
+    // SplitMix64: small state that travels with the decision state, so runs can be repeated.
+    random += 0x9E3779B97F4A7C15ULL;
+    return mix(random);
+}
+
+std::uint64_t hash_member(const member& value) {
+    // FNV-1a, the same on every build, because proxies compare the results.
+    std::uint64_t hash = 0xCBF29CE484222325ULL;
+    for (const char letter : value.vm) {
+        hash = (hash ^ static_cast<unsigned char>(letter)) * 0x100000001B3ULL;
+    }
+    return mix(hash ^ mix(value.incarnation));
+}
+
 int get_rank(member_state value) {
     switch (value) {
         case member_state::alive:
@@ -53,205 +76,432 @@
     return 3;
 }
 
-/** Whether `news` replaces `known`: later life, then later heartbeat, then the graver state. */
-bool is_newer(const member& news, const member& known) {
-    return std::make_tuple(news.incarnation, news.heartbeat, get_rank(news.state)) >
-           std::make_tuple(known.incarnation, known.heartbeat, get_rank(known.state));
+bool is_doubted(member_state value) {
+    return value == member_state::suspect || value == member_state::dead;
 }
 
-milliseconds get_timeout(const membership_state& state) {
-    const std::size_t factor =
-        std::max<std::size_t>(1, state.others.size() / heartbeat_covered_members);
-    return state.member_timeout * static_cast<int>(factor);
+bool is_live(const member_entry& entry) {
+    // A suspect stays live until its time is up: one lost exchange must not move homes.
+    return entry.is_seen &&
+           (entry.value.state == member_state::alive || entry.value.state == member_state::suspect);
 }
 
-bool is_live(const membership_state& state, const member_entry& entry, time_point now) {
-    // A suspect stays live until its time is up: one lost exchange must not move homes.
-    const bool is_up =
-        entry.value.state == member_state::alive || entry.value.state == member_state::suspect;
-    return entry.is_seen && is_up && !entry.refused_at_heartbeat &&
-           now - entry.seen_at <= get_timeout(state);
+/** Whether an entry can take part in the rounds: live, or only listed and not tried yet. */
+bool is_probed(const member_entry& entry) {
+    return is_live(entry) || (!entry.is_seen && entry.value.state != member_state::dead);
 }
 
-void merge_self(membership_state& state, const member& news) {
-    // Somebody suspects this proxy: a higher heartbeat refutes it.
-    if (news.incarnation == state.self.incarnation && news.heartbeat >= state.self.heartbeat &&
-        news.state != state.self.state) {
-        state.self.heartbeat = news.heartbeat + 1;
-    }
+void add_probe(membership_state& state, const member& peer, int attempt,
+               std::vector<membership_action>& actions) {
+    actions.emplace_back(send_probe{peer, make_message(state, peer), attempt});
 }
 
-void merge(membership_state& state, const member& news, time_point now) {
-    if (news.vm == state.self.vm) {
-        merge_self(state, news);
+/** Lets the next messages carry the entry. */
+void spread(membership_state& state, member_entry& entry, time_point now) {
+    entry.changed_at = now;
+    entry.transmissions_left = get_transmission_limit(state.others.size() + 1);
+}
+
+/** Puts a member that became live at a random position of the present round. */
+void add_to_round(membership_state& state, const std::string& vm) {
+    if (state.probe_order.empty() ||
+        std::ranges::find(state.probe_order, vm) != state.probe_order.end()) {
         return;
     }
-    member_entry& entry = state.others[news.vm];
-    if (entry.is_seen && !is_newer(news, entry.value)) {
+    const std::size_t position = next_random(state.random) % (state.probe_order.size() + 1);
+    state.probe_order.insert(state.probe_order.begin() + static_cast<std::ptrdiff_t>(position), vm);
+}
+
+void begin_round(membership_state& state) {
+    for (const auto& [vm, entry] : state.others) {
+        if (is_probed(entry)) {
+            state.probe_order.push_back(vm);
+        }
+    }
+    for (std::size_t i = state.probe_order.size(); i > 1; --i) {
+        std::swap(state.probe_order[i - 1], state.probe_order[next_random(state.random) % i]);
+    }
+}
+
+/** The next live member of the round, or null. */
+const member* pick_next(membership_state& state) {
+    for (int rounds = 0; rounds < 2; ++rounds) {
+        while (!state.probe_order.empty()) {
+            const auto it = state.others.find(state.probe_order.back());
+            state.probe_order.pop_back();
+            if (it != state.others.end() && is_probed(it->second)) {
+                return &it->second.value;
+            }
+        }
+        begin_round(state);
+    }
+    return nullptr;
+}
+
+/** A member believed dead, or one that left long ago and may have returned; or null. */
+const member* pick_lost(membership_state& state, time_point now) {
+    std::vector<const member*> lost;
+    for (const auto& [vm, entry] : state.others) {
+        const bool has_left =
+            entry.value.state == member_state::leaving && now - entry.changed_at > forget_after;
+        if (entry.value.state == member_state::dead || has_left) {
+            lost.push_back(&entry.value);
+        }
+    }
+    return lost.empty() ? nullptr : lost[next_random(state.random) % lost.size()];
+}
+
+/** Whom the next probe goes to, or null. */
+const member* pick_due(membership_state& state, time_point now) {
+    ++state.probes;
+    const member* peer = state.probes % dead_probe_rounds == 0 ? pick_lost(state, now) : nullptr;
+    if (peer == nullptr) {
+        peer = pick_next(state);
+    }
+    return peer != nullptr ? peer : pick_lost(state, now);
+}
+
+/** Up to `count` random live members other than `vm`. */
+std::vector<const member*> pick_live(membership_state& state, std::size_t count,
+                                     const std::string& vm) {
+    std::vector<const member*> live;
+    for (const auto& [name, entry] : state.others) {
+        if (name != vm && is_live(entry) && entry.value.state == member_state::alive) {
+            live.push_back(&entry.value);
+        }
+    }
+    count = std::min(count, live.size());
+    for (std::size_t i = 0; i < count; ++i) {
+        std::swap(live[i], live[i + next_random(state.random) % (live.size() - i)]);
+    }
+    live.resize(count);
+    return live;
+}
+
+void suspect(membership_state& state, member_entry& entry, milliseconds timeout, time_point now) {
+    if (entry.value.state == member_state::suspect) {
+        entry.suspicion_ends_at = std::min(entry.suspicion_ends_at, now + timeout);
         return;
     }
-    const bool is_new_life = !entry.is_seen || news.incarnation != entry.value.incarnation;
-    const bool is_heartbeat = is_new_life || news.heartbeat > entry.value.heartbeat;
-    const member_state before = entry.value.state;
-    // Leaving is final for a life, whatever older entries still spread.
-    const bool stays_leaving = !is_new_life && before == member_state::leaving;
-    const std::uint64_t version = entry.value.configuration_version;
+    entry.value.state = member_state::suspect;
+    entry.suspicion_ends_at = now + timeout;
+    entry.indirect_probes = 0;
+    spread(state, entry, now);
+}
+
+/** Whether one of about suspicion_checks members that are to check a suspicion. */
+bool draws_check(membership_state& state) {
+    const std::uint64_t share = std::max<std::uint64_t>(1, state.live.size() / suspicion_checks);
+    return next_random(state.random) % share == 0;
+}
+
+/** Doubts of others about this proxy are refuted by a higher heartbeat. Whether it was raised. */
+bool merge_self(membership_state& state, const member& news) {
+    if (news.incarnation != state.self.incarnation || news.heartbeat < state.self.heartbeat ||
+        !is_doubted(news.state)) {
+        return false;
+    }
+    state.self.heartbeat = news.heartbeat + 1;
+    return true;
+}
+
+/** Takes a member that was unknown, or a later life of a known one. */
+void adopt_life(membership_state& state, member_entry& entry, const member& news, time_point now) {
     entry.value = news;
-    if (stays_leaving) {
-        entry.value.state = member_state::leaving;
+    entry.is_seen = true;
+    entry.indirect_probes = 0;
+    if (news.state == member_state::suspect) {
+        entry.suspicion_ends_at = now + state.member_timeout;
     }
-    if (!is_new_life) {
-        entry.value.configuration_version = std::max(version, news.configuration_version);
+    spread(state, entry, now);
+    if (is_live(entry)) {
+        add_to_round(state, news.vm);
     }
-    if (is_new_life || entry.value.state != before) {
-        entry.changed_at = now;
+}
+
+/** Doubt that another member tells of one that counted as alive here. */
+void adopt_doubt(membership_state& state, member_entry& entry, const member& news, time_point now,
+                 std::vector<membership_action>& actions) {
+    if (news.heartbeat > entry.value.heartbeat) {
+        // An earlier suspicion was refuted meanwhile.
+        entry.value.heartbeat = news.heartbeat;
+        entry.value.state = member_state::alive;
+    }
+    const bool is_news = entry.value.state == member_state::alive;
+    // A death that is only heard of may rest on a single bad link, so it is a suspicion here.
+    suspect(state, entry, news.state == member_state::dead ? refused_timeout : state.member_timeout,
+            now);
+    if (is_news && draws_check(state)) {
+        add_probe(state, entry.value, 1, actions);
     }
-    if (is_new_life) {
-        entry.refused_at_heartbeat.reset();
+}
+
+/** Merges an entry of the same life as the known one. */
+void merge_life(membership_state& state, member_entry& entry, const member& news, time_point now,
+                std::vector<membership_action>& actions) {
+    const std::uint64_t version =
+        std::max(entry.value.configuration_version, news.configuration_version);
+    entry.value.configuration_version = version;
+    const auto known = std::pair(entry.value.heartbeat, get_rank(entry.value.state));
+    if (entry.value.state == member_state::leaving) {
+        return;
     }
-    if (entry.refused_at_heartbeat &&
-        entry.value.heartbeat > *entry.refused_at_heartbeat + refused_heartbeats) {
-        entry.refused_at_heartbeat.reset();
+    if (news.state != member_state::leaving &&
+        std::pair(news.heartbeat, get_rank(news.state)) <= known) {
+        if (is_doubted(news.state) && news.heartbeat < entry.value.heartbeat) {
+            // The sender missed the refutation.
+            entry.transmissions_left = std::max(entry.transmissions_left, 1);
+        } else if (std::pair(news.heartbeat, get_rank(news.state)) == known) {
+            // What others tell already needs fewer messages of this proxy.
+            entry.transmissions_left = std::max(entry.transmissions_left - 1, 0);
+        }
+        return;
     }
-    if (is_heartbeat && news.state != member_state::dead) {
-        entry.seen_at = now;
+    if (is_doubted(news.state) && entry.value.state != member_state::dead) {
+        adopt_doubt(state, entry, news, now, actions);
+        return;
+    }
+    const bool was_live = is_live(entry);
+    entry.value = news;
+    entry.value.configuration_version = version;
+    entry.indirect_probes = 0;
+    if (news.state == member_state::suspect) {
+        entry.suspicion_ends_at = now + state.member_timeout;
+    }
+    spread(state, entry, now);
+    if (!was_live && is_live(entry)) {
+        add_to_round(state, news.vm);
     }
-    entry.is_seen = true;
 }
 
-void set_member_state(member_entry& entry, member_state value, time_point now) {
-    if (entry.value.state != value) {
-        entry.value.state = value;
-        entry.changed_at = now;
+void merge(membership_state& state, const member& news, time_point now,
+           std::vector<membership_action>& actions) {
+    const auto it = state.others.find(news.vm);
+    const bool is_known = it != state.others.end() && it->second.is_seen;
+    if (!is_known) {
+        // Dead members are left out of whole lists too; taking them here would keep them forever.
+        if (news.state != member_state::dead) {
+            adopt_life(state, state.others[news.vm], news, now);
+        }
+        return;
+    }
+    if (news.incarnation < it->second.value.incarnation) {
+        // The sender does not know the later life.
+        it->second.transmissions_left = std::max(it->second.transmissions_left, 1);
+        return;
+    }
+    if (news.incarnation > it->second.value.incarnation) {
+        adopt_life(state, it->second, news, now);
+        return;
     }
+    merge_life(state, it->second, news, now, actions);
 }
 
-/** Members that were not seen for the timeout are dead for this proxy, and old ones forgotten. */
 void expire(membership_state& state, time_point now) {
-    const milliseconds timeout = get_timeout(state);
     for (auto it = state.others.begin(); it != state.others.end();) {
         member_entry& entry = it->second;
-        const bool is_unseen = entry.is_seen && now - entry.seen_at > timeout;
-        // Nobody refuted the suspicion by a later heartbeat.
-        const bool is_confirmed_suspect = entry.value.state == member_state::suspect &&
-                                          now - entry.changed_at > state.member_timeout;
-        if ((is_unseen || is_confirmed_suspect) && entry.value.state != member_state::leaving) {
-            set_member_state(entry, member_state::dead, now);
+        if (entry.value.state == member_state::suspect && entry.suspicion_ends_at <= now) {
+            entry.value.state = member_state::dead;
+            spread(state, entry, now);
         }
-        const bool is_gone = !entry.is_listed && now - entry.seen_at > timeout + forget_after;
+        const bool has_ended =
+            entry.value.state == member_state::dead || entry.value.state == member_state::leaving;
+        const bool has_newer_list = state.listed_at && *state.listed_at > entry.changed_at;
+        const bool is_gone =
+            has_ended &&
+            ((has_newer_list && !entry.is_listed && now - entry.changed_at > forget_after) ||
+             (now - entry.changed_at > forget_unlisted_after && !has_newer_list));
         it = is_gone ? state.others.erase(it) : std::next(it);
     }
 }
 
-std::optional<member> pick_peer(membership_state& state, const std::vector<const member*>& pool) {
-    if (pool.empty()) {
-        return std::nullopt;
+void apply(membership_state& state, const exchange_due& /*event*/, time_point now,
+           std::vector<membership_action>& actions) {
+    expire(state, now);
+    const std::size_t known = state.others.size();
+    const std::size_t count = known < small_fleet ? std::min(small_fleet_probes, known) : 1;
+    for (std::size_t i = 0; i < count; ++i) {
+        if (const member* peer = pick_due(state, now)) {
+            add_probe(state, *peer, 1, actions);
+        }
     }
-    return *pool[next_random(state.random) % pool.size()];
 }
 
-/**
- * One random peer of the own place and one elsewhere. Members believed dead are tried too, at one
- * in four picks, because a healed partition is noticed by nobody otherwise.
- */
-std::vector<member> pick_peers(membership_state& state, time_point now) {
-    std::vector<const member*> near;
-    std::vector<const member*> far;
-    std::vector<const member*> lost;
-    for (const auto& [vm, entry] : state.others) {
-        const bool is_reachable = !entry.is_seen || is_live(state, entry, now) ||
-                                  (entry.value.state == member_state::leaving &&
-                                   now - entry.seen_at <= state.member_timeout);
-        if (!is_reachable) {
-            lost.push_back(&entry.value);
-        } else if (entry.value.place == state.self.place) {
-            near.push_back(&entry.value);
+void apply(membership_state& state, const expiry_due& /*event*/, time_point now,
+           std::vector<membership_action>& /*actions*/) {
+    expire(state, now);
+}
+
+/** Fetches the whole list at the start, and when updates must have been lost. */
+void compare_digest(membership_state& state, const membership_message& message, time_point now,
+                    std::vector<membership_action>& actions) {
+    if (message.live_count == state.live.size() && message.digest == state.digest) {
+        state.differs_since.reset();
+    } else if (!state.differs_since) {
+        state.differs_since = now;
+    }
+    const bool is_lasting = state.differs_since && now - *state.differs_since >= update_spread_time;
+    const bool is_allowed = !state.list_asked_at || now - *state.list_asked_at >= list_interval;
+    if (is_allowed && (is_lasting || !state.has_member_list)) {
+        state.list_asked_at = now;
+        actions.emplace_back(fetch_members{message.sender});
+    }
+}
+
+void apply(membership_state& state, const message_received& event, time_point now,
+           std::vector<membership_action>& actions) {
+    const membership_message& message = event.message;
+    if (message.sender.vm == state.self.vm) {
+        return;
+    }
+    compare_digest(state, message, now, actions);
+    bool is_refuted = false;
+    for (const member& news : message.updates) {
+        if (news.vm == state.self.vm) {
+            is_refuted = merge_self(state, news) || is_refuted;
         } else {
-            far.push_back(&entry.value);
+            merge(state, news, now, actions);
         }
     }
-    std::vector<member> peers;
-    for (const std::vector<const member*>* pool : {&near, &far}) {
-        if (std::optional<member> peer = pick_peer(state, *pool)) {
-            peers.push_back(*std::move(peer));
-        }
+    merge(state, message.sender, now, actions);
+    if (!event.is_answer) {
+        actions.emplace_back(send_answer{make_message(state, message.sender)});
+    } else if (is_refuted) {
+        // An answer tells the refutation by itself; after an answer it takes another probe.
+        add_probe(state, message.sender, max_probes_in_row, actions);
     }
-    const bool tries_lost = (near.empty() && far.empty()) || next_random(state.random) % 4 == 0;
-    if (tries_lost) {
-        if (std::optional<member> peer = pick_peer(state, lost)) {
-            peers.push_back(*std::move(peer));
-        }
+    if (message.sender.configuration_version > state.self.configuration_version) {
+        actions.emplace_back(newer_version_seen{message.sender});
     }
-    return peers;
 }
 
-void apply(membership_state& state, const exchange_due& /*event*/, time_point now,
-           std::vector<membership_action>& actions) {
-    ++state.self.heartbeat;
-    expire(state, now);
-    for (member& peer : pick_peers(state, now)) {
-        actions.emplace_back(send_digest{std::move(peer), make_digest(state, state.random)});
+/** Asks others for the member; without any other the own failure decides. */
+void doubt_silent(membership_state& state, member_entry& entry, time_point now,
+                  std::vector<membership_action>& actions) {
+    if (entry.value.state == member_state::suspect || entry.indirect_probes > 0) {
+        return;
+    }
+    const std::vector<const member*> helpers =
+        pick_live(state, indirect_probe_count, entry.value.vm);
+    if (helpers.empty()) {
+        suspect(state, entry, state.member_timeout, now);
+        return;
+    }
+    entry.indirect_probes = static_cast<int>(helpers.size());
+    for (const member* helper : helpers) {
+        actions.emplace_back(ask_probe{*helper, entry.value});
     }
 }
 
-void apply(membership_state& state, const digest_received& event, time_point now,
+/** Nobody else has to be asked; the others are told, so that all drop it at the same time. */
+void doubt_refusing(membership_state& state, member_entry& entry, time_point now,
+                    std::vector<membership_action>& actions) {
+    const bool is_news = entry.value.state == member_state::alive;
+    suspect(state, entry, refused_timeout, now);
+    if (is_news) {
+        for (const member* peer : pick_live(state, refusal_fanout, entry.value.vm)) {
+            add_probe(state, *peer, max_probes_in_row, actions);
+        }
+    }
+}
+
+void apply(membership_state& state, const probe_failed& event, time_point now,
            std::vector<membership_action>& actions) {
-    for (const member& entry : event.entries) {
-        merge(state, entry, now);
-    }
-    merge(state, event.sender, now);
-    const auto it = state.others.find(event.sender.vm);
-    if (it != state.others.end() && it->second.value.incarnation == event.sender.incarnation) {
-        // Direct contact counts even when a relayed heartbeat was quicker.
-        it->second.seen_at = now;
-        it->second.refused_at_heartbeat.reset();
-        const bool was_doubted = it->second.value.state == member_state::suspect ||
-                                 it->second.value.state == member_state::dead;
-        if (was_doubted && event.sender.state == member_state::alive) {
-            set_member_state(it->second, member_state::alive, now);
+    const auto it = state.others.find(event.vm);
+    // A failed call to a predecessor says nothing about the VM's present life.
+    const bool is_present =
+        it != state.others.end() && it->second.value.incarnation == event.incarnation;
+    if (is_present && !it->second.is_seen) {
+        it->second.value.state = member_state::dead;
+        it->second.changed_at = now;
+    } else if (is_present && is_live(it->second)) {
+        if (event.is_refused) {
+            doubt_refusing(state, it->second, now, actions);
+        } else {
+            doubt_silent(state, it->second, now, actions);
         }
     }
-    if (event.sender.vm != state.self.vm &&
-        event.sender.configuration_version > state.self.configuration_version) {
-        actions.emplace_back(newer_version_seen{event.sender});
+    // One dead peer must not delay what an exchange brings, the configuration version above all.
+    const member* next = event.attempt < max_probes_in_row ? pick_next(state) : nullptr;
+    if (next != nullptr && next->vm != event.vm) {
+        add_probe(state, *next, event.attempt + 1, actions);
     }
 }
 
-void apply(membership_state& state, const call_failed& event, time_point now,
+void apply(membership_state& state, const indirect_probe_ended& event, time_point now,
            std::vector<membership_action>& /*actions*/) {
     const auto it = state.others.find(event.vm);
-    // A failed call to a predecessor says nothing about the VM's present life.
     if (it == state.others.end() || it->second.value.incarnation != event.incarnation ||
-        it->second.value.state == member_state::leaving ||
-        it->second.value.state == member_state::dead) {
+        it->second.indirect_probes == 0) {
+        return;
+    }
+    it->second.indirect_probes = event.is_reached ? 0 : it->second.indirect_probes - 1;
+    if (!event.is_reached && it->second.indirect_probes == 0 && is_live(it->second)) {
+        suspect(state, it->second, state.member_timeout, now);
+    }
+}
+
+void apply(membership_state& state, const member_list_received& event, time_point now,
+           std::vector<membership_action>& actions) {
+    if (!event.members) {
+        if (!state.has_member_list) {
+            state.list_asked_at.reset();
+        }
         return;
     }
-    if (event.is_refused) {
-        it->second.refused_at_heartbeat = it->second.value.heartbeat;
+    state.has_member_list = true;
+    for (const member& news : *event.members) {
+        if (news.vm == state.self.vm) {
+            merge_self(state, news);
+            continue;
+        }
+        const auto known = state.others.find(news.vm);
+        const int left = known == state.others.end() ? 0 : known->second.transmissions_left;
+        merge(state, news, now, actions);
+        // What a whole list brings is news for this proxy only; spreading it would crowd out
+        // updates.
+        const auto it = state.others.find(news.vm);
+        if (it != state.others.end()) {
+            it->second.transmissions_left = left;
+        }
     }
-    set_member_state(it->second, member_state::suspect, now);
 }
 
 void apply(membership_state& state, const vm_list_received& event, time_point now,
-           std::vector<membership_action>& /*actions*/) {
+           std::vector<membership_action>& actions) {
+    state.listed_at = now;
     std::set<std::string> listed;
     for (const member& vm : event.vms) {
         if (vm.vm == state.self.vm) {
             continue;
         }
         listed.insert(vm.vm);
-        member_entry& entry = state.others[vm.vm];
-        if (!entry.is_seen) {
-            // The list lags: it only says whom to ask, and a leaving entry may be a predecessor's.
-            entry.value = vm;
-            entry.value.incarnation = 0;
-            entry.value.heartbeat = 0;
-            entry.seen_at = now;
+        const auto [it, is_new] = state.others.try_emplace(vm.vm);
+        member_entry& entry = it->second;
+        if (entry.is_seen) {
+            continue;
+        }
+        // The list lags: it only says whom to ask, and a leaving entry may be a predecessor's.
+        const bool was_tried = !is_new && entry.value.state == member_state::dead;
+        entry.value = vm;
+        entry.value.incarnation = 0;
+        entry.value.heartbeat = 0;
+        entry.value.state = was_tried ? member_state::dead : vm.state;
+        if (is_new) {
+            entry.changed_at = now;
+            add_to_round(state, vm.vm);
         }
     }
     for (auto& [vm, entry] : state.others) {
         entry.is_listed = listed.contains(vm);
     }
+    const bool knows_nobody =
+        std::ranges::none_of(state.others, [](const auto& item) { return item.second.is_seen; });
+    for (int i = 0; knows_nobody && i < max_probes_in_row; ++i) {
+        if (const member* peer = pick_next(state)) {
+            add_probe(state, *peer, max_probes_in_row, actions);
+        }
+    }
 }
 
 void apply(membership_state& state, const leave_started& /*event*/, time_point /*now*/,
@@ -260,19 +510,14 @@
         return;
     }
     state.self.state = member_state::leaving;
-    ++state.self.heartbeat;
-    // Everybody is told at once; entries that do not fit in the usual rounds would cost 500 ms
-    // each.
-    std::size_t told = 0;
-    for (const auto& [vm, entry] : state.others) {
-        if (entry.value.state == member_state::alive && told++ < max_digest_entries) {
-            actions.emplace_back(send_digest{entry.value, make_digest(state, state.random)});
-        }
+    // Told at once, because homes follow it; in a larger fleet these members spread it.
+    for (const member* peer : pick_live(state, max_updates, {})) {
+        add_probe(state, *peer, max_probes_in_row, actions);
     }
 }
 
 /** A new version travels on at once, so that it is in force everywhere after a few hops. */
-void apply(membership_state& state, const version_adopted& event, time_point now,
+void apply(membership_state& state, const version_adopted& event, time_point /*now*/,
            std::vector<membership_action>& actions) {
     if (event.version <= state.self.configuration_version) {
         return;
@@ -280,19 +525,18 @@
     state.self.configuration_version = event.version;
     std::vector<const member*> behind;
     for (const auto& [vm, entry] : state.others) {
-        if (is_live(state, entry, now) && entry.value.configuration_version < event.version) {
+        if (is_live(entry) && entry.value.configuration_version < event.version) {
             behind.push_back(&entry.value);
         }
     }
     for (std::size_t i = 0; i < version_fanout && i < behind.size(); ++i) {
         std::swap(behind[i], behind[i + next_random(state.random) % (behind.size() - i)]);
-        // Only self: the members are no news, and each adoption costs this message.
-        actions.emplace_back(send_digest{*behind[i], {state.self}});
+        add_probe(state, *behind[i], max_probes_in_row, actions);
     }
 }
 
 /** Live members by vm, without copying them: most steps change nothing. */
-std::vector<const member*> find_live(const membership_state& state, time_point now) {
+std::vector<const member*> find_live(const membership_state& state) {
     std::vector<const member*> live;
     live.reserve(state.others.size() + 1);
     bool is_self_due = state.self.state == member_state::alive;
@@ -301,7 +545,7 @@
             live.push_back(&state.self);
             is_self_due = false;
         }
-        if (is_live(state, entry, now)) {
+        if (is_live(entry)) {
             live.push_back(&entry.value);
         }
     }
@@ -318,44 +562,67 @@
     });
 }
 
+std::optional<time_point> find_next_expiry(const membership_state& state) {
+    std::optional<time_point> next;
+    for (const auto& [vm, entry] : state.others) {
+        if (entry.value.state == member_state::suspect &&
+            (!next || entry.suspicion_ends_at < *next)) {
+            next = entry.suspicion_ends_at;
+        }
+    }
+    return next;
+}
+
 }  // namespace
 
-std::vector<member> make_digest(const membership_state& state, std::uint64_t& random) {
-    std::vector<const member_entry*> entries;
-    entries.reserve(state.others.size());
-    time_point newest{};
-    for (const auto& [vm, entry] : state.others) {
-        if (entry.is_seen) {
-            entries.push_back(&entry);
-            newest = std::max({newest, entry.changed_at, entry.seen_at});
+int get_transmission_limit(std::size_t members) {
+    // bit_width(members) is ceil(log2(members + 1)).
+    return 3 * std::max(1, static_cast<int>(std::bit_width(members)));
+}
+
+membership_message make_message(membership_state& state, const member& peer) {
+    membership_message message{state.self, {}, state.live.size(), state.digest};
+    std::vector<member_entry*> pending;
+    const auto recipient = state.others.find(peer.vm);
+    // A member that others doubt must hear of it, or it cannot refute it.
+    if (recipient != state.others.end() && recipient->second.is_seen &&
+        is_doubted(recipient->second.value.state)) {
+        message.updates.push_back(recipient->second.value);
+    }
+    for (auto& [vm, entry] : state.others) {
+        if (entry.transmissions_left > 0 && vm != peer.vm) {
+            pending.push_back(&entry);
         }
     }
-    const auto changed = std::partition(
-        entries.begin(), entries.end(),
-        [&](const member_entry* entry) { return newest - entry->changed_at < change_spread_time; });
-    std::sort(entries.begin(), changed, [](const member_entry* left, const member_entry* right) {
-        return left->changed_at > right->changed_at;
-    });
-    const std::size_t changes =
-        std::min(static_cast<std::size_t>(changed - entries.begin()), max_change_entries);
-    const std::size_t others =
-        entries.size() <= max_digest_entries ? max_digest_entries : random_entries;
-    std::vector<member> digest;
-    for (std::size_t i = 0;
-         i < entries.size() && i < changes + others && digest.size() < max_digest_entries - 1;
-         ++i) {
-        if (i >= changes) {
-            std::swap(entries[i], entries[i + next_random(random) % (entries.size() - i)]);
+    const std::size_t count = std::min(pending.size(), max_updates - message.updates.size());
+    std::partial_sort(pending.begin(), pending.begin() + static_cast<std::ptrdiff_t>(count),
+                      pending.end(), [](const member_entry* left, const member_entry* right) {
+                          return left->changed_at > right->changed_at;
+                      });
+    for (std::size_t i = 0; i < count; ++i) {
+        --pending[i]->transmissions_left;
+        message.updates.push_back(pending[i]->value);
+    }
+    return message;
+}
+
+std::vector<member> list_members(const membership_state& state) {
+    std::vector<member> members{state.self};
+    for (const auto& [vm, entry] : state.others) {
+        if (entry.is_seen && entry.value.state != member_state::dead) {
+            members.push_back(entry.value);
         }
-        digest.push_back(entries[i]->value);
     }
-    digest.push_back(state.self);
-    return digest;
+    return members;
 }
 
 std::size_t count_listed_others(const membership_state& state) {
-    return std::ranges::count_if(state.others, [](const auto& item) {
-        return item.second.is_listed && item.second.value.state != member_state::leaving;
+    return std::ranges::count_if(state.others, [&](const auto& item) {
+        const member_entry& entry = item.second;
+        // The list lags, and few proxies read it: members that were heard of later count too.
+        const bool is_unlisted_yet =
+            entry.is_seen && (!state.listed_at || *state.listed_at <= entry.changed_at);
+        return (entry.is_listed || is_unlisted_yet) && entry.value.state != member_state::leaving;
     });
 }
 
@@ -363,16 +630,19 @@
                                 time_point now) {
     std::vector<membership_action> actions;
     std::visit([&](const auto& value) { apply(state, value, now, actions); }, event);
-    const std::vector<const member*> live = find_live(state, now);
+    const std::vector<const member*> live = find_live(state);
     if (!is_same_set(live, state.live)) {
         std::vector<member> next;
         next.reserve(live.size());
+        state.digest = 0;
         for (const member* value : live) {
             next.push_back(*value);
+            state.digest += hash_member(*value);
         }
         state.live = std::move(next);
         actions.emplace_back(live_members_changed{});
     }
+    state.next_expiry = find_next_expiry(state);
     return {std::move(state), std::move(actions)};
 }
 
--- a/src/coordination/membership.h
+++ b/src/coordination/membership.h
@@ -14,20 +14,46 @@
 
 namespace hornbeamhook::coordination {
 
-/** Time for the next exchange. */
+/** A probe of one proxy by another, or its answer. */
+struct membership_message {
+    state::member sender;
+    std::vector<state::member> updates;  ///< At most max_updates, newest first.
+    std::uint64_t live_count = 0;        ///< Live members the sender knows, itself included.
+    std::uint64_t digest = 0;            ///< Over vm and incarnation of these.
+
+    bool operator==(const membership_message&) const = default;
+};
+
+/** Time for the next probe. */
 struct exchange_due {};
 
-/** A peer's digest arrived, in a request or in an answer. */
-struct digest_received {
-    state::member sender;
-    std::vector<state::member> entries;
+/** `next_expiry` has passed. */
+struct expiry_due {};
+
+/** A peer probed this proxy, or answered its probe. */
+struct message_received {
+    membership_message message;
+    bool is_answer = false;
 };
 
-/** A call to a peer failed. */
-struct call_failed {
+/** A probe failed. */
+struct probe_failed {
     std::string vm;
     std::uint64_t incarnation = 0;  ///< Of the entry the call was made for.
     bool is_refused = false;        ///< Nobody listens at its address.
+    int attempt = 1;                ///< As in send_probe.
+};
+
+/** One of the members asked by ask_probe answered, or cannot be reached itself. */
+struct indirect_probe_ended {
+    std::string vm;
+    std::uint64_t incarnation = 0;
+    bool is_reached = false;
+};
+
+/** The whole list of a peer arrived, or could not be fetched. */
+struct member_list_received {
+    std::optional<std::vector<state::member>> members;
 };
 
 /** The platform's VM list, which lags. Incarnation and heartbeat of the entries are ignored. */
@@ -43,13 +69,31 @@
     std::uint64_t version = 0;
 };
 
-using membership_event = std::variant<exchange_due, digest_received, call_failed, vm_list_received,
-                                      leave_started, version_adopted>;
+using membership_event =
+    std::variant<exchange_due, expiry_due, message_received, probe_failed, indirect_probe_ended,
+                 member_list_received, vm_list_received, leave_started, version_adopted>;
+
+/** Send a message to a peer; its answer is a message_received, a failure a probe_failed. */
+struct send_probe {
+    state::member peer;
+    membership_message message;
+    int attempt = 1;  ///< Position in a row of follow-up probes.
+};
+
+/** Answer the probe of this step. */
+struct send_answer {
+    membership_message message;
+};
+
+/** Ask `helper` to probe `member`; ends with one indirect_probe_ended. */
+struct ask_probe {
+    state::member helper;
+    state::member member;
+};
 
-/** Send a digest to a peer and apply its answer. */
-struct send_digest {
+/** Fetch the whole member list of a peer; ends with one member_list_received. */
+struct fetch_members {
     state::member peer;
-    std::vector<state::member> entries;
 };
 
 /** The set of live members, or one of their addresses, changed. */
@@ -60,17 +104,18 @@
     state::member peer;
 };
 
-using membership_action = std::variant<send_digest, live_members_changed, newer_version_seen>;
+using membership_action = std::variant<send_probe, send_answer, ask_probe, fetch_members,
+                                       live_members_changed, newer_version_seen>;
 
 /** What is known of one other proxy. */
 struct member_entry {
     state::member value;
-    bool is_seen = false;  ///< Whether it was ever heard of by an exchange, not only by the list.
-    state::time_point seen_at{};     ///< When its heartbeat last rose.
-    state::time_point changed_at{};  ///< When its state last changed; newest are spread first.
+    bool is_seen = false;            ///< Whether a proxy ever told of it, and not only the VM list.
+    state::time_point changed_at{};  ///< When the entry last changed; newest are spread first.
     bool is_listed = false;          ///< Whether the last VM list names it.
-    /// After a refused call: alive again only once its heartbeat passed this.
-    std::optional<std::uint64_t> refused_at_heartbeat;
+    int transmissions_left = 0;      ///< Messages that are still to carry this entry.
+    state::time_point suspicion_ends_at{};  ///< A suspect is dead from then on.
+    int indirect_probes = 0;                ///< Answers of ask_probe that are still to come.
 };
 
 /** The fleet as one proxy sees it. */
@@ -78,8 +123,17 @@
     state::member self;
     std::chrono::milliseconds member_timeout{3000};
     std::map<std::string, member_entry> others;
-    std::vector<state::member> live;  ///< Without leaving ones; ordered by vm; includes self.
-    std::uint64_t random = 1;         ///< State of the generator that picks peers.
+    std::vector<state::member> live;       ///< Without leaving ones; ordered by vm; includes self.
+    std::uint64_t digest = 0;              ///< Of `live`.
+    std::uint64_t random = 1;              ///< State of the generator that picks peers.
+    std::vector<std::string> probe_order;  ///< Rest of the present permutation, last one first.
+    std::uint64_t probes = 0;              ///< Probes sent by the rounds.
+    /// When the first suspicion ends; step expiry_due then.
+    std::optional<state::time_point> next_expiry;
+    std::optional<state::time_point> listed_at;      ///< When the VM list was last received.
+    std::optional<state::time_point> differs_since;  ///< No peer had an equal digest since.
+    std::optional<state::time_point> list_asked_at;  ///< When a whole list was last asked for.
+    bool has_member_list = false;                    ///< A whole list was received.
 };
 
 /** New state and what to do. */
@@ -88,18 +142,25 @@
     std::vector<membership_action> actions;
 };
 
-/** Entries of a digest, so that its size does not grow with the fleet. */
-inline constexpr std::size_t max_digest_entries = 16;
+/** Updates of one message, so that its size does not grow with the fleet. */
+inline constexpr std::size_t max_updates = 16;
+/** Probes in a row when one after another fails. */
+inline constexpr int max_probes_in_row = 3;
 
 /** Applies one event. Pure: randomness comes from `state.random`. */
 membership_step step_membership(membership_state state, const membership_event& event,
                                 state::time_point now);
 
-/** The digest to answer an exchange with: self, newest changes, then random ones. Pure; `random`
- * is advanced. */
-std::vector<state::member> make_digest(const membership_state& state, std::uint64_t& random);
+/** The message for `peer`; lowers the transmissions left of the updates it carries. */
+membership_message make_message(membership_state& state, const state::member& peer);
+
+/** Number of messages in which one proxy spreads an update among `members` live ones. */
+int get_transmission_limit(std::size_t members);
+
+/** All entries that a peer needs to catch up: self and every member that is not dead. */
+std::vector<state::member> list_members(const membership_state& state);
 
-/** Whether any other VM is believed to exist, live or not. */
+/** Other VMs that the list names, or that were heard of since; dead ones too, leaving ones not. */
 std::size_t count_listed_others(const membership_state& state);
 
 }  // namespace hornbeamhook::coordination
--- a/src/protocol/peer_messages.h
+++ b/src/protocol/peer_messages.h
@@ -7,24 +7,35 @@
 #include <vector>
 
 #include "coordination/failover.h"
+#include "coordination/membership.h"
 #include "state/configuration.h"
 #include "state/member.h"
 
 namespace hornbeamhook::protocol {
 
-/** Body of POST /internal/v1/exchange and of its answer. */
-struct exchange_message {
-    state::member sender;
-    std::vector<state::member> entries;
+/** Parses the body of POST /internal/v1/exchange or of its answer. Fails with state_error. */
+boost::leaf::result<coordination::membership_message> parse_exchange_message(
+    const nlohmann::json& array);
 
-    bool operator==(const exchange_message&) const = default;
+/** The inverse of parse_exchange_message(): [live_count, digest, sender, update, ...]. */
+nlohmann::json to_json(const coordination::membership_message& message);
+
+/** Parses the answer of GET /internal/v1/members. Fails with state_error. */
+boost::leaf::result<std::vector<state::member>> parse_member_list(const nlohmann::json& array);
+
+/** The inverse of parse_member_list(). */
+nlohmann::json make_member_list(const std::vector<state::member>& members);
+
+/** Answer of POST /internal/v1/probe, whose body is one member in the compact form. */
+struct probe_answer {
+    bool is_reached = false;
 };
 
-/** Parses a digest. Fails with state_error. */
-boost::leaf::result<exchange_message> parse_exchange_message(const nlohmann::json& object);
+/** Parses the answer. Fails with state_error. */
+boost::leaf::result<probe_answer> parse_probe_answer(const nlohmann::json& object);
 
-/** The inverse of parse_exchange_message(). */
-nlohmann::json to_json(const exchange_message& message);
+/** The inverse of parse_probe_answer(). */
+nlohmann::json to_json(const probe_answer& answer);
 
 /** Answer of GET /internal/v1/configuration?after=V. */
 struct configuration_answer {
--- a/src/protocol/proxy_settings.h
+++ b/src/protocol/proxy_settings.h
@@ -35,7 +35,7 @@
     std::chrono::milliseconds heartbeat_interval{250};           ///< Polls by active pollers.
     std::chrono::milliseconds standby_heartbeat_interval{1000};  ///< Polls by the other pollers.
     std::chrono::milliseconds probe_timeout{300};
-    std::chrono::milliseconds exchange_interval{500};
+    std::chrono::milliseconds exchange_interval{1000};
     std::chrono::milliseconds member_timeout{3000};
     std::chrono::milliseconds store_poll_interval{1000};
     std::chrono::milliseconds store_timeout{2000};
--- a/src/proxy/fleet_control.cpp
+++ b/src/proxy/fleet_control.cpp
@@ -46,6 +46,12 @@
 constexpr milliseconds question_timeout{2000};
 /// Changes kept to hand to peers; a peer further behind gets a snapshot.
 constexpr std::size_t max_recent_changes = 1024;
+/// A probe that takes longer is a failure. Links between regions take 20 ms both ways.
+constexpr milliseconds probe_timeout{500};
+/// Time for a probe made for another proxy, which itself waits for the answer.
+constexpr milliseconds indirect_probe_timeout{300};
+/// Probes for others at a time, because each blocks a thread that also answers exchanges.
+constexpr int max_probes_for_others = 2;
 /// Body of an answer with the head row.
 constexpr std::size_t head_bytes = 110;
 
@@ -187,6 +193,12 @@
     if (request.path == "/internal/v1/exchange" && request.method == "POST") {
         return answer_exchange(request);
     }
+    if (request.path == "/internal/v1/probe" && request.method == "POST") {
+        return answer_probe(request);
+    }
+    if (request.path == "/internal/v1/members" && request.method == "GET") {
+        return answer_members();
+    }
     if (request.path == "/internal/v1/configuration" && request.method == "GET") {
         return answer_configuration(request);
     }
@@ -207,16 +219,15 @@
 
 http_response fleet_control::answer_exchange(const http_request& request) {
     std::string message;
-    const auto digest =
-        parse_body<protocol::exchange_message>(request, protocol::parse_exchange_message, message);
-    if (!digest) {
+    const auto probe = parse_body<coordination::membership_message>(
+        request, protocol::parse_exchange_message, message);
+    if (!probe) {
         return reject(request, message);
     }
-    const std::optional<nlohmann::json> answer = ask_control([this, digest]() -> nlohmann::json {
-        step_members(coordination::digest_received{digest->sender, digest->entries});
+    const std::optional<nlohmann::json> answer = ask_control([this, probe]() -> nlohmann::json {
         // No version_heard here: the request may have waited in the socket during a pause.
-        return to_json(
-            protocol::exchange_message{members_.self, make_digest(members_, members_.random)});
+        return protocol::to_json(step_members(coordination::message_received{*probe})
+                                     .value_or(coordination::membership_message{members_.self}));
     });
     if (!answer) {
         return make_error(503, "unavailable", "the control thread did not answer in time");
@@ -226,6 +237,58 @@
     return response;
 }
 
+http_response fleet_control::answer_probe(const http_request& request) {
+    std::string message;
+    const auto peer = parse_body<member>(request, state::parse_compact_member, message);
+    if (!peer) {
+        return reject(request, message);
+    }
+    if (probes_for_others_.fetch_add(1) >= max_probes_for_others) {
+        probes_for_others_.fetch_sub(1);
+        return make_error(503, "overloaded", "too many probes for other proxies");
+    }
+    const std::optional<nlohmann::json> probe = ask_control([this, peer]() -> nlohmann::json {
+        return protocol::to_json(coordination::make_message(members_, *peer));
+    });
+    const bool is_reached =
+        probe && leaf::try_handle_all(
+                     [&]() -> leaf::result<bool> {
+                         BOOST_LEAF_AUTO(own, protocol::parse_exchange_message(*probe));
+                         return probe_for_other(*peer, own);
+                     },
+                     [] { return false; });
+    probes_for_others_.fetch_sub(1);
+    http_response response = make_json(200, to_json(protocol::probe_answer{is_reached}));
+    traffic_.exchange_received.add(request.body.size() + response.body.size(), http_overhead);
+    return response;
+}
+
+bool fleet_control::probe_for_other(const member& peer,
+                                    const coordination::membership_message& probe) {
+    return leaf::try_handle_all(
+        [&]() -> leaf::result<bool> {
+            BOOST_LEAF_AUTO(answer, peers_.exchange(peer, probe, indirect_probe_timeout));
+            const bool is_same = answer.sender.vm == peer.vm;
+            queue_.try_push([this, answer = std::move(answer)] {
+                step_members(coordination::message_received{answer, true});
+            });
+            return is_same;
+        },
+        [] { return false; });
+}
+
+http_response fleet_control::answer_members() {
+    const std::optional<nlohmann::json> answer = ask_control([this]() -> nlohmann::json {
+        return protocol::make_member_list(coordination::list_members(members_));
+    });
+    if (!answer) {
+        return make_error(503, "unavailable", "the control thread did not answer in time");
+    }
+    http_response response = make_json(200, *answer);
+    traffic_.exchange_received.add(response.body.size(), http_overhead);
+    return response;
+}
+
 http_response fleet_control::answer_configuration(const http_request& request) {
     const auto it = request.query.find("after");
     if (it == request.query.end() || it->second.empty() || it->second.size() > 18 ||
@@ -469,20 +532,13 @@
     }
 }
 
-void fleet_control::exchange_with(const coordination::send_digest& call) {
-    protocol::exchange_message digest;
-    digest.entries = call.entries;
-    for (const member& entry : call.entries) {
-        if (entry.vm == settings_.vm) {
-            digest.sender = entry;
-        }
-    }
+void fleet_control::exchange_with(const coordination::send_probe& call) {
     const time_point asked_at = get_now();
     leaf::try_handle_all(
         [&]() -> leaf::result<void> {
-            BOOST_LEAF_AUTO(message, peers_.exchange(call.peer, digest));
+            BOOST_LEAF_AUTO(message, peers_.exchange(call.peer, call.message, probe_timeout));
             queue_.push([this, asked_at, message = std::move(message)] {
-                step_members(coordination::digest_received{message.sender, message.entries});
+                step_members(coordination::message_received{message, true});
                 step_confirmation(
                     coordination::version_heard{asked_at, message.sender.configuration_version});
             });
@@ -490,8 +546,9 @@
         },
         [&](const transport::transport_error& error) {
             const bool is_refused = error.failure == transport::transport_failure::refused;
-            queue_.push([this, peer = call.peer, is_refused] {
-                step_members(coordination::call_failed{peer.vm, peer.incarnation, is_refused});
+            queue_.push([this, peer = call.peer, is_refused, attempt = call.attempt] {
+                step_members(
+                    coordination::probe_failed{peer.vm, peer.incarnation, is_refused, attempt});
             });
         },
         [&](const state::state_error& error) {
@@ -500,6 +557,30 @@
         [] {});
 }
 
+void fleet_control::ask_probe(const coordination::ask_probe& call) {
+    // A helper that cannot be reached itself does not show that the member lives.
+    const bool is_reached = leaf::try_handle_all(
+        [&] { return peers_.ask_probe(call.helper, call.member); }, [] { return false; });
+    queue_.push([this, peer = call.member, is_reached] {
+        step_members(coordination::indirect_probe_ended{peer.vm, peer.incarnation, is_reached});
+    });
+}
+
+void fleet_control::fetch_members(const member& peer) {
+    coordination::member_list_received event;
+    leaf::try_handle_all(
+        [&]() -> leaf::result<void> {
+            BOOST_LEAF_AUTO(members, peers_.fetch_members(peer));
+            event.members = std::move(members);
+            return {};
+        },
+        [&](const state::state_error& error) {
+            log_event(event_message_rejected, {{"peer", peer.vm}, {"reason", error.message}});
+        },
+        [] {});
+    queue_.push([this, event = std::move(event)] { step_members(event); });
+}
+
 void fleet_control::fetch_configuration(const member& peer, std::uint64_t after) {
     leaf::try_handle_all(
         [&]() -> leaf::result<void> {
@@ -554,6 +635,8 @@
         next_exchange_ = now + settings_.exchange_interval;
         step_members(coordination::exchange_due{});
         step_confirmation(coordination::confirmation_checked{});
+    } else if (members_.next_expiry && now >= *members_.next_expiry) {
+        step_members(coordination::expiry_due{});
     }
 }
 
@@ -565,27 +648,47 @@
     publish();
 }
 
-void fleet_control::step_members(const coordination::membership_event& event) {
-    if (platform_ && std::holds_alternative<coordination::digest_received>(event)) {
+std::optional<coordination::membership_message> fleet_control::step_members(
+    const coordination::membership_event& event) {
+    if (platform_ && std::holds_alternative<coordination::message_received>(event)) {
         platform_->note_peer();
     }
     coordination::membership_step step =
         coordination::step_membership(std::move(members_), event, get_now());
     members_ = std::move(step.state);
+    std::optional<coordination::membership_message> answer;
     for (const coordination::membership_action& action : step.actions) {
-        if (const auto* send = std::get_if<coordination::send_digest>(&action)) {
-            workers_.try_submit([this, call = *send] { exchange_with(call); });
-        } else if (std::holds_alternative<coordination::live_members_changed>(action)) {
-            log_event(event_members_changed, {{"live", std::to_string(members_.live.size())}});
-            assign_homes();
-            assign_store_reader();
-        } else if (const auto* newer = std::get_if<coordination::newer_version_seen>(&action)) {
-            if (!is_fetching_) {
-                is_fetching_ =
-                    workers_.try_submit([this, peer = newer->peer, after = config_->version] {
-                        fetch_configuration(peer, after);
-                    });
-            }
+        if (const auto* send = std::get_if<coordination::send_answer>(&action)) {
+            answer = send->message;
+        } else {
+            run_action(action);
+        }
+    }
+    return answer;
+}
+
+void fleet_control::run_action(const coordination::membership_action& action) {
+    if (const auto* send = std::get_if<coordination::send_probe>(&action)) {
+        workers_.try_submit([this, call = *send] { exchange_with(call); });
+    } else if (const auto* ask = std::get_if<coordination::ask_probe>(&action)) {
+        if (!workers_.try_submit([this, call = *ask] { ask_probe(call); })) {
+            queue_.try_push([this, peer = ask->member] {
+                step_members(coordination::indirect_probe_ended{peer.vm, peer.incarnation, false});
+            });
+        }
+    } else if (const auto* fetch = std::get_if<coordination::fetch_members>(&action)) {
+        workers_.try_submit([this, peer = fetch->peer] { fetch_members(peer); });
+    } else if (std::holds_alternative<coordination::live_members_changed>(action)) {
+        log_event(event_members_changed, {{"live", std::to_string(members_.live.size())}});
+        step_confirmation(coordination::other_vms_listed{count_listed_others(members_)});
+        assign_homes();
+        assign_store_reader();
+    } else if (const auto* newer = std::get_if<coordination::newer_version_seen>(&action)) {
+        if (!is_fetching_) {
+            is_fetching_ =
+                workers_.try_submit([this, peer = newer->peer, after = config_->version] {
+                    fetch_configuration(peer, after);
+                });
         }
     }
 }
--- a/src/proxy/fleet_control.h
+++ b/src/proxy/fleet_control.h
@@ -67,6 +67,9 @@
     // Any thread.
     std::optional<nlohmann::json> ask_control(std::function<nlohmann::json()> question);
     transport::http_response answer_exchange(const transport::http_request& request);
+    transport::http_response answer_probe(const transport::http_request& request);
+    transport::http_response answer_members();
+    bool probe_for_other(const state::member& peer, const coordination::membership_message& probe);
     transport::http_response answer_configuration(const transport::http_request& request);
     transport::http_response answer_observation(const transport::http_request& request);
     transport::http_response answer_planned_change(const transport::http_request& request);
@@ -82,7 +85,9 @@
     void on_reachability(bool is_reachable);
 
     // Worker threads.
-    void exchange_with(const coordination::send_digest& call);
+    void exchange_with(const coordination::send_probe& call);
+    void ask_probe(const coordination::ask_probe& call);
+    void fetch_members(const state::member& peer);
     void fetch_configuration(const state::member& peer, std::uint64_t after);
 
     // Control thread.
@@ -94,7 +99,10 @@
     void run_control();
     void tick(state::time_point now);
     void drop_views();
-    void step_members(const coordination::membership_event& event);
+    /** The answer to a message_received that is a probe; else empty. */
+    std::optional<coordination::membership_message> step_members(
+        const coordination::membership_event& event);
+    void run_action(const coordination::membership_action& action);
     void step_confirmation(const coordination::confirmation_event& event);
     void adopt_changes(const std::vector<state::configuration_change>& changes);
     void adopt_snapshot(const state::configuration& snapshot);
@@ -114,6 +122,7 @@
     std::atomic<std::shared_ptr<const state::fleet_view>> view_;
     std::atomic<std::uint64_t> adopted_version_{0};
     std::atomic<bool> is_stopping_{false};
+    std::atomic<int> probes_for_others_{0};
     state::time_point store_asked_at_{};  ///< Only on the thread of platform_sync.
     bool is_store_reachable_ = true;      ///< Only on the thread of platform_sync.
     bool was_listed_live_ = false;        ///< The VM list named this VM as not leaving.
--- a/src/proxy/peer_client.cpp
+++ b/src/proxy/peer_client.cpp
@@ -16,8 +16,12 @@
 using transport::http_call;
 using transport::http_response;
 
-/// An exchange with a peer that takes longer is a failure.
-constexpr milliseconds exchange_timeout{1000};
+/// A fetch from a peer that takes longer is a failure.
+constexpr milliseconds fetch_timeout{1000};
+/// A helper tries the member for less than this.
+constexpr milliseconds ask_probe_timeout{700};
+/// Members of the largest fleet have about 100 bytes each and may cross regions.
+constexpr milliseconds member_list_timeout{3000};
 /// A poller that does not answer in this time is asked again.
 constexpr milliseconds observation_timeout{300};
 
@@ -48,17 +52,32 @@
     return state::parse_json(response->body, request.target);
 }
 
-leaf::result<protocol::exchange_message> peer_client::exchange(
-    const member& peer, const protocol::exchange_message& message) {
-    http_call request = make_call(peer, "/internal/v1/exchange", exchange_timeout);
-    request.body = to_json(message).dump();
+leaf::result<coordination::membership_message> peer_client::exchange(
+    const member& peer, const coordination::membership_message& message, milliseconds timeout) {
+    http_call request = make_call(peer, "/internal/v1/exchange", timeout);
+    request.body = protocol::to_json(message).dump();
+    BOOST_LEAF_AUTO(array, call(request, traffic_.exchange_sent));
+    return protocol::parse_exchange_message(array);
+}
+
+leaf::result<bool> peer_client::ask_probe(const member& helper, const member& member) {
+    http_call request = make_call(helper, "/internal/v1/probe", ask_probe_timeout);
+    request.body = state::to_compact_json(member).dump();
     BOOST_LEAF_AUTO(object, call(request, traffic_.exchange_sent));
-    return protocol::parse_exchange_message(object);
+    BOOST_LEAF_AUTO(answer, protocol::parse_probe_answer(object));
+    return answer.is_reached;
+}
+
+leaf::result<std::vector<member>> peer_client::fetch_members(const member& peer) {
+    http_call request = make_call(peer, "/internal/v1/members", member_list_timeout);
+    request.method = "GET";
+    BOOST_LEAF_AUTO(array, call(request, traffic_.exchange_sent));
+    return protocol::parse_member_list(array);
 }
 
 leaf::result<protocol::configuration_answer> peer_client::fetch_configuration(const member& peer,
                                                                               std::uint64_t after) {
-    http_call request = make_call(peer, "/internal/v1/configuration", exchange_timeout);
+    http_call request = make_call(peer, "/internal/v1/configuration", fetch_timeout);
     request.method = "GET";
     request.target += "?after=" + std::to_string(after);
     BOOST_LEAF_AUTO(object, call(request, traffic_.configuration));
@@ -83,7 +102,7 @@
 
 leaf::result<void> peer_client::send_vm_notice(const member& peer,
                                                const protocol::vm_notice_message& notice) {
-    http_call request = make_call(peer, "/internal/v1/vm_entry", exchange_timeout);
+    http_call request = make_call(peer, "/internal/v1/vm_entry", fetch_timeout);
     request.body = to_json(notice).dump();
     BOOST_LEAF_CHECK(call(request, traffic_.store));
     return {};
--- a/src/proxy/peer_client.h
+++ b/src/proxy/peer_client.h
@@ -4,7 +4,9 @@
 #include <chrono>
 #include <cstdint>
 #include <string>
+#include <vector>
 
+#include "coordination/membership.h"
 #include "protocol/peer_messages.h"
 #include "protocol/proxy_settings.h"
 #include "protocol/vm_notice_message.h"
@@ -25,9 +27,16 @@
     /** Both references must outlive this. */
     peer_client(const protocol::proxy_settings& settings, control_traffic& traffic);
 
-    /** Sends a digest and returns the peer's. */
-    boost::leaf::result<protocol::exchange_message> exchange(
-        const state::member& peer, const protocol::exchange_message& message);
+    /** Probes a peer and returns its answer. */
+    boost::leaf::result<coordination::membership_message> exchange(
+        const state::member& peer, const coordination::membership_message& message,
+        std::chrono::milliseconds timeout);
+
+    /** Lets `helper` probe `member`; whether the member answered it. */
+    boost::leaf::result<bool> ask_probe(const state::member& helper, const state::member& member);
+
+    /** Fetches all members that the peer knows and does not believe dead. */
+    boost::leaf::result<std::vector<state::member>> fetch_members(const state::member& peer);
 
     /** Asks for the configuration changes after version `after`. */
     boost::leaf::result<protocol::configuration_answer> fetch_configuration(
--- a/src/state/member.cpp
+++ b/src/state/member.cpp
@@ -1,6 +1,9 @@
 #include "state/member.h"
 
+#include <algorithm>
+#include <array>
 #include <limits>
+#include <string>
 
 #include "state/json_reader.h"
 
@@ -10,6 +13,13 @@
 
 constexpr std::int64_t max_counter = std::numeric_limits<std::int64_t>::max();
 constexpr std::size_t max_name_length = 128;
+/// Fields of the array form, in its order.
+constexpr std::array<const char*, 8> field_names{
+    "vm",          "address",   "place", "data_center",
+    "incarnation", "heartbeat", "state", "configuration_version"};
+/// The array form holds the state as the index in this list.
+constexpr std::array<member_state, 4> states{member_state::alive, member_state::suspect,
+                                             member_state::leaving, member_state::dead};
 
 const char* to_string(member_state value) {
     switch (value) {
@@ -26,8 +36,7 @@
 }
 
 member_state parse_state(const std::string& text) {
-    for (const member_state value :
-         {member_state::alive, member_state::suspect, member_state::leaving}) {
+    for (const member_state value : states) {
         if (text == to_string(value)) {
             return value;
         }
@@ -66,4 +75,30 @@
             {"configuration_version", value.configuration_version}};
 }
 
+boost::leaf::result<member> parse_compact_member(const nlohmann::json& array) {
+    if (!array.is_array() || array.size() != field_names.size()) {
+        return boost::leaf::new_error(
+            state_error{"member", "member: not a member; allowed: an array of 8 fields"});
+    }
+    nlohmann::json object = nlohmann::json::object();
+    for (std::size_t i = 0; i < field_names.size(); ++i) {
+        object[field_names[i]] = array[i];
+    }
+    const nlohmann::json& index = object["state"];
+    if (!index.is_number_unsigned() || index.get<std::uint64_t>() >= states.size()) {
+        return boost::leaf::new_error(state_error{
+            "member.state", "member.state: " + index.dump() + " is not allowed; allowed: 0 to 3"});
+    }
+    object["state"] = to_string(states[index.get<std::size_t>()]);
+    return parse_member(object);
+}
+
+nlohmann::json to_compact_json(const member& value) {
+    const auto* found = std::ranges::find(states, value.state);
+    const auto index = static_cast<std::uint64_t>(found - states.begin());
+    return nlohmann::json::array({value.vm, value.address, value.place, value.data_center,
+                                  value.incarnation, value.heartbeat, index,
+                                  value.configuration_version});
+}
+
 }  // namespace hornbeamhook::state
