Wait until the replicas heard the primary before it is cut off from them

Cause: since proxies find each other at once, start_fleet() ends before the first heartbeat of the primary reaches its replicas. The assertion on the promotion is unchanged; the test now states what it took for granted.

--- a/tests/proxy/fleet_failover_test.cpp
+++ b/tests/proxy/fleet_failover_test.cpp
@@ -145,6 +145,18 @@
                });
     }
 
+    /** Whether every replica answers that it heard from the primary. */
+    bool is_heard_by_replicas() {
+        const auto view = nodes_[0]->get_service().get_view();
+        const auto it = view->polled_groups.find("ledger");
+        return it != view->polled_groups.end() && it->second->primary &&
+               std::ranges::all_of(it->second->targets, [&](const auto& target) {
+                   return target.second.status &&
+                          (target.second.status->is_primary ||
+                           target.second.status->primary_contact.has_value());
+               });
+    }
+
     /** Waits for a primary of a term above `term` and prints how long it took. */
     void expect_promotion(const std::string& loss, state::term_number term, milliseconds limit) {
         const auto began = steady_clock::now();
@@ -188,6 +200,8 @@
 // Guards against a primary that stays although it can acknowledge nothing.
 TEST_F(fleet_failover_test, replaces_a_primary_cut_off_from_its_peers) {
     start_fleet();
+    // Replicas that never heard the primary do not miss it before a write puts it ahead of them.
+    ASSERT_TRUE(wait_until([&] { return is_heard_by_replicas(); }));
     set_target_faults("a", {{"cut_peers", {"b", "c"}}});
     expect_promotion("cut off from its peers", 1, gap_objective);
     EXPECT_TRUE(wait_until([&] { return get_primary(*nodes_[0]).target != "a"; }));
