--- a/scripts/measure.py
+++ b/scripts/measure.py
@@ -31,6 +31,8 @@
 MAX_CAPACITY_STEPS = 6
 MAX_FAILED_SHARE = 0.01
 LOSSES = ("killed", "stopped", "partitioned", "silent connections")
+# News of the start of a fleet are passed on for about 10 s and are no part of the resting rate.
+CONTROL_SETTLE_S = 20
 # Bound of docs/design.md, section 1.
 MAX_GAP_MS = 6000
 # Between two looks at the version of a proxy; an upper bound of what a look adds to a figure.
@@ -479,7 +481,7 @@
                 with_relays=False,
                 proxy_settings={"worker_threads": 4, "http_threads": 2},
             ) as fleet:
-                time.sleep(self.duration / 2)
+                time.sleep(CONTROL_SETTLE_S)
                 began = time.monotonic()
                 before = self.sample_control(fleet)
                 time.sleep(self.duration)
