--- a/src/coordination/admission_queue.h
+++ b/src/coordination/admission_queue.h
@@ -52,10 +52,9 @@
 /** Outcome of offer(). */
 struct admission_result {
     admission_verdict verdict = admission_verdict::queued;
-    /// Waiting requests that can no longer meet their deadline: by the estimate as it is now, or
-    /// because the new one goes first
-    /// or the queue is full. The latter belong to callers with more waiting requests than
-    /// the caller of the new one has. They have left the queue, whatever the verdict is.
+    /// Waiting requests that left the queue, whatever the verdict is: those that can no longer meet
+    /// their deadline, by the estimate as it is now or because the new one goes first, and those of
+    /// callers with more waiting requests than the caller of the new one when the queue is full.
     std::vector<admission_entry> displaced;
 };
 
--- a/src/coordination/failover.cpp
+++ b/src/coordination/failover.cpp
@@ -23,7 +23,7 @@
 constexpr milliseconds suspicion_interval{100};
 /// Observations older than this do not count.
 constexpr milliseconds observation_validity{1000};
-/// A poller whose polls are older does not speak for a primary: a standby poller did not look.
+/// A poller whose polls are older gives no observation; a standby poller may not have polled since.
 constexpr milliseconds answer_freshness{500};
 /// Pollers that were asked get this long to poll before a majority of the answers decides alone.
 constexpr milliseconds on_demand_time{100};
