Wait until every target was polled before the fleet tests begin

Cause: proxies find each other at once, so start_fleet() could end before a node had polled the wanted target; changes_the_primary_on_request then failed with 'the target is unknown or does not answer' (1 of 8 runs). No assertion changed.

--- a/tests/proxy/fleet_failover_test.cpp
+++ b/tests/proxy/fleet_failover_test.cpp
@@ -73,7 +73,9 @@
         for (const auto& node : nodes_) {
             ASSERT_TRUE(wait_until([&] {
                 const auto view = node->get_service().get_view();
-                return view->live_members.size() == 3 && get_primary(*node).target == "a";
+                // A target that was never polled is unknown to a planned change.
+                return view->live_members.size() == 3 && get_primary(*node).target == "a" &&
+                       has_heard_every_target(*node);
             }));
         }
     }
@@ -107,6 +109,16 @@
                                                                       : state::primary_view{};
     }
 
+    /** Whether every target answered a poll of this node. */
+    static bool has_heard_every_target(fleet_node& node) {
+        const auto view = node.get_service().get_view();
+        const auto it = view->polled_groups.find("ledger");
+        return it != view->polled_groups.end() &&
+               std::ranges::all_of(it->second->targets, [](const auto& target) {
+                   return target.second.status.has_value();
+               });
+    }
+
     /** Whether a majority follows a primary of at least `term`, as a polling node sees it. */
     bool is_served_in(state::term_number term) {
         return std::ranges::any_of(nodes_, [&](const auto& node) {
