--- a/src/proxy/home_runtime.cpp
+++ b/src/proxy/home_runtime.cpp
@@ -84,6 +84,14 @@
     return answer;
 }
 
+execute_answer home_runtime::make_duplicate_answer(const execute_request& request) const {
+    execute_answer answer =
+        make_refusal(request, error_code::outcome_unknown, "duplicate exchange id");
+    answer.outcome = outcome::unknown;
+    answer.was_sent = true;
+    return answer;
+}
+
 bool home_runtime::is_home(const state::fleet_view& view, const execute_request& request) const {
     if (settings_.layout == protocol::connection_layout::fixed_split) {
         return true;
--- a/src/proxy/home_runtime.h
+++ b/src/proxy/home_runtime.h
@@ -84,6 +84,10 @@
     protocol::execute_answer make_refusal(const protocol::execute_request& request,
                                           protocol::error_code code, std::string message) const;
 
+    /** The answer to an exchange id that was seen before: the first copy may be running, so it is
+     * `unknown`. Thread safe. */
+    protocol::execute_answer make_duplicate_answer(const protocol::execute_request& request) const;
+
     /** New requests are refused from now on. Thread safe. */
     void begin_drain() { is_draining_ = true; }
 
--- a/src/proxy/transaction_service.cpp
+++ b/src/proxy/transaction_service.cpp
@@ -102,12 +102,7 @@
     const state::time_point arrival = std::chrono::steady_clock::now();
     const state::time_point deadline = arrival + request.deadline;
     if (!exchanges_.try_add(request.exchange_id, arrival)) {
-        // The first copy may be running, so this is not `not_run`.
-        execute_answer answer =
-            runtime_.make_refusal(request, error_code::outcome_unknown, "duplicate exchange id");
-        answer.outcome = outcome::unknown;
-        answer.was_sent = true;
-        respond(std::move(answer));
+        respond(runtime_.make_duplicate_answer(request));
         return;
     }
     if (request.operation != execute_operation::begin &&
