Send the first statement of a transaction after the answer to BEGIN

Cause: BEGIN and the first statement were sent at once.

Change: the statement is sent when the target answers that a transaction is open.

--- a/src/gateway/session_engine.cpp
+++ b/src/gateway/session_engine.cpp
@@ -391,16 +391,30 @@
             ++setup;
         }
     }
-    if (begin) {
-        bytes += protocol_.format_statement(begin->id, wait_for, begin->text);
-        ++setup;
-    }
     const std::optional<state::log_point> statement_wait = begin ? std::nullopt : wait_for;
-    bytes += statement.kind == statement_kind::execute
-                 ? protocol_.format_execute(statement.id, statement_wait, prepared_name,
-                                            statement.argument)
-                 : protocol_.format_statement(statement.id, statement_wait, statement.text);
-    link->send(std::move(bytes), setup, std::move(done));
+    const std::string main_bytes =
+        statement.kind == statement_kind::execute
+            ? protocol_.format_execute(statement.id, statement_wait, prepared_name,
+                                       statement.argument)
+            : protocol_.format_statement(statement.id, statement_wait, statement.text);
+    if (!begin) {
+        link->send(bytes + main_bytes, setup, std::move(done));
+        return;
+    }
+    // The statement must wait for the answer: if the transaction does not begin, it would run
+    // outside of it.
+    link->send(bytes + protocol_.format_statement(begin->id, wait_for, begin->text), setup,
+               [link, main_bytes, done = std::move(done)](const target_answer& answer) {
+                   if (answer.is_lost || answer.failure) {
+                       done(answer);
+                   } else if (!link->is_open() || answer.ready.state != transaction_state::open) {
+                       target_answer lost = answer;
+                       lost.is_lost = true;
+                       done(lost);
+                   } else {
+                       link->send(main_bytes, 0, done);
+                   }
+               });
 }
 
 void session_engine::run(target_group& group, const pending_pointer& pending,
@@ -454,6 +468,9 @@
                                !pending->begin &&
                                !may_deliver_commit(group_name, link->get_target(), term);
     pending->is_in_doubt = pending->is_in_doubt || answer.is_lost || is_superseded;
+    if (answer.failure && answer.failure->code == failure_code::unknown_prepared) {
+        link->prepared.clear();
+    }
     if (answer.failure && target != nullptr) {
         note_failure(*target, *answer.failure);
         pending->last_failure = answer.failure;
