Tie the promises of members to the record version they know

Change: a member promises for the record version it knows; a promise for a newer record extends nothing, so the VM reads the store first.

--- a/src/gateway/fleet_view.cpp
+++ b/src/gateway/fleet_view.cpp
@@ -101,25 +101,25 @@
     contact& known = entry->second;
     known.heard_at = now;
     known.is_served_by_store = pong.is_served_by_store;
-    if (!pong.is_asker_member) {
+    if (*asked_at < known.asked_at) {
         return;
     }
-    known.promised_at = std::max(known.promised_at, *asked_at);
-    for (const std::string& group : pong.changing) {
-        known.refused_at[group] = std::max(known.refused_at[group], *asked_at);
+    known.asked_at = *asked_at;
+    known.promises.clear();
+    for (const record_promise& promise : pong.promises) {
+        known.promises[promise.group] = promise.version;
     }
 }
 
-std::optional<std::int64_t> fleet_view::get_promised_since(const std::string& group) const {
+std::optional<std::int64_t> fleet_view::get_promised_since(const std::string& group,
+                                                           std::int64_t version) const {
     std::optional<std::int64_t> since;
     for (const auto& [vm, known] : contacts_) {
-        const auto refused = known.refused_at.find(group);
-        const bool is_refused =
-            refused != known.refused_at.end() && refused->second >= known.promised_at;
-        if (known.promised_at == 0 || is_refused) {
+        const auto promise = known.promises.find(group);
+        if (promise == known.promises.end() || promise->second > version) {
             return std::nullopt;
         }
-        since = std::min(since.value_or(known.promised_at), known.promised_at);
+        since = std::min(since.value_or(known.asked_at), known.asked_at);
     }
     return since;
 }
--- a/src/gateway/fleet_view.h
+++ b/src/gateway/fleet_view.h
@@ -38,10 +38,12 @@
     void note_pong(const peer_pong& pong, std::int64_t now);
 
     /**
-     * The latest time t such that every member promised, to a ping sent at t or later, not to have
-     * begun to change the group's primary. Empty when some member did not.
+     * The latest time t such that every member promised, to a ping sent at t or later, that the
+     * record with `version` was the newest it knew. Empty when some member did not. A member that
+     * knows an older record cannot change it: its conditional write would fail.
      */
-    std::optional<std::int64_t> get_promised_since(const std::string& group) const;
+    std::optional<std::int64_t> get_promised_since(const std::string& group,
+                                                   std::int64_t version) const;
 
     /** When the ping with this number was sent; empty when that is too long ago. */
     std::optional<std::int64_t> get_ping_time(std::int64_t sequence) const;
@@ -67,10 +69,10 @@
 private:
     struct contact {
         std::int64_t heard_at = 0;
-        std::int64_t promised_at = 0;  ///< Time of the ping of the newest promise.
+        std::int64_t asked_at = 0;  ///< Of the newest ping that it answered.
+        std::map<std::string, std::int64_t> promises;  ///< Record versions, by group.
         std::int64_t joined_at = 0;
         bool is_served_by_store = false;
-        std::map<std::string, std::int64_t> refused_at;  ///< Ping of the newest refusal, by group.
     };
 
     fleet_member self_;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -223,8 +223,9 @@
         asker != fleet_.get_members().end() && asker->second.incarnation == ping.incarnation;
     messenger_.send(from,
                     peer_pong{settings_.vm, fleet_.get_self().incarnation, ping.sequence,
-                              follower_.get_configuration_version(), store_.is_served(), is_member,
-                              leadership_.get_changing(), leadership_.get_positions()});
+                              follower_.get_configuration_version(), store_.is_served(), is_member ? leadership_.get_promises()
+                                              : std::vector<record_promise>(),
+                                    leadership_.get_positions()});
 }
 
 void gateway::take_pong(const peer_pong& pong) {
--- a/src/gateway/leadership_keeper.cpp
+++ b/src/gateway/leadership_keeper.cpp
@@ -100,23 +100,25 @@
         const bool is_changing =
             duty != duties_by_group_.end() &&
             duty->second.machine.get_phase() != coordination::promotion_phase::watching;
-        const auto since = fleet_.get_promised_since(name);
+        const auto& record = group.right.get_record();
+        const auto since =
+            record ? fleet_.get_promised_since(name, record->version) : std::nullopt;
         if (since && !is_changing) {
             group.right.extend(*since);
         }
     }
 }
 
-std::vector<std::string> leadership_keeper::get_changing() const {
-    std::vector<std::string> result;
+std::vector<record_promise> leadership_keeper::get_promises() const {
+    std::vector<record_promise> result;
     for (const auto& [name, group] : engine_.get_groups()) {
         const auto duty = duties_by_group_.find(name);
         const bool is_changing =
             duty != duties_by_group_.end() &&
             duty->second.machine.get_phase() != coordination::promotion_phase::watching;
         const auto& record = group.right.get_record();
-        if (is_changing || !record || record->is_changing() || group.right.is_revoked()) {
-            result.push_back(name);
+        if (!is_changing && record && !record->is_changing() && !group.right.is_revoked()) {
+            result.push_back({name, record->version});
         }
     }
     return result;
--- a/src/gateway/leadership_keeper.h
+++ b/src/gateway/leadership_keeper.h
@@ -55,8 +55,8 @@
     /** What this VM knows, for others. */
     std::vector<known_position> get_positions() const;
 
-    /** Groups whose primary this VM changes, or was told that another VM does. */
-    std::vector<std::string> get_changing() const;
+    /** Promises for all groups whose primary is not being changed as far as this VM knows. */
+    std::vector<record_promise> get_promises() const;
 
     /** Whether this VM may use the primaries of all groups that the configuration names. */
     bool has_all_rights() const;
--- a/src/gateway/peer_message.h
+++ b/src/gateway/peer_message.h
@@ -20,7 +20,18 @@
     auto operator<=>(const known_position&) const = default;
 };
 
-/** Asks another VM whether it lives, and for its promise not to have begun a change. */
+/**
+ * Promise of a VM that it has not begun to change the primary of a group, and that it knows no
+ * record of the group newer than `version`.
+ */
+struct record_promise {
+    std::string group;
+    std::int64_t version = 0;
+
+    auto operator<=>(const record_promise&) const = default;
+};
+
+/** Asks another VM whether it lives, and for its promises. */
 struct peer_ping {
     std::string vm;
     std::int64_t incarnation = 0;
@@ -36,8 +47,7 @@
     std::int64_t sequence = 0;  ///< Of the ping.
     std::int64_t configuration_version = 0;
     bool is_served_by_store = false;
-    bool is_asker_member = false;       ///< Without it the pong promises nothing.
-    std::vector<std::string> changing;  ///< Groups for which it promises nothing.
+    std::vector<record_promise> promises;  ///< Empty when the asker is not known as a member.
     std::vector<known_position> positions;
 
     bool operator==(const peer_pong&) const = default;
