--- a/src/coordination/promotion.cpp
+++ b/src/coordination/promotion.cpp
@@ -56,9 +56,11 @@
     }
     if (const auto* written = std::get_if<record_written>(&event)) {
         handle_written(facts, *written, now, out);
-    } else if (std::holds_alternative<record_unknown>(event)) {
+    } else if (const auto* unknown = std::get_if<record_unknown>(&event)) {
         // The next reading of the store tells whether the write was applied.
-        if (phase_ == promotion_phase::claiming || phase_ == promotion_phase::recording) {
+        const bool is_awaited =
+            phase_ == promotion_phase::claiming || phase_ == promotion_phase::recording;
+        if (is_awaited && unknown->write == write_) {
             sent_at_ = 0;
         }
     } else if (const auto* given = std::get_if<right_given_up>(&event)) {
@@ -117,7 +119,7 @@
                     break;
                 }
                 sent_at_ = now;
-                out.emplace_back(write_record{next_, claim_version_});
+                out.emplace_back(write_record{++write_, next_, claim_version_});
             }
             break;
     }
@@ -135,11 +137,15 @@
         } else if (now - due_since_ >= facts.rank * rank_delay_ms &&
                    now - sent_at_ > right_duration_ms) {
             sent_at_ = now;
-            out.emplace_back(
-                write_record{{facts.seen_primary->first, facts.seen_primary->second, {}, 0}, 0});
+            out.emplace_back(write_record{
+                ++write_, {facts.seen_primary->first, facts.seen_primary->second, {}, 0}, 0});
         }
         return;
     }
+    if (facts.record->version < ended_version_) {
+        // The reading that shows this VM's own record is still under way.
+        return;
+    }
     const change_reason reason = find_reason(facts, now);
     if (reason != due_reason_) {
         due_reason_ = reason;
@@ -177,11 +183,14 @@
     old_ = *facts.record;
     excluded_.clear();
     out.emplace_back(
-        write_record{{old_.target, old_.term, facts.changer, 0}, facts.record->version});
+        write_record{++write_, {old_.target, old_.term, facts.changer, 0}, facts.record->version});
 }
 
 void promotion::handle_written(const promotion_facts& facts, const record_written& event,
                                std::int64_t now, actions& out) {
+    if (event.write != write_) {
+        return;
+    }
     if (phase_ == promotion_phase::claiming) {
         if (event.version) {
             begin_revoking(facts, *event.version, now, out);
@@ -192,6 +201,7 @@
         if (event.version) {
             leadership_record ended = next_;
             ended.version = *event.version;
+            ended_version_ = *event.version;
             out.emplace_back(change_ended{reason_, ended, now - claimed_at_});
             abandon({}, out);
         } else {
@@ -245,14 +255,18 @@
     }
     sent_at_ = now;
     reports_.clear();
+    ++survey_;
     waiting_ = facts.targets;
     for (const std::string& target : waiting_) {
-        out.emplace_back(ask_report{target});
+        out.emplace_back(ask_report{survey_, target});
     }
 }
 
 void promotion::handle_report(const promotion_facts& facts, const report_received& event,
                               std::int64_t now, actions& out) {
+    if (event.survey != survey_) {
+        return;
+    }
     if (phase_ == promotion_phase::surveying) {
         waiting_.erase(event.target);
         reports_[event.target] = event.report;
@@ -278,7 +292,11 @@
     }
     std::optional<std::pair<std::string, state::term_number>> leader;
     for (const auto& [target, report] : reports_) {
-        if (report && report->is_primary && (!leader || report->term > leader->second)) {
+        // A primary of an older term was superseded and has not noticed it yet.
+        const bool is_current =
+            report && report->is_primary &&
+            (report->term > old_.term || (report->term == old_.term && target == old_.target));
+        if (is_current && (!leader || report->term > leader->second)) {
             leader = {target, report->term};
         }
     }
@@ -333,6 +351,9 @@
 
 void promotion::handle_order(const promotion_facts& facts, const order_answered& event,
                              std::int64_t now, actions& out) {
+    if (event.fence != claim_version_) {
+        return;
+    }
     is_order_outstanding_ = false;
     if (phase_ != promotion_phase::ordering) {
         return;
@@ -367,7 +388,7 @@
     const bool is_listed = facts.listed_primaries.contains(chosen_);
     if (now - sent_at_ >= (is_listed ? repeat_ms : adoption_report_ms)) {
         sent_at_ = now;
-        out.emplace_back(ask_report{chosen_});
+        out.emplace_back(ask_report{survey_, chosen_});
     }
 }
 
@@ -378,7 +399,7 @@
     sent_at_ = now;
     write_attempts_ = 1;
     next_ = {target, term, {}, 0};
-    out.emplace_back(write_record{next_, claim_version_});
+    out.emplace_back(write_record{++write_, next_, claim_version_});
 }
 
 void promotion::abandon(std::string message, actions& out) {
--- a/src/coordination/promotion.h
+++ b/src/coordination/promotion.h
@@ -59,11 +59,14 @@
 
 /** The store answered a write of this VM: `version` is empty when the write was not applied. */
 struct record_written {
+    int write = 0;  ///< Number of the write that it answers.
     std::optional<std::int64_t> version;
 };
 
 /** It is not known whether a write was applied. */
-struct record_unknown {};
+struct record_unknown {
+    int write = 0;
+};
 
 /** A member gave up its right for the change with this version. */
 struct right_given_up {
@@ -73,6 +76,7 @@
 
 /** A target answered a survey; empty when it could not be asked. */
 struct report_received {
+    int survey = 0;  ///< Number of the survey that it answers.
     std::string target;
     std::optional<survey_report> report;
 };
@@ -82,6 +86,7 @@
 
 /** The platform answered an order to promote. */
 struct order_answered {
+    std::int64_t fence = 0;  ///< Of the order.
     order_outcome outcome = order_outcome::unknown;
 };
 
@@ -90,6 +95,7 @@
 
 /** Write the record if the stored row still has the version `expected`. */
 struct write_record {
+    int write = 0;  ///< Its answer carries the same number.
     leadership_record record;
     std::int64_t expected = 0;
 };
@@ -103,6 +109,7 @@
 
 /** Ask a target for a report. */
 struct ask_report {
+    int survey = 0;  ///< The answer carries the same number.
     std::string target;
 };
 
@@ -209,6 +216,9 @@
     std::string chosen_;
     bool is_order_outstanding_ = false;
     int write_attempts_ = 0;
+    std::int64_t ended_version_ = 0;  ///< Of the record that this VM wrote last.
+    int write_ = 0;   ///< Number of the last write; answers to earlier ones are ignored.
+    int survey_ = 0;  ///< Number of the last survey; answers to earlier ones are ignored.
 };
 
 }  // namespace hornbeamhook::coordination
--- a/src/gateway/fleet_view.h
+++ b/src/gateway/fleet_view.h
@@ -69,7 +69,7 @@
 private:
     struct contact {
         std::int64_t heard_at = 0;
-        std::int64_t asked_at = 0;  ///< Of the newest ping that it answered.
+        std::int64_t asked_at = 0;                     ///< Of the newest ping that it answered.
         std::map<std::string, std::int64_t> promises;  ///< Record versions, by group.
         std::int64_t joined_at = 0;
         bool is_served_by_store = false;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -221,11 +221,11 @@
     const auto asker = fleet_.get_members().find(ping.vm);
     const bool is_member =
         asker != fleet_.get_members().end() && asker->second.incarnation == ping.incarnation;
-    messenger_.send(from,
-                    peer_pong{settings_.vm, fleet_.get_self().incarnation, ping.sequence,
-                              follower_.get_configuration_version(), store_.is_served(), is_member ? leadership_.get_promises()
-                                              : std::vector<record_promise>(),
-                                    leadership_.get_positions()});
+    messenger_.send(
+        from, peer_pong{settings_.vm, fleet_.get_self().incarnation, ping.sequence,
+                        follower_.get_configuration_version(), store_.is_served(),
+                        is_member ? leadership_.get_promises() : std::vector<record_promise>(),
+                        leadership_.get_positions()});
 }
 
 void gateway::take_pong(const peer_pong& pong) {
--- a/src/gateway/leadership_keeper.cpp
+++ b/src/gateway/leadership_keeper.cpp
@@ -101,8 +101,7 @@
             duty != duties_by_group_.end() &&
             duty->second.machine.get_phase() != coordination::promotion_phase::watching;
         const auto& record = group.right.get_record();
-        const auto since =
-            record ? fleet_.get_promised_since(name, record->version) : std::nullopt;
+        const auto since = record ? fleet_.get_promised_since(name, record->version) : std::nullopt;
         if (since && !is_changing) {
             group.right.extend(*since);
         }
@@ -425,18 +424,19 @@
         {product_table, group_key_prefix + name, format_record(action.record), 0, false},
         action.expected,
         true};
-    store_.change(services_.format_change(change),
-                  [this, name](const transport::http_exchange_answer& answer) {
-                      const store_answer parsed = services_.parse_store_answer(answer);
-                      if (parsed.outcome == store_outcome::done) {
-                          step(name, coordination::record_written{parsed.version});
-                      } else if (parsed.outcome == store_outcome::conflict) {
-                          step(name, coordination::record_written{std::nullopt});
-                      } else {
-                          step(name, coordination::record_unknown{});
-                      }
-                      read_rows_();
-                  });
+    store_.change(
+        services_.format_change(change),
+        [this, name, write = action.write](const transport::http_exchange_answer& answer) {
+            const store_answer parsed = services_.parse_store_answer(answer);
+            if (parsed.outcome == store_outcome::done) {
+                step(name, coordination::record_written{write, parsed.version});
+            } else if (parsed.outcome == store_outcome::conflict) {
+                step(name, coordination::record_written{write, std::nullopt});
+            } else {
+                step(name, coordination::record_unknown{write});
+            }
+            read_rows_();
+        });
 }
 
 void leadership_keeper::act(const std::string& name, const coordination::ask_to_give_up& action) {
@@ -468,15 +468,15 @@
     if (entry == nullptr) {
         return;
     }
-    engine_.request_report(
-        *entry, [this, name, target = action.target](const std::optional<target_report>& report) {
-            std::optional<coordination::survey_report> survey;
-            if (report) {
-                survey = coordination::survey_report{report->is_primary, report->term,
-                                                     report->received, report->held_term};
-            }
-            step(name, coordination::report_received{target, survey});
-        });
+    engine_.request_report(*entry, [this, name, number = action.survey, target = action.target](
+                                       const std::optional<target_report>& report) {
+        std::optional<coordination::survey_report> survey;
+        if (report) {
+            survey = coordination::survey_report{report->is_primary, report->term, report->received,
+                                                 report->held_term};
+        }
+        step(name, coordination::report_received{number, target, survey});
+    });
 }
 
 void leadership_keeper::act(const std::string& name, const coordination::step_down& action) {
@@ -498,7 +498,7 @@
         {{"group", name}, {"order", action.target}, {"fence", std::to_string(action.fence)}});
     duties_.send(
         services_.format_promotion(name, action.target, fleet_.get_self().vm, action.fence),
-        [this, name](const transport::http_exchange_answer& answer) {
+        [this, name, fence = action.fence](const transport::http_exchange_answer& answer) {
             coordination::order_outcome outcome = coordination::order_outcome::unknown;
             switch (services_.parse_promotion_answer(answer)) {
                 case promotion_answer::accepted:
@@ -513,7 +513,7 @@
                 case promotion_answer::unknown:
                     break;
             }
-            step(name, coordination::order_answered{outcome});
+            step(name, coordination::order_answered{fence, outcome});
         });
 }
 
--- /dev/null
+++ b/tests/coordination/promotion_test.cpp
@@ -0,0 +1,245 @@
+#include "coordination/promotion.h"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+
+namespace hornbeamhook::coordination {
+namespace {
+
+promotion_facts make_facts() {
+    promotion_facts facts;
+    facts.changer = "vm1/7";
+    facts.record = leadership_record{"t1", 3, {}, 10};
+    facts.is_record_fresh = true;
+    facts.may_claim = true;
+    facts.is_established = true;
+    facts.candidates = {"t1", "t2", "t3"};
+    facts.targets = facts.candidates;
+    facts.members = {"vm1", "vm2"};
+    return facts;
+}
+
+template <typename action>
+const action* find(const std::vector<promotion_action>& actions) {
+    for (const promotion_action& entry : actions) {
+        if (const auto* found = std::get_if<action>(&entry)) {
+            return found;
+        }
+    }
+    return nullptr;
+}
+
+survey_report make_replica(state::log_position position) {
+    return {false, 3, {3, position}, 0};
+}
+
+/** Takes a machine through the claim with version 11 and the answers of all members. */
+class claimed_promotion {
+public:
+    claimed_promotion() : facts(make_facts()) {
+        facts.is_loss_confirmed = true;
+        const auto claim = machine.step(facts, facts_changed{}, 1000);
+        EXPECT_NE(find<write_record>(claim), nullptr);
+        machine.step(facts, record_written{1, 11}, 1020);
+        machine.step(facts, right_given_up{"vm1", 11}, 1030);
+    }
+
+    promotion machine;
+    promotion_facts facts;
+};
+
+// Guards against a change without a conditional claim of the record.
+TEST(promotion, claims_the_record_that_it_saw) {
+    promotion machine;
+    promotion_facts facts = make_facts();
+    EXPECT_TRUE(machine.step(facts, facts_changed{}, 900).empty());
+    facts.is_loss_confirmed = true;
+    const auto actions = machine.step(facts, facts_changed{}, 1000);
+    const write_record* write = find<write_record>(actions);
+    ASSERT_NE(write, nullptr);
+    EXPECT_EQ(write->expected, 10);
+    EXPECT_EQ(write->record.changer, "vm1/7");
+    EXPECT_EQ(write->record.target, "t1");
+}
+
+// Guards against an order while another VM may still write to the old primary.
+TEST(promotion, orders_nothing_before_each_member_gave_up_or_its_right_expired) {
+    claimed_promotion claimed;
+    auto actions = claimed.machine.step(claimed.facts, facts_changed{}, 1200);
+    EXPECT_NE(find<ask_to_give_up>(actions), nullptr);
+    EXPECT_EQ(claimed.machine.get_phase(), promotion_phase::revoking);
+    claimed.machine.step(claimed.facts, facts_changed{}, 1020 + right_duration_ms);
+    EXPECT_EQ(claimed.machine.get_phase(), promotion_phase::revoking);
+    claimed.machine.step(claimed.facts, facts_changed{}, 1120 + right_duration_ms);
+    EXPECT_EQ(claimed.machine.get_phase(), promotion_phase::surveying);
+}
+
+// Guards against losing commits that another replica has.
+TEST(promotion, promotes_the_target_that_received_most) {
+    claimed_promotion claimed;
+    claimed.machine.step(claimed.facts, right_given_up{"vm2", 11}, 1040);
+    ASSERT_EQ(claimed.machine.get_phase(), promotion_phase::surveying);
+    claimed.machine.step(claimed.facts, report_received{1, "t1", std::nullopt}, 1050);
+    claimed.machine.step(claimed.facts, report_received{1, "t2", make_replica(90)}, 1060);
+    const auto actions =
+        claimed.machine.step(claimed.facts, report_received{1, "t3", make_replica(95)}, 1070);
+    const order_promotion* order = find<order_promotion>(actions);
+    ASSERT_NE(order, nullptr);
+    EXPECT_EQ(order->target, "t3");
+    EXPECT_EQ(order->fence, 11);
+}
+
+// Guards against replacing a primary that turns out to work.
+TEST(promotion, keeps_a_primary_that_answers_the_survey) {
+    claimed_promotion claimed;
+    claimed.machine.step(claimed.facts, right_given_up{"vm2", 11}, 1040);
+    claimed.machine.step(claimed.facts,
+                         report_received{1, "t1", survey_report{true, 3, {3, 99}, 0}}, 1050);
+    claimed.machine.step(claimed.facts, report_received{1, "t2", make_replica(90)}, 1060);
+    const auto actions =
+        claimed.machine.step(claimed.facts, report_received{1, "t3", make_replica(95)}, 1070);
+    EXPECT_EQ(find<order_promotion>(actions), nullptr);
+    const write_record* write = find<write_record>(actions);
+    ASSERT_NE(write, nullptr);
+    EXPECT_EQ(write->record, (leadership_record{"t1", 3, {}, 0}));
+    EXPECT_EQ(write->expected, 11);
+}
+
+// Guards against taking a primary of an older term, which lacks the commits of the present one
+// (found by leadership_exploration).
+TEST(promotion, does_not_return_to_a_superseded_primary) {
+    claimed_promotion claimed;
+    claimed.machine.step(claimed.facts, right_given_up{"vm2", 11}, 1040);
+    claimed.machine.step(claimed.facts, report_received{1, "t1", std::nullopt}, 1050);
+    claimed.machine.step(claimed.facts,
+                         report_received{1, "t2", survey_report{true, 2, {2, 99}, 0}}, 1060);
+    const auto actions =
+        claimed.machine.step(claimed.facts, report_received{1, "t3", make_replica(95)}, 1070);
+    ASSERT_NE(find<order_promotion>(actions), nullptr);
+    EXPECT_EQ(find<order_promotion>(actions)->target, "t3");
+}
+
+// Guards against a planned change that gives up commits of the leaving primary.
+TEST(promotion, a_planned_change_waits_until_a_replica_has_everything) {
+    promotion machine;
+    promotion_facts facts = make_facts();
+    facts.is_primary_leaving = true;
+    facts.candidates = {"t2", "t3"};
+    facts.members = {"vm1"};
+    machine.step(facts, facts_changed{}, 1000);
+    machine.step(facts, record_written{1, 11}, 1010);
+    machine.step(facts, right_given_up{"vm1", 11}, 1020);
+    const survey_report old{true, 3, {3, 100}, 0};
+    machine.step(facts, report_received{1, "t1", old}, 1030);
+    machine.step(facts, report_received{1, "t2", make_replica(99)}, 1030);
+    auto actions = machine.step(facts, report_received{1, "t3", make_replica(98)}, 1030);
+    EXPECT_EQ(find<order_promotion>(actions), nullptr);
+    EXPECT_NE(find<ask_report>(actions), nullptr);
+    machine.step(facts, report_received{2, "t1", old}, 1050);
+    machine.step(facts, report_received{2, "t2", make_replica(100)}, 1050);
+    actions = machine.step(facts, report_received{2, "t3", make_replica(99)}, 1050);
+    ASSERT_NE(find<order_promotion>(actions), nullptr);
+    EXPECT_EQ(find<order_promotion>(actions)->target, "t2");
+}
+
+// Guards against an old primary that commits what was on its way while the new one takes over.
+TEST(promotion, demotes_the_old_primary_and_records_the_new_one) {
+    claimed_promotion claimed;
+    claimed.machine.step(claimed.facts, right_given_up{"vm2", 11}, 1040);
+    for (const char* target : {"t1", "t2", "t3"}) {
+        claimed.machine.step(claimed.facts, report_received{1, target, make_replica(90)}, 1050);
+    }
+    auto actions =
+        claimed.machine.step(claimed.facts, order_answered{11, order_outcome::accepted}, 1060);
+    const step_down* demotion = find<step_down>(actions);
+    ASSERT_NE(demotion, nullptr);
+    EXPECT_EQ(demotion->target, "t1");
+    EXPECT_EQ(demotion->term, 4U);
+    actions = claimed.machine.step(claimed.facts, facts_changed{}, 1400);
+    EXPECT_NE(find<ask_report>(actions), nullptr);
+    actions = claimed.machine.step(
+        claimed.facts, report_received{1, "t2", survey_report{true, 4, {4, 1}, 0}}, 1700);
+    ASSERT_NE(find<write_record>(actions), nullptr);
+    EXPECT_EQ(find<write_record>(actions)->record, (leadership_record{"t2", 4, {}, 0}));
+    actions = claimed.machine.step(claimed.facts, record_written{2, 15}, 1710);
+    ASSERT_NE(find<change_ended>(actions), nullptr);
+    EXPECT_EQ(find<change_ended>(actions)->record.version, 15);
+    EXPECT_EQ(claimed.machine.get_phase(), promotion_phase::watching);
+}
+
+// Guards against a group without a primary after a promoter died.
+TEST(promotion, takes_over_a_change_that_was_not_ended) {
+    promotion machine;
+    promotion_facts facts = make_facts();
+    facts.record = leadership_record{"t1", 3, "vm2/5", 11};
+    EXPECT_TRUE(machine.step(facts, facts_changed{}, 1000).empty());
+    EXPECT_TRUE(machine.step(facts, facts_changed{}, 7000).empty());
+    EXPECT_NE(find<write_record>(machine.step(facts, facts_changed{}, 7600)), nullptr);
+}
+
+// Guards against an order with an old fence by a VM that was suspended after its claim.
+TEST(promotion, sends_no_order_long_after_the_claim) {
+    claimed_promotion claimed;
+    claimed.machine.step(claimed.facts, right_given_up{"vm2", 11}, 1040);
+    for (const char* target : {"t1", "t2"}) {
+        claimed.machine.step(claimed.facts, report_received{1, target, make_replica(90)}, 1050);
+    }
+    const auto actions =
+        claimed.machine.step(claimed.facts, report_received{1, "t3", make_replica(90)}, 9000);
+    EXPECT_EQ(find<order_promotion>(actions), nullptr);
+    EXPECT_NE(find<change_abandoned>(actions), nullptr);
+}
+
+// Guards against two VMs that carry on with the same change.
+TEST(promotion, stops_when_another_vm_has_taken_over) {
+    claimed_promotion claimed;
+    claimed.facts.record = leadership_record{"t1", 3, "vm2/5", 12};
+    const auto actions = claimed.machine.step(claimed.facts, facts_changed{}, 1100);
+    EXPECT_NE(find<change_abandoned>(actions), nullptr);
+    EXPECT_EQ(claimed.machine.get_phase(), promotion_phase::watching);
+}
+
+// Guards against a lost answer to the claim leaving the change unowned.
+TEST(promotion, a_claim_without_answer_goes_on_when_the_store_shows_it) {
+    promotion machine;
+    promotion_facts facts = make_facts();
+    facts.is_loss_confirmed = true;
+    machine.step(facts, facts_changed{}, 1000);
+    machine.step(facts, record_unknown{1}, 2200);
+    EXPECT_EQ(machine.get_phase(), promotion_phase::claiming);
+    facts.record = leadership_record{"t1", 3, "vm1/7", 13};
+    machine.step(facts, facts_changed{}, 2300);
+    EXPECT_EQ(machine.get_phase(), promotion_phase::revoking);
+    EXPECT_EQ(machine.get_claim_version(), 13);
+}
+
+// Guards against the answer to an earlier write being taken for the answer to the claim: the claim
+// would then be assumed without a conditional write (found by leadership_exploration).
+TEST(promotion, ignores_the_answer_to_an_earlier_write) {
+    promotion machine;
+    promotion_facts facts = make_facts();
+    facts.is_loss_confirmed = true;
+    machine.step(facts, facts_changed{}, 1000);
+    ASSERT_EQ(machine.get_phase(), promotion_phase::claiming);
+    machine.step(facts, record_written{0, 10}, 1010);
+    EXPECT_EQ(machine.get_phase(), promotion_phase::claiming);
+    machine.step(facts, record_written{1, 11}, 1020);
+    EXPECT_EQ(machine.get_claim_version(), 11);
+}
+
+// Guards against a VM that joined lately replacing a primary that VMs it does not hear still use.
+TEST(promotion, a_new_vm_does_not_act_when_no_other_member_answers) {
+    promotion machine;
+    promotion_facts facts = make_facts();
+    facts.is_established = false;
+    facts.is_loss_confirmed = true;
+    machine.step(facts, facts_changed{}, 1000);
+    machine.step(facts, record_written{1, 11}, 1020);
+    machine.step(facts, right_given_up{"vm1", 11}, 1030);
+    const auto actions = machine.step(facts, facts_changed{}, 1200 + right_duration_ms);
+    EXPECT_NE(find<change_abandoned>(actions), nullptr);
+}
+
+}  // namespace
+}  // namespace hornbeamhook::coordination
--- /dev/null
+++ b/tests/platform/settings_reader_test.cpp
@@ -0,0 +1,53 @@
+#include "platform/settings_reader.h"
+
+#include <gtest/gtest.h>
+
+namespace hornbeamhook::platform {
+namespace {
+
+const char* const sample =
+    "Node=front-1\r\nZone=z1\nRegion=r1\nZones.z1=r1\nZones.z2=r2\nListen.Front=10.1.0.8:8784\n"
+    "Listen.Ready=10.1.0.8:8785\nListen.Control=10.1.0.8:8782\nIp=10.1.0.8\n"
+    "InternalPorts=7440,7455\nSeeds=10.2.0.6:8782,broken,10.3.0.7:8782\nUnknown.Field=x\n"
+    "platform.Addr=10.200.1.7:8783\nCloud.Addr=10.200.0.160:8783\nBounds.GraceS=6\n"
+    "Limits.MaxFds=4200\n";
+
+std::string get_error(const std::string& text) {
+    return boost::leaf::try_handle_all(
+        [&]() -> boost::leaf::result<std::string> {
+            BOOST_LEAF_CHECK(parse_settings(text));
+            return std::string();
+        },
+        [](const state::state_error& error) { return error.message; },
+        [] { return std::string("another error"); });
+}
+
+std::string replace(std::string text, const std::string& from, const std::string& to) {
+    return text.replace(text.find(from), from.size(), to);
+}
+
+TEST(settings_reader, reads_the_fields_that_are_used) {
+    const auto settings = parse_settings(sample);
+    ASSERT_TRUE(settings);
+    EXPECT_EQ(settings->vm, "front-1");
+    EXPECT_EQ(settings->peer_address, (transport::endpoint{"10.1.0.8", 7440}));
+    EXPECT_EQ(settings->shutdown_limit_ms, 6000);
+    EXPECT_EQ(settings->seeds.size(), 2U);
+    EXPECT_EQ(settings->place_regions.size(), 2U);
+}
+
+// Guards against a process that starts half configured, or without saying what is wrong.
+TEST(settings_reader, names_a_missing_or_unusable_field) {
+    EXPECT_EQ(get_error(""), "Node: missing");
+    EXPECT_EQ(get_error(replace(sample, "Bounds.GraceS=6\n", "")), "Bounds.GraceS: missing");
+    EXPECT_EQ(get_error(replace(sample, "GraceS=6", "GraceS=-1")),
+              "Bounds.GraceS: \"-1\" is not a whole number from 1 to 3600");
+    EXPECT_EQ(get_error(replace(sample, "10.1.0.8:8784", "10.1.0.8")),
+              "Listen.Front: \"10.1.0.8\" is not HOST:PORT");
+    EXPECT_EQ(get_error(replace(sample, "7440,", "70000,")),
+              "InternalPorts: \"70000\" is not a whole number from 1 to 65535");
+    EXPECT_EQ(get_error(sample), "");
+}
+
+}  // namespace
+}  // namespace hornbeamhook::platform
--- /dev/null
+++ b/tests/platform/store_codec_test.cpp
@@ -0,0 +1,109 @@
+#include "platform/store_codec.h"
+
+#include <gtest/gtest.h>
+
+#include <nlohmann/json.hpp>
+
+namespace hornbeamhook::platform {
+namespace {
+
+using namespace gateway;
+
+stored_row make_row(const std::string& key, const nlohmann::json& value) {
+    return {"servers", key, value.dump(), 5, false};
+}
+
+nlohmann::json make_target() {
+    return {{"Service", "s"},    {"Addr", "10.0.0.1:80"}, {"Zone", "z"}, {"Version", "v1"},
+            {"Slots", 3},        {"State", "ready"},      {"Seq", 4},    {"born", 1700},
+            {"WarmupLeftMs", 0}, {"DbRole", "replica"}};
+}
+
+TEST(store_codec, reads_a_target) {
+    const auto rows =
+        store_codec().decode(platform_table::targets, {make_row("i-1", make_target())});
+    ASSERT_TRUE(rows.targets.at("i-1").has_value());
+    const target_entry& target = *rows.targets.at("i-1");
+    EXPECT_EQ(target.group, "s");
+    EXPECT_EQ(target.started_at, 1700);
+    EXPECT_EQ(target.slots, 3);
+    EXPECT_FALSE(target.is_primary);
+    EXPECT_FALSE(target.is_leaving);
+}
+
+// Guards against an entry of another writer that names a target to use, or hides the others.
+TEST(store_codec, an_odd_entry_names_no_target_and_the_others_hold) {
+    std::vector<stored_row> rows{make_row("good", make_target())};
+    for (const char* field : {"Service", "Addr", "State", "DbRole"}) {
+        nlohmann::json missing = make_target();
+        missing.erase(field);
+        rows.push_back(make_row(std::string("no-") + field, missing));
+        nlohmann::json odd = make_target();
+        odd[field] = 7;
+        rows.push_back(make_row(std::string("odd-") + field, odd));
+    }
+    rows.push_back({"servers", "bytes", "\xff\x00{", 6, false});
+    rows.push_back({"servers", "list", "[1]", 6, false});
+    const auto decoded = store_codec().decode(platform_table::targets, rows);
+    for (const auto& [id, entry] : decoded.targets) {
+        EXPECT_EQ(entry.has_value(), id == "good") << id;
+    }
+    EXPECT_EQ(decoded.errors.size(), rows.size() - 1);
+}
+
+TEST(store_codec, reads_a_configuration_and_skips_an_unusable_route) {
+    const nlohmann::json value{
+        {"Version", 7},
+        {"Routes",
+         {{{"Hostname", "db1"},
+           {"Service", "s"},
+           {"RouteType", "bounded_staleness"},
+           {"MaxStalenessMs", 1500},
+           {"TimeoutMs", 2000},
+           {"GoalLatencyMs", 600},
+           {"Priority", 2}},
+          {{"Hostname", "db2"}, {"Service", "s"}, {"RouteType", "unheard"}}}},
+        {"Services", {{{"Name", "s"}, {"MaxConns", 23}}}},
+        {"Limits", {{"TxIdleMs", 3000}}}};
+    const auto rows = store_codec().decode(platform_table::configuration,
+                                           {{"op", "config", value.dump(), 9, false}});
+    ASSERT_TRUE(rows.newest.has_value());
+    EXPECT_EQ(rows.newest->version, 7);
+    EXPECT_EQ(rows.newest->routes.size(), 1U);
+    EXPECT_EQ(rows.newest->routes.at("db1").policy, read_policy::bounded);
+    EXPECT_EQ(rows.newest->connection_limits.at("s"), 23);
+    EXPECT_EQ(rows.newest->transaction_idle_ms, 3000);
+    EXPECT_EQ(rows.errors.size(), 1U);
+}
+
+// Guards against a call without an answer being taken for one that was not applied.
+TEST(store_codec, tells_refused_from_unknown) {
+    const store_codec codec;
+    EXPECT_EQ(codec.parse_store_answer({0, "", {}}).outcome, store_outcome::unknown);
+    EXPECT_EQ(codec.parse_store_answer({200, "garbage", {}}).outcome, store_outcome::unknown);
+    EXPECT_EQ(codec.parse_store_answer({503, "", {}}).outcome, store_outcome::refused);
+    EXPECT_EQ(codec.parse_store_answer({429, "", {}}).outcome, store_outcome::refused);
+    EXPECT_EQ(codec.parse_store_answer({410, "", {}}).outcome, store_outcome::history_lost);
+    EXPECT_EQ(codec.parse_store_answer({412, "{\"rows\":[]}", {}}).outcome,
+              store_outcome::conflict);
+    const auto done = codec.parse_store_answer(
+        {200,
+         R"({"rows":[{"Table":"t","part":"","Key":"k","Value":"bm9kZS0x","RowVersion":412}],)"
+         R"("RowVersion":530,"NowMs":1})",
+         {}});
+    EXPECT_EQ(done.outcome, store_outcome::done);
+    EXPECT_EQ(done.version, 530);
+    ASSERT_EQ(done.rows.size(), 1U);
+    EXPECT_EQ(done.rows[0], (stored_row{"t", "k", "node-1", 412, false}));
+}
+
+TEST(store_codec, formats_a_conditional_change) {
+    const auto request = store_codec().format_change({{"t", "k", "node-1", 0, false}, 412, true});
+    EXPECT_EQ(nlohmann::json::parse(request.body),
+              nlohmann::json::parse(
+                  R"({"Expect":[{"Table":"t","part":"","Key":"k","RowVersion":412}],)"
+                  R"("Puts":[{"Table":"t","part":"","Key":"k","Value":"bm9kZS0x"}],"Remove":[]})"));
+}
+
+}  // namespace
+}  // namespace hornbeamhook::platform
