Remove silent members after 3.5 s and wait for the rights of removed ones

Cause: a VM that was gone for good stayed listed for 20 s.

Change: a member that was silent for 3.5 s leaves the list; a promoter waits for VMs that left within the time a right lasts, and a VM claims nothing before it has been listed that long. A statement without a usable primary is refused after a tenth of its objective instead of a quarter, because callers reach other VMs.

The exploration now removes members and cuts VMs from each other alone; a fourth planted fault is found.

--- a/src/coordination/primary_right.h
+++ b/src/coordination/primary_right.h
@@ -27,14 +27,19 @@
 inline constexpr std::int64_t right_duration_ms = 2000;
 
 /**
- * How long promises of the other VMs may stand in for the store. A VM is removed from the list of
- * members only after a longer silence, so the VMs that were asked include every VM that could
- * begin to replace a primary.
+ * How long promises of the other VMs may stand in for the store. A VM that is listed for less than
+ * this may be unknown to a VM that lives on promises, and acts only with another member's help.
  */
 inline constexpr std::int64_t max_store_absence_ms = 15000;
 
-/** Silence after which a VM may be removed from the list of members. */
-inline constexpr std::int64_t member_removal_ms = 20000;
+/**
+ * Silence after which a VM may be removed from the list of members: five pings. Promises need all
+ * members, so a VM that is gone must not stay listed for long.
+ */
+inline constexpr std::int64_t member_removal_ms = 3500;
+
+/** Clocks of VMs tick at slightly different speeds. */
+inline constexpr std::int64_t right_margin_ms = 100;
 
 /**
  * This VM's right to use the primary of one group. All times are of a local clock that counts
--- a/src/coordination/promotion.cpp
+++ b/src/coordination/promotion.cpp
@@ -9,8 +9,6 @@
 
 /// Members answer within two trips between regions; the next repeat covers a lost datagram.
 constexpr std::int64_t repeat_ms = 80;
-/// Clocks of VMs tick at slightly different speeds.
-constexpr std::int64_t right_margin_ms = 100;
 /// A report takes a slot and at most two trips between regions.
 constexpr std::int64_t survey_limit_ms = 300;
 /// How long a planned change waits for a replica to receive what the old primary has.
--- a/src/coordination/promotion.h
+++ b/src/coordination/promotion.h
@@ -40,7 +40,7 @@
     std::string changer;  ///< This VM and its incarnation.
     std::optional<leadership_record> record;
     bool is_record_fresh = false;  ///< The store was read lately.
-    bool may_claim = false;        ///< This VM is listed as a member.
+    bool may_claim = false;        ///< This VM is listed for longer than a right lasts.
     bool is_established = false;   ///< It is listed for longer than promises replace the store.
     bool is_loss_confirmed = false;
     bool is_primary_leaving = false;
--- a/src/gateway/fleet_view.cpp
+++ b/src/gateway/fleet_view.cpp
@@ -67,6 +67,7 @@
         if (!next.contains(vm)) {
             left.insert(vm);
             contacts_.erase(vm);
+            left_at_[vm] = now;
         }
     }
     members_ = std::move(next);
@@ -134,6 +135,19 @@
     return result;
 }
 
+std::set<std::string> fleet_view::get_right_holders(std::int64_t now) const {
+    std::set<std::string> result{self_.vm};
+    for (const auto& [vm, member] : members_) {
+        result.insert(vm);
+    }
+    for (const auto& [vm, left_at] : left_at_) {
+        if (now - left_at <= coordination::right_duration_ms + coordination::right_margin_ms) {
+            result.insert(vm);
+        }
+    }
+    return result;
+}
+
 std::set<std::string> fleet_view::get_lost(std::int64_t now) const {
     std::set<std::string> result;
     for (const auto& [vm, known] : contacts_) {
--- a/src/gateway/fleet_view.h
+++ b/src/gateway/fleet_view.h
@@ -51,6 +51,13 @@
     /** Members that answered lately. */
     std::set<std::string> get_responsive(std::int64_t now) const;
 
+    /**
+     * VMs that may hold a right: this one, the listed ones, and those that left the list so lately
+     * that a right of theirs may not have ended. This VM promises nothing to a VM that left, and
+     * such a VM finds itself unlisted with its next reading of the store.
+     */
+    std::set<std::string> get_right_holders(std::int64_t now) const;
+
     /** Members that have been silent for so long that they may be removed. */
     std::set<std::string> get_lost(std::int64_t now) const;
 
@@ -78,7 +85,8 @@
     fleet_member self_;
     std::map<std::string, fleet_member> members_;  ///< Without this VM.
     std::map<std::string, contact> contacts_;
-    std::map<std::int64_t, std::int64_t> pings_;  ///< When each of the last pings was sent.
+    std::map<std::string, std::int64_t> left_at_;  ///< When a member was first seen to be missing.
+    std::map<std::int64_t, std::int64_t> pings_;   ///< When each of the last pings was sent.
     std::int64_t sequence_ = 0;
     std::optional<std::int64_t> listed_since_;
 };
--- a/src/gateway/leadership_keeper.cpp
+++ b/src/gateway/leadership_keeper.cpp
@@ -348,17 +348,17 @@
     facts.changer = get_changer();
     facts.record = group.right.get_record();
     facts.is_record_fresh = store_read_at_ != 0 && now - store_read_at_ <= record_fresh_ms;
-    facts.may_claim = fleet_.is_self_listed();
     const auto listed_since = fleet_.get_listed_since();
+    // A VM that left the list before this one joined may hold a right that this VM knows nothing
+    // of.
+    facts.may_claim = listed_since && now - *listed_since >= coordination::right_duration_ms +
+                                                                 coordination::right_margin_ms;
     facts.is_established =
         listed_since && now - *listed_since >= coordination::max_store_absence_ms;
     facts.rank = fleet_.get_rank(group.name, now);
     facts.is_loss_confirmed = coordination::is_loss_confirmed(
         duty.suspect_since, fleet_.get_responsive(now), duty.answers, facts.is_record_fresh, now);
-    facts.members.insert(fleet_.get_self().vm);
-    for (const auto& [vm, member] : fleet_.get_members()) {
-        facts.members.insert(vm);
-    }
+    facts.members = fleet_.get_right_holders(now);
     for (const auto& [id, target] : group.targets) {
         if (target.gone_at != 0) {
             continue;
--- a/src/gateway/session_engine.cpp
+++ b/src/gateway/session_engine.cpp
@@ -12,7 +12,7 @@
 constexpr std::int64_t tick_ms = 50;  ///< Resolution of time limits; each tick costs a wake-up.
 /// Waiting longer for a primary that may not be used is worse for the caller than to try another
 /// VM, which answers its repeated operation.
-constexpr double unusable_wait_share = 0.25;
+constexpr double unusable_wait_share = 0.1;
 /// Part of the objective that a statement may wait for a connection; the rest is for running it.
 constexpr double queue_wait_share = 0.8;
 /// Part of the objective after which a read is also sent to another target.
--- a/tests/gateway/leadership_exploration_test.cpp
+++ b/tests/gateway/leadership_exploration_test.cpp
@@ -28,7 +28,13 @@
 const std::string group_name = "g";
 
 /** Which rule is broken on purpose, to show that the check finds it. */
-enum class planted_fault { none, no_wait, promises_without_version, right_ignores_time };
+enum class planted_fault {
+    none,
+    no_wait,
+    promises_without_version,
+    right_ignores_time,
+    forgets_removed_members,
+};
 
 struct world;
 
@@ -227,6 +233,19 @@
                                           ++all.version, false};
                 return;
             }
+            for (const std::string& vm : fleet.get_lost(all.now)) {
+                const auto row = rows.find("vm/" + vm);
+                if (fleet.get_rank("members", all.now) == 0 && row != rows.end()) {
+                    const stored_row seen = row->second;
+                    all.at(all.now + all.pick(1, 40), [this, seen] {
+                        const auto present = all.rows.find(seen.key);
+                        if (present != all.rows.end() && present->second.version == seen.version) {
+                            all.rows.erase(present);
+                            ++all.version;
+                        }
+                    });
+                }
+            }
             store_read_at = std::max(store_read_at, asked_at);
             if (record) {
                 right.confirm(*record, asked_at);
@@ -279,13 +298,18 @@
     facts.changer = changer;
     facts.record = right.get_record();
     facts.is_record_fresh = all.now - store_read_at < 1600;
-    facts.may_claim = fleet.is_self_listed();
+    facts.may_claim = fleet.get_listed_since() &&
+                      all.now - *fleet.get_listed_since() >=
+                          coordination::right_duration_ms + coordination::right_margin_ms;
     facts.is_established = fleet.get_listed_since() && all.now - *fleet.get_listed_since() >=
                                                            coordination::max_store_absence_ms;
     facts.rank = fleet.get_rank(group_name, all.now);
-    facts.members.insert(name);
-    for (const auto& [vm, member] : fleet.get_members()) {
-        facts.members.insert(vm);
+    facts.members = fleet.get_right_holders(all.now);
+    if (all.planted == planted_fault::forgets_removed_members) {
+        facts.members = {name};
+        for (const auto& [vm, member] : fleet.get_members()) {
+            facts.members.insert(vm);
+        }
     }
     for (const auto& [id, target] : all.targets) {
         facts.targets.insert(id);
@@ -420,7 +444,7 @@
         const std::int64_t begin = w.pick(2000, day_ms - 5000);
         const std::int64_t end = begin + w.pick(300, 12000);
         const std::string vm = "vm" + std::to_string(w.pick(0, vms - 1));
-        switch (w.pick(0, 6)) {
+        switch (w.pick(0, 7)) {
             case 0:
                 w.at(begin, [&w, vm, end] { w.vms.at(vm)->frozen_until = end; });
                 break;
@@ -438,6 +462,10 @@
                     w.vms.at(vm)->is_store_cut = false;
                 });
                 break;
+            case 6:
+                w.at(begin, [&w, vm] { w.vms.at(vm)->is_cut = true; });
+                w.at(end, [&w, vm] { w.vms.at(vm)->is_cut = false; });
+                break;
             case 3:
                 w.at(begin, [&w, end] { w.store_down_until = end; });
                 break;
@@ -497,7 +525,7 @@
     const std::uint64_t seed = tests::get_seed();
     for (const planted_fault fault :
          {planted_fault::no_wait, planted_fault::promises_without_version,
-          planted_fault::right_ignores_time}) {
+          planted_fault::right_ignores_time, planted_fault::forgets_removed_members}) {
         int violations = 0;
         for (int day = 0; day < explored_days && violations == 0; ++day) {
             violations = play(seed + static_cast<std::uint64_t>(day), fault)->violations;
