Count a primary's silence from a question after its last answer

Change: silence counts from the first question after the last answer, over connections that end meanwhile.

--- a/src/coordination/primary_loss.cpp
+++ b/src/coordination/primary_loss.cpp
@@ -10,11 +10,28 @@
 constexpr std::int64_t silence_ms = 600;
 /// A process that restarts refuses connections for less than this.
 constexpr std::int64_t refused_ms = 250;
+/// Silence after which a connection is opened only to hear from the primary.
+constexpr std::int64_t doubt_ms = 250;
 /// An answer of a member is repeated every 100 ms while the primary is suspected.
 constexpr std::int64_t answer_age_ms = 500;
 
 }  // namespace
 
+std::int64_t update_doubt(std::int64_t doubt_since, const primary_contact& contact,
+                          std::int64_t now) {
+    if (doubt_since != 0 && contact.last_answer_at < doubt_since) {
+        return doubt_since;
+    }
+    if (contact.waiting_since == 0) {
+        return contact.refused_since > contact.last_answer_at ? contact.refused_since : 0;
+    }
+    if (contact.waiting_since > contact.last_answer_at) {
+        return contact.waiting_since;
+    }
+    // An older question was answered by nothing while others were: a new one has to tell.
+    return now - contact.last_answer_at >= doubt_ms ? now : 0;
+}
+
 bool is_primary_suspect(const primary_contact& contact, std::int64_t now) {
     if (!contact.is_listed) {
         return now - contact.last_answer_at > silence_ms;
--- a/src/coordination/primary_loss.h
+++ b/src/coordination/primary_loss.h
@@ -25,6 +25,14 @@
     auto operator<=>(const peer_contact&) const = default;
 };
 
+/**
+ * When the present silence of the primary began to count, given when it did so far (0: it did not).
+ * Silence counts from a question that was sent after the last answer; an idle primary and a single
+ * lost answer say nothing. Pure, thread safe.
+ */
+std::int64_t update_doubt(std::int64_t doubt_since, const primary_contact& contact,
+                          std::int64_t now);
+
 /** Whether this VM alone would call the primary lost. Pure, thread safe. */
 bool is_primary_suspect(const primary_contact& contact, std::int64_t now);
 
--- a/src/gateway/leadership_keeper.cpp
+++ b/src/gateway/leadership_keeper.cpp
@@ -18,6 +18,8 @@
 constexpr std::int64_t record_fresh_ms = 4500;  ///< One rare reading of the store and a delay.
 /// Left of a right when the store is read because promises did not extend it.
 constexpr std::int64_t reading_reserve_ms = 1200;
+/// A usual answer takes less, so a connection opened only to ask is rarely needed.
+constexpr std::int64_t probe_silence_ms = 250;
 constexpr std::int64_t demoted_ms = 2000;      ///< An answer "not the primary" counts this long.
 constexpr std::int64_t role_settle_ms = 1500;  ///< Discovery follows a promotion within this.
 constexpr std::int64_t early_read_ms = 150;    ///< Between extra readings after a notice.
@@ -256,21 +258,20 @@
         contact.last_answer_at = target.last_answer_at;
         contact.refused_since = target.refused_since;
         for (const auto& link : target.links) {
+            // The oldest question after the last answer, or else any older one.
             const std::int64_t waiting = link->get_oldest_sent_at();
-            if (waiting != 0 && (contact.waiting_since == 0 || waiting < contact.waiting_since)) {
+            const bool is_newer = waiting > contact.last_answer_at;
+            const bool is_known_newer = contact.waiting_since > contact.last_answer_at;
+            const bool is_better = contact.waiting_since == 0 || (is_newer && !is_known_newer) ||
+                                   (is_newer && waiting < contact.waiting_since);
+            if (waiting != 0 && is_better) {
                 contact.waiting_since = waiting;
             }
         }
-        // A connection that failed is followed by another, whose silence then counts on.
-        constexpr std::int64_t doubt_ms = 250;
-        const bool is_doubtful = contact.waiting_since != 0 || contact.refused_since != 0 ||
-                                 duty.suspect_since != 0 ||
-                                 (target.links.empty() && target.retry_at != 0);
-        if (is_doubtful && now - target.last_answer_at >= doubt_ms) {
+        duty.doubt_since = coordination::update_doubt(duty.doubt_since, contact, now);
+        contact.waiting_since = duty.doubt_since;
+        if (duty.doubt_since != 0 && now - target.last_answer_at >= probe_silence_ms) {
             engine_.probe(target);
-            contact.waiting_since = contact.waiting_since == 0
-                                        ? target.last_answer_at
-                                        : std::min(contact.waiting_since, target.last_answer_at);
         }
     } else {
         contact.last_answer_at = duty.record_seen_at;
--- a/src/gateway/leadership_keeper.h
+++ b/src/gateway/leadership_keeper.h
@@ -66,6 +66,7 @@
         coordination::promotion machine;
         std::map<std::string, coordination::peer_contact> answers;  ///< About the primary.
         std::int64_t suspect_since = 0;
+        std::int64_t doubt_since = 0;  ///< Start of the primary's silence; 0 while it answers.
         std::int64_t asked_at = 0;
         std::int64_t record_seen_at = 0;
         std::int64_t last_read_at = 0;
--- a/tests/coordination/primary_loss_test.cpp
+++ b/tests/coordination/primary_loss_test.cpp
@@ -11,6 +11,20 @@
     EXPECT_FALSE(is_primary_suspect({.last_answer_at = 1000, .waiting_since = 59800}, 60000));
 }
 
+// Guards against false alarms: silence counted from the last answer made each question to a primary
+// that had been idle for 600 ms look unanswered for as long.
+TEST(primary_loss, silence_counts_from_a_question_after_the_last_answer) {
+    EXPECT_EQ(update_doubt(0, {.last_answer_at = 1000}, 9000), 0);
+    EXPECT_EQ(update_doubt(0, {.last_answer_at = 1000, .waiting_since = 8990}, 9000), 8990);
+    EXPECT_EQ(update_doubt(0, {.last_answer_at = 1000, .waiting_since = 500}, 1100), 0);
+    EXPECT_EQ(update_doubt(0, {.last_answer_at = 1000, .waiting_since = 500}, 9000), 9000);
+    // It goes on while connections end and others are opened, and ends with an answer.
+    EXPECT_EQ(update_doubt(8990, {.last_answer_at = 1000}, 9500), 8990);
+    EXPECT_EQ(update_doubt(8990, {.last_answer_at = 1000, .waiting_since = 9400}, 9500), 8990);
+    EXPECT_EQ(update_doubt(8990, {.last_answer_at = 9450}, 9500), 0);
+    EXPECT_EQ(update_doubt(0, {.last_answer_at = 1000, .refused_since = 1200}, 1300), 1200);
+}
+
 // Guards against a loss that is noticed late.
 TEST(primary_loss, silence_and_refusals_make_it_suspect) {
     EXPECT_TRUE(is_primary_suspect({.last_answer_at = 1000, .waiting_since = 1100}, 1700));
