--- a/src/gateway/session_engine.cpp
+++ b/src/gateway/session_engine.cpp
@@ -571,8 +571,14 @@
     counters_.refusals.Increment();
     const std::int64_t now = transport::get_boot_time();
     const auto& record = group.right.get_record();
+    std::string sent_to;
+    for (const std::weak_ptr<target_link>& weak : pending->links) {
+        const std::shared_ptr<target_link> link = weak.lock();
+        sent_to += (sent_to.empty() ? "" : ",") + (link ? link->get_target() : "ended");
+    }
     log_.write(event_statement_refused,
                {{"id", pending->statement.id},
+                {"sent_to", sent_to},
                 {"caller", pending->session->get_caller()},
                 {"reason", reason},
                 {"waited_ms", std::to_string(now - pending->arrived_at)},
