Take VMs without rights and store out of rotation

Change: a VM that reaches no store and has no right left is not ready, and after the balancer has noticed closes its idle sessions, so that their callers reach other VMs.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -95,8 +95,31 @@
 }
 
 bool gateway::is_ready() const {
-    return stopping_since_ == 0 && follower_.get_configuration_version() > 0 &&
-           follower_.has_targets();
+    return stopping_since_ == 0 && isolated_since_ == 0 &&
+           follower_.get_configuration_version() > 0 && follower_.has_targets();
+}
+
+bool gateway::is_isolated() const {
+    return fleet_.is_self_listed() && !store_.is_served() && !leadership_.has_any_right();
+}
+
+void gateway::check_isolation() {
+    const std::int64_t now = transport::get_boot_time();
+    if (!is_isolated()) {
+        if (isolated_since_ != 0) {
+            log_.write(event_isolation_ended, {{"for_ms", std::to_string(now - isolated_since_)}});
+        }
+        isolated_since_ = 0;
+        return;
+    }
+    if (isolated_since_ == 0) {
+        isolated_since_ = now;
+        log_.write(event_isolated, {{"sessions", std::to_string(engine_.count_sessions())}});
+    }
+    if (now - isolated_since_ >= balancer_notice_ms) {
+        // Without rights and new positions this VM serves little; callers that return reach others.
+        engine_.close_idle_sessions();
+    }
 }
 
 void gateway::serve_readiness(const transport::http_call& call,
@@ -185,6 +208,7 @@
 
 void gateway::send_pings() {
     const std::int64_t now = transport::get_boot_time();
+    check_isolation();
     const std::int64_t sequence = fleet_.begin_round(now);
     for (const auto& [vm, member] : fleet_.get_members()) {
         messenger_.send(member.peer_address,
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -41,6 +41,8 @@
     void serve_control(const transport::http_call& call,
                        const transport::http_listener::responder& respond);
     bool is_ready() const;
+    bool is_isolated() const;
+    void check_isolation();
     void take_rows(const std::vector<stored_row>& rows, std::int64_t asked_at);
     void register_self();
     void remove_lost_members(const std::vector<stored_row>& rows, std::int64_t now);
@@ -77,6 +79,7 @@
     std::int64_t stopping_since_ = 0;  ///< 0 while serving.
     std::int64_t registered_at_ = 0;   ///< Of the last attempt.
     std::int64_t fetched_at_ = 0;      ///< Of the last snapshot request.
+    std::int64_t isolated_since_ = 0;  ///< 0 while the store is reached or a right is left.
     std::int64_t member_read_at_ = 0;  ///< Of the last reading because of an unknown VM.
 };
 
--- a/src/gateway/gateway_events.h
+++ b/src/gateway/gateway_events.h
@@ -21,6 +21,8 @@
 inline constexpr event_type event_store_regained{7015, "store_regained"};
 inline constexpr event_type event_member_joined{7016, "member_joined"};
 inline constexpr event_type event_member_left{7017, "member_left"};
+inline constexpr event_type event_isolated{7018, "vm_isolated", event_severity::warning};
+inline constexpr event_type event_isolation_ended{7019, "vm_isolation_ended"};
 inline constexpr event_type event_record_changed{7020, "leadership_record_changed"};
 inline constexpr event_type event_right_lost{7021, "primary_right_lost", event_severity::warning};
 inline constexpr event_type event_right_gained{7022, "primary_right_gained"};
--- a/src/gateway/leadership_keeper.cpp
+++ b/src/gateway/leadership_keeper.cpp
@@ -153,6 +153,14 @@
     return result;
 }
 
+bool leadership_keeper::has_any_right() const {
+    const std::int64_t now = transport::get_boot_time();
+    const auto& groups = engine_.get_groups();
+    return std::any_of(groups.begin(), groups.end(), [now](const auto& entry) {
+        return entry.second.right.get_usable(now).has_value();
+    });
+}
+
 bool leadership_keeper::is_reading_due() const {
     const std::int64_t now = transport::get_boot_time();
     const auto& groups = engine_.get_groups();
--- a/src/gateway/leadership_keeper.h
+++ b/src/gateway/leadership_keeper.h
@@ -58,6 +58,9 @@
     /** Promises for all groups whose primary is not being changed as far as this VM knows. */
     std::vector<record_promise> get_promises() const;
 
+    /** Whether this VM may use the primary of any group. */
+    bool has_any_right() const;
+
     /** Whether some right ends soon unless the store is read. */
     bool is_reading_due() const;
 
--- a/src/gateway/session_engine.cpp
+++ b/src/gateway/session_engine.cpp
@@ -27,7 +27,9 @@
 constexpr std::int64_t reconnect_ms = 150;  ///< Between attempts to connect to a failing target.
 constexpr std::int64_t connect_limit_ms = 700;  ///< A connection takes 12 ms and two trips.
 constexpr std::int64_t spare_idle_ms = 1500;    ///< Idle links above the share are closed after it.
-constexpr int spare_links = 2;                  ///< Above the share, while the target accepts them.
+/// Connections opened at once to one target: a slot each for 12 ms, of 2 or 3.
+constexpr int max_openings = 2;
+constexpr int spare_links = 1;  ///< Above the share, while the target accepts them.
 /// Connections kept free for VMs that join before all others know of them.
 constexpr int reserved_vms = 1;
 constexpr double answer_weight = 0.1;        ///< Of a new time in the moving mean.
@@ -296,7 +298,8 @@
             best = link;
         }
     }
-    if (!best && opening == 0 && open < get_link_share(target, transport::get_boot_time())) {
+    if (!best && opening < max_openings &&
+        open < get_link_share(target, transport::get_boot_time())) {
         open_link(target);
     }
     return best;
