Read the members after a claim before anything is ordered

Change: the promoter goes on when a list that was read after the claim shows all its VMs to have given up their rights, or when all older rights have ended. A VM that joins later sees the claim in the reading that lists it.

The simulation itself kept a pointer to a restarted VM; mended.

--- a/src/coordination/promotion.cpp
+++ b/src/coordination/promotion.cpp
@@ -63,6 +63,7 @@
         }
     } else if (const auto* given = std::get_if<right_given_up>(&event)) {
         if (given->version == claim_version_) {
+            given_up_.insert(given->vm);
             waiting_.erase(given->vm);
             last_given_up_at_ = now;
         }
@@ -217,6 +218,7 @@
     phase_since_ = now;
     sent_at_ = 0;
     waiting_ = facts.members;
+    given_up_.clear();
     continue_revoking(facts, now, out);
 }
 
@@ -224,7 +226,15 @@
     // A member that cannot read the store may not know this VM if it joined lately. Such a member
     // is stopped by the others, which no longer promise anything once they gave up their right.
     const std::int64_t waits_since = facts.is_established ? claimed_at_ : last_given_up_at_;
-    if (waiting_.empty()) {
+    // A VM may have joined shortly before the claim. One that joins later sees the claim in the
+    // reading that lists it.
+    const bool is_list_complete = facts.members_asked_at >= claimed_at_;
+    for (const std::string& vm : facts.members) {
+        if (!given_up_.contains(vm)) {
+            waiting_.insert(vm);
+        }
+    }
+    if (waiting_.empty() && is_list_complete) {
         begin_survey(facts, now, out);
         return;
     }
@@ -239,7 +249,7 @@
         begin_survey(facts, now, out);
         return;
     }
-    if (now - sent_at_ >= repeat_ms) {
+    if (!waiting_.empty() && now - sent_at_ >= repeat_ms) {
         sent_at_ = now;
         out.emplace_back(
             ask_to_give_up{waiting_, claim_version_, reason_ == change_reason::leaving});
--- a/src/coordination/promotion.h
+++ b/src/coordination/promotion.h
@@ -45,10 +45,11 @@
     bool is_loss_confirmed = false;
     bool is_primary_leaving = false;
     bool is_primary_demoted = false;
-    int rank = 0;                      ///< Of this VM for the group; delays its claim.
-    std::set<std::string> candidates;  ///< Targets that may lead: listed and not leaving.
-    std::set<std::string> targets;     ///< All listed targets.
-    std::set<std::string> members;     ///< VMs that have to give up their right; this one too.
+    int rank = 0;                       ///< Of this VM for the group; delays its claim.
+    std::set<std::string> candidates;   ///< Targets that may lead: listed and not leaving.
+    std::set<std::string> targets;      ///< All listed targets.
+    std::set<std::string> members;      ///< VMs that have to give up their right; this one too.
+    std::int64_t members_asked_at = 0;  ///< When the reading that lists them was sent.
     /// Listed as primary by discovery, with its term once this VM has connected to it.
     std::optional<std::pair<std::string, state::term_number>> seen_primary;
     std::set<std::string> listed_primaries;  ///< Targets that call themselves primary.
@@ -211,6 +212,7 @@
     std::int64_t last_given_up_at_ = 0;  ///< When a member last gave up its right.
     std::int64_t sent_at_ = 0;           ///< Of the last messages of the present phase.
     std::set<std::string> waiting_;
+    std::set<std::string> given_up_;  ///< Members that answered the present claim.
     std::map<std::string, std::optional<survey_report>> reports_;
     std::set<std::string> excluded_;  ///< Targets that the platform did not find running.
     std::string chosen_;
--- a/src/gateway/leadership_keeper.cpp
+++ b/src/gateway/leadership_keeper.cpp
@@ -368,6 +368,7 @@
     facts.is_loss_confirmed = coordination::is_loss_confirmed(
         duty.suspect_since, fleet_.get_responsive(now), duty.answers, facts.is_record_fresh, now);
     facts.members = fleet_.get_right_holders(now);
+    facts.members_asked_at = store_read_at_;
     for (const auto& [id, target] : group.targets) {
         if (target.gone_at != 0) {
             continue;
--- a/tests/coordination/promotion_test.cpp
+++ b/tests/coordination/promotion_test.cpp
@@ -17,6 +17,7 @@
     facts.candidates = {"t1", "t2", "t3"};
     facts.targets = facts.candidates;
     facts.members = {"vm1", "vm2"};
+    facts.members_asked_at = 100000;
     return facts;
 }
 
@@ -75,6 +76,26 @@
     EXPECT_EQ(claimed.machine.get_phase(), promotion_phase::surveying);
 }
 
+// Guards against an order that does not wait for a VM that joined shortly before the claim and
+// confirmed its right (found by leadership_exploration, seed 2808971969).
+TEST(promotion, waits_for_a_list_of_members_that_was_read_after_the_claim) {
+    promotion machine;
+    promotion_facts facts = make_facts();
+    facts.is_loss_confirmed = true;
+    facts.members_asked_at = 900;
+    machine.step(facts, facts_changed{}, 1000);
+    machine.step(facts, record_written{1, 11}, 1020);
+    machine.step(facts, right_given_up{"vm1", 11}, 1030);
+    machine.step(facts, right_given_up{"vm2", 11}, 1040);
+    EXPECT_EQ(machine.get_phase(), promotion_phase::revoking);
+    facts.members_asked_at = 1025;
+    facts.members.insert("vm3");
+    machine.step(facts, facts_changed{}, 1050);
+    EXPECT_EQ(machine.get_phase(), promotion_phase::revoking);
+    machine.step(facts, right_given_up{"vm3", 11}, 1060);
+    EXPECT_EQ(machine.get_phase(), promotion_phase::surveying);
+}
+
 // Guards against losing commits that another replica has.
 TEST(promotion, promotes_the_target_that_received_most) {
     claimed_promotion claimed;
--- a/tests/gateway/leadership_exploration_test.cpp
+++ b/tests/gateway/leadership_exploration_test.cpp
@@ -34,6 +34,7 @@
     promises_without_version,
     right_ignores_time,
     forgets_removed_members,
+    trusts_old_list,
 };
 
 struct world;
@@ -237,11 +238,11 @@
                 const auto row = rows.find("vm/" + vm);
                 if (fleet.get_rank("members", all.now) == 0 && row != rows.end()) {
                     const stored_row seen = row->second;
-                    all.at(all.now + all.pick(1, 40), [this, seen] {
-                        const auto present = all.rows.find(seen.key);
-                        if (present != all.rows.end() && present->second.version == seen.version) {
-                            all.rows.erase(present);
-                            ++all.version;
+                    all.at(all.now + all.pick(1, 40), [&w = all, seen] {
+                        const auto present = w.rows.find(seen.key);
+                        if (present != w.rows.end() && present->second.version == seen.version) {
+                            w.rows.erase(present);
+                            ++w.version;
                         }
                     });
                 }
@@ -260,7 +261,7 @@
     for (const auto& [vm, member] : fleet.get_members()) {
         const std::string asker = name;
         const fleet_member self = fleet.get_self();
-        all.send(*this, vm, [this, sequence, self](simulated_vm& other) {
+        all.send(*this, vm, [sequence, self](simulated_vm& other) {
             peer_pong pong;
             pong.vm = other.name;
             pong.incarnation = other.fleet.get_self().incarnation;
@@ -269,7 +270,7 @@
             if (asker_entry != other.fleet.get_members().end() && asker_entry->second == self) {
                 pong.promises = other.get_promises();
             }
-            all.send(other, self.vm, [pong, self](simulated_vm& asking) {
+            other.all.send(other, self.vm, [pong, self](simulated_vm& asking) {
                 const auto known = asking.fleet.get_members().find(pong.vm);
                 if (asking.fleet.get_self() != self || known == asking.fleet.get_members().end() ||
                     known->second.incarnation != pong.incarnation) {
@@ -305,6 +306,7 @@
                                                            coordination::max_store_absence_ms;
     facts.rank = fleet.get_rank(group_name, all.now);
     facts.members = fleet.get_right_holders(all.now);
+    facts.members_asked_at = all.planted == planted_fault::trusts_old_list ? day_ms : store_read_at;
     if (all.planted == planted_fault::forgets_removed_members) {
         facts.members = {name};
         for (const auto& [vm, member] : fleet.get_members()) {
@@ -395,7 +397,7 @@
                                   std::to_string(all.newest_fence) + "; ";
                 }
                 all.newest_fence = std::max(all.newest_fence, sent.fence);
-                all.at(all.now + promote_ms, [this, sent] { all.take_effect(sent.target); });
+                all.at(all.now + promote_ms, [&w = all, sent] { w.take_effect(sent.target); });
                 all.at_vm(self, all.now + all.pick(1, 30), [this, sent] {
                     step(coordination::order_answered{sent.fence,
                                                       coordination::order_outcome::accepted});
@@ -520,15 +522,19 @@
     EXPECT_GT(promotions, explored_days) << "the days hardly tried the rules";
 }
 
+/// The rarest planted fault shows on about one day in a thousand. Fixed seeds, so that the result
+/// of this test of the check itself does not depend on luck.
+constexpr std::uint64_t planted_days = 8000;
+
 // Shows that the check above finds each rule that is left out.
 TEST(leadership_exploration, finds_planted_faults) {
-    const std::uint64_t seed = tests::get_seed();
     for (const planted_fault fault :
          {planted_fault::no_wait, planted_fault::promises_without_version,
-          planted_fault::right_ignores_time, planted_fault::forgets_removed_members}) {
+          planted_fault::right_ignores_time, planted_fault::forgets_removed_members,
+          planted_fault::trusts_old_list}) {
         int violations = 0;
-        for (int day = 0; day < explored_days && violations == 0; ++day) {
-            violations = play(seed + static_cast<std::uint64_t>(day), fault)->violations;
+        for (std::uint64_t seed = 1; seed <= planted_days && violations == 0; ++seed) {
+            violations = play(seed, fault)->violations;
         }
         EXPECT_GT(violations, 0) << "fault " << static_cast<int>(fault);
     }
