--- a/src/gateway/caller_session.cpp
+++ b/src/gateway/caller_session.cpp
@@ -342,12 +342,9 @@
     if (answer.ready.state == transaction_state::open) {
         phase_ = phase::open_transaction;
     } else {
-        phase_ = is_commit || answer.ready.state == transaction_state::idle
-                     ? phase::idle
-                     : phase::failed_transaction;
-        if (is_commit && answer.ready.state == transaction_state::failed) {
-            phase_ = phase::idle;
-        }
+        // COMMIT ends the transaction whatever the target answers.
+        const bool is_ended = is_commit || answer.ready.state == transaction_state::idle;
+        phase_ = is_ended ? phase::idle : phase::failed_transaction;
         drop_link();
     }
     note_commit(statement, answer);
--- a/src/gateway/gateway_settings.h
+++ b/src/gateway/gateway_settings.h
@@ -22,7 +22,6 @@
     transport::endpoint store_address;
     transport::endpoint duty_address;
     std::int64_t shutdown_limit_ms = 0;  ///< Time between SIGTERM and SIGKILL.
-    std::int64_t max_descriptors = 0;
 
     bool operator==(const gateway_settings&) const = default;
 };
--- a/src/gateway/session_engine.cpp
+++ b/src/gateway/session_engine.cpp
@@ -236,7 +236,7 @@
         const bool is_resting = now < target.retry_at || now < target.avoided_until ||
                                 (!is_primary && now < target.behind_until) ||
                                 pending->avoided.contains(id);
-        if (is_proven && target.is_usable(now) && !is_resting) {
+        if (is_proven && target.is_usable() && !is_resting) {
             candidates.emplace_back(get_cost(target, is_primary, now), &target);
         }
     }
--- a/src/gateway/target_group.h
+++ b/src/gateway/target_group.h
@@ -30,8 +30,9 @@
     state::term_number term = 0;     ///< Newest that it reported.
 
     /** Whether new work may go to it. */
-    bool is_usable(std::int64_t now) const { return gone_at == 0 && !entry.is_leaving && now >= 0; }
+    bool is_usable() const { return gone_at == 0 && !entry.is_leaving; }
 
+    /** Connections with a statement under way. */
     int count_busy() const;
 };
 
