--- a/tests/process/fleet_case.py
+++ b/tests/process/fleet_case.py
@@ -116,3 +116,20 @@
         }
         body.update(fields)
         return self.fleet.call_proxy(proxy, "/v1/pools/%s/statements" % pool, body)[1]
+
+    def lose_connections(self, **arguments):
+        self.wait_settled()
+        load = self.start_load(8, 32)
+        self.wait_completed(load, 300)
+        primary = self.fleet.get_primary("ledger_a")
+        load.lose_primary(
+            "ledger_a",
+            primary,
+            "silent connections",
+            lambda: self.fleet.fault(
+                ["vm*>" + primary, primary + ">*"], "silence", **arguments
+            ),
+        )
+        report = self.finish_clean(load)
+        self.assertIsNotNone(report["failover_gap_ms"], load.read_output())
+        self.assertLess(report["failover_gap_ms"], MAX_GAP_MS)
