Format a target's answer in one place and drop what nothing uses

A caller's answer was put together twice, promotion::handle_report took facts that it ignored, and session_engine::get_configuration had no caller.

Change: caller_session::reply_answer serves both paths; the parameter and the function are gone.

--- a/src/coordination/promotion.cpp
+++ b/src/coordination/promotion.cpp
@@ -68,7 +68,7 @@
             last_given_up_at_ = now;
         }
     } else if (const auto* report = std::get_if<report_received>(&event)) {
-        handle_report(facts, *report, now, out);
+        handle_report(*report, now, out);
     } else if (const auto* answer = std::get_if<order_answered>(&event)) {
         handle_order(facts, *answer, now, out);
     }
@@ -270,8 +270,7 @@
     }
 }
 
-void promotion::handle_report(const promotion_facts& facts, const report_received& event,
-                              std::int64_t now, actions& out) {
+void promotion::handle_report(const report_received& event, std::int64_t now, actions& out) {
     if (event.survey != survey_) {
         return;
     }
@@ -286,7 +285,6 @@
     if (event.report->is_primary && event.report->term > old_.term) {
         record(event.target, event.report->term, now, out);
     }
-    static_cast<void>(facts);
 }
 
 void promotion::continue_survey(const promotion_facts& facts, std::int64_t now, actions& out) {
--- a/src/coordination/promotion.h
+++ b/src/coordination/promotion.h
@@ -193,8 +193,7 @@
     void abandon(std::string message, actions& out);
     void handle_written(const promotion_facts& facts, const record_written& event, std::int64_t now,
                         actions& out);
-    void handle_report(const promotion_facts& facts, const report_received& event, std::int64_t now,
-                       actions& out);
+    void handle_report(const report_received& event, std::int64_t now, actions& out);
     void handle_order(const promotion_facts& facts, const order_answered& event, std::int64_t now,
                       actions& out);
 
--- a/src/gateway/caller_session.cpp
+++ b/src/gateway/caller_session.cpp
@@ -281,14 +281,8 @@
         }
     }
     note_commit(pending->statement, answer);
-    std::string message;
-    for (const std::string& row : answer.rows) {
-        message += engine_.get_protocol().format_row(row);
-    }
-    message += answer.failure ? engine_.get_protocol().format_failure(*answer.failure)
-                              : engine_.get_protocol().format_done(answer.done->proof);
-    message += engine_.get_protocol().format_ready({get_wire_state(), answer.ready.position});
-    reply(std::move(message));
+    reply_answer(answer, answer.failure ? engine_.get_protocol().format_failure(*answer.failure)
+                                        : engine_.get_protocol().format_done(answer.done->proof));
 }
 
 void caller_session::refuse(const pending_pointer& pending, const target_failure& failure) {
@@ -348,15 +342,10 @@
         drop_link();
     }
     note_commit(statement, answer);
-    std::string message;
-    for (const std::string& row : answer.rows) {
-        message += engine_.get_protocol().format_row(row);
-    }
-    message += answer.done ? engine_.get_protocol().format_done(answer.done->proof)
-                           : engine_.get_protocol().format_failure(
-                                 answer.failure.value_or(target_failure{failure_code::failed}));
-    message += engine_.get_protocol().format_ready({get_wire_state(), answer.ready.position});
-    reply(std::move(message));
+    reply_answer(answer, answer.done
+                             ? engine_.get_protocol().format_done(answer.done->proof)
+                             : engine_.get_protocol().format_failure(
+                                   answer.failure.value_or(target_failure{failure_code::failed})));
 }
 
 void caller_session::note_commit(const caller_statement& statement, const target_answer& answer) {
@@ -405,6 +394,16 @@
           engine_.get_protocol().format_ready({get_wire_state(), std::nullopt}));
 }
 
+void caller_session::reply_answer(const target_answer& answer, const std::string& result) {
+    std::string message;
+    for (const std::string& row : answer.rows) {
+        message += engine_.get_protocol().format_row(row);
+    }
+    message += result;
+    message += engine_.get_protocol().format_ready({get_wire_state(), answer.ready.position});
+    reply(std::move(message));
+}
+
 void caller_session::reply(std::string message) {
     is_busy_ = false;
     last_active_at_ = transport::get_boot_time();
--- a/src/gateway/caller_session.h
+++ b/src/gateway/caller_session.h
@@ -75,6 +75,8 @@
     void drop_link();
     void reply_done();
     void reply_failure(failure_code code, const std::string& text);
+    /** Sends the rows, then how the statement ended, then the state of the session. */
+    void reply_answer(const target_answer& answer, const std::string& result);
     void reply(std::string message);
     transaction_state get_wire_state() const;
     void note_commit(const caller_statement& statement, const target_answer& answer);
--- a/src/gateway/session_engine.h
+++ b/src/gateway/session_engine.h
@@ -73,7 +73,6 @@
     const session_protocol& get_protocol() const { return protocol_; }
     bool is_configured() const { return configuration_.version > 0; }
     bool is_stopping() const { return is_stopping_; }
-    const configuration& get_configuration() const { return configuration_; }
     const route* find_route(const std::string& database) const;
     void submit(const pending_pointer& pending);
     /** Sends a statement on a link, after bringing the link to the session's state. */
