--- a/src/gateway/caller_session.cpp
+++ b/src/gateway/caller_session.cpp
@@ -19,8 +19,8 @@
 }  // namespace
 
 caller_session::caller_session(session_engine& engine,
-                               std::shared_ptr<transport::tcp_stream> stream)
-    : engine_(engine), stream_(std::move(stream)), lines_(max_line_bytes) {}
+                               std::shared_ptr<transport::tcp_stream> stream, session_origin origin)
+    : engine_(engine), stream_(std::move(stream)), lines_(max_line_bytes), origin_(origin) {}
 
 void caller_session::start() {
     const std::weak_ptr<caller_session> weak = weak_from_this();
@@ -59,7 +59,7 @@
         if (!line) {
             break;
         }
-        handle(engine_.get_protocol().parse_caller_line(*line));
+        handle_line(*line);
     }
     is_handling_ = false;
     if (lines_.is_overlong() && !is_closed_) {
@@ -70,16 +70,83 @@
     }
 }
 
+void caller_session::handle_line(std::string_view line) {
+    if (origin_ == session_origin::peer) {
+        handle(engine_.get_protocol().parse_relay_line(line));
+    } else {
+        handle(engine_.get_protocol().parse_caller_line(line));
+    }
+}
+
+void caller_session::reject_input(const std::string& reason) {
+    engine_.note_bad_input(caller_, reason);
+    stream_->write(engine_.get_protocol().format_failure({failure_code::malformed, {}, reason}));
+    close();
+}
+
+void caller_session::handle(const relay_message& message) {
+    if (const auto* start = std::get_if<relay_start>(&message)) {
+        handle_relay_start(*start);
+    } else if (std::holds_alternative<session_end>(message)) {
+        close();
+    } else if (const auto* bad = std::get_if<malformed_message>(&message)) {
+        reject_input(bad->reason);
+    } else if (phase_ == phase::starting) {
+        reject_input("statement before the start of a session");
+    } else if (const auto* limits = std::get_if<relay_limits>(&message)) {
+        limits_ = *limits;
+    } else {
+        handle_relayed(std::get<relayed_statement>(message));
+    }
+}
+
+void caller_session::handle_relay_start(const relay_start& start) {
+    if (phase_ != phase::starting) {
+        reject_input("second start of a session");
+        return;
+    }
+    relay_ = start;
+    caller_ = "peer";
+    phase_ = phase::idle;
+    last_active_at_ = transport::get_boot_time();
+    stream_->write(engine_.get_protocol().format_ready({}));
+}
+
+void caller_session::handle_relayed(const relayed_statement& relayed) {
+    const bool is_begin = relayed.statement.kind == statement_kind::begin ||
+                          relayed.statement.kind == statement_kind::begin_read;
+    if (is_begin && phase_ != phase::idle) {
+        // What follows would run outside the transaction that the other VM means.
+        reject_input("a transaction is open");
+        return;
+    }
+    // A transaction waits for the position that came with its beginning.
+    if (phase_ == phase::idle) {
+        wait_for_ = relayed.wait_for;
+    }
+    is_busy_ = true;
+    last_active_at_ = transport::get_boot_time();
+    handle_statement(relayed.statement);
+}
+
+std::optional<route> caller_session::get_route() const {
+    if (origin_ == session_origin::peer) {
+        route result;
+        result.group = relay_.group;
+        result.priority = limits_.priority;
+        return result;
+    }
+    const route* found = engine_.find_route(database_);
+    return found == nullptr ? std::nullopt : std::optional(*found);
+}
+
 void caller_session::handle(const caller_message& message) {
     if (const auto* start = std::get_if<session_start>(&message)) {
         handle_start(*start);
     } else if (std::holds_alternative<session_end>(message)) {
         close();
     } else if (const auto* bad = std::get_if<malformed_message>(&message)) {
-        engine_.note_bad_input(caller_, bad->reason);
-        stream_->write(
-            engine_.get_protocol().format_failure({failure_code::malformed, {}, bad->reason}));
-        close();
+        reject_input(bad->reason);
     } else if (phase_ == phase::starting) {
         engine_.note_bad_input(caller_, "statement before the start of a session");
         close();
@@ -129,6 +196,7 @@
         case statement_kind::set_value:
         case statement_kind::prepare:
         case statement_kind::close_prepared:
+        case statement_kind::reset:
             handle_local(statement);
             return;
         case statement_kind::read:
@@ -144,8 +212,8 @@
         reply_failure(failure_code::malformed, "a transaction is open");
         return;
     }
-    const route* found = engine_.find_route(database_);
-    if (found == nullptr) {
+    const std::optional<route> found = get_route();
+    if (!found) {
         reply_failure(failure_code::unknown_database, "no such database");
         return;
     }
@@ -192,7 +260,8 @@
         return;
     }
     if (values_.size() + prepared_.size() >= max_session_names &&
-        statement.kind != statement_kind::close_prepared) {
+        statement.kind != statement_kind::close_prepared &&
+        statement.kind != statement_kind::reset) {
         reply_failure(failure_code::too_big, "too many values and prepared statements");
         return;
     }
@@ -200,6 +269,9 @@
         values_[statement.name] = statement.argument;
     } else if (statement.kind == statement_kind::prepare) {
         prepared_[statement.name] = {statement.is_write_shape, statement.argument};
+    } else if (statement.kind == statement_kind::reset) {
+        values_.clear();
+        prepared_.clear();
     } else {
         prepared_.erase(statement.name);
     }
@@ -227,8 +299,8 @@
 }
 
 void caller_session::submit(const caller_statement& statement) {
-    const route* found = engine_.find_route(database_);
-    if (found == nullptr && phase_ == phase::idle) {
+    const std::optional<route> found = get_route();
+    if (!found && phase_ == phase::idle) {
         reply_failure(failure_code::unknown_database, "no such database");
         return;
     }
@@ -250,6 +322,13 @@
         pending->needs_primary = found->policy == read_policy::primary || !is_read;
         pending->is_repeatable = is_read;
     }
+    if (origin_ == session_origin::peer) {
+        pending->target = relay_.target;
+        pending->wait_for = wait_for_;
+        pending->wait_ms = limits_.wait_ms;
+        pending->needs_primary = !wait_for_;
+        pending->is_repeatable = false;
+    }
     pending_ = pending;
     engine_.submit(pending);
 }
@@ -290,6 +369,11 @@
         return;
     }
     pending_ = nullptr;
+    if (origin_ == session_origin::peer && !is_not_run(failure.code)) {
+        // The other VM judges a lost answer by what it knows of the statement.
+        close();
+        return;
+    }
     if (pending->begin) {
         phase_ = pending->statement.kind == statement_kind::commit ? phase::idle
                                                                    : phase::failed_transaction;
--- a/src/gateway/caller_session.h
+++ b/src/gateway/caller_session.h
@@ -23,13 +23,21 @@
     auto operator<=>(const prepared_statement&) const = default;
 };
 
+/** Who opened a session. */
+enum class session_origin {
+    caller,
+    peer,  ///< Another VM that passes statements for one target on.
+};
+
 /**
- * One caller's connection: its values, prepared statements and transaction. A transaction gets its
- * target connection with its first statement, so BEGIN costs no trip. Loop thread only.
+ * One caller's connection, or that of another VM that passes its callers' statements on: its
+ * values, prepared statements and transaction. A transaction gets its target connection with its
+ * first statement, so BEGIN costs no trip. Loop thread only.
  */
 class caller_session : public std::enable_shared_from_this<caller_session> {
 public:
-    caller_session(session_engine& engine, std::shared_ptr<transport::tcp_stream> stream);
+    caller_session(session_engine& engine, std::shared_ptr<transport::tcp_stream> stream,
+                   session_origin origin);
 
     /** Begins to read. Call once, after construction as a shared pointer. */
     void start();
@@ -60,7 +68,14 @@
 
     void receive(std::string_view bytes);
     void handle_lines();
+    void handle_line(std::string_view line);
     void handle(const caller_message& message);
+    void handle(const relay_message& message);
+    void handle_relay_start(const relay_start& start);
+    void handle_relayed(const relayed_statement& relayed);
+    void reject_input(const std::string& reason);
+    /** The route by the present configuration; empty when the database is gone. */
+    std::optional<route> get_route() const;
     void handle_start(const session_start& start);
     void handle_statement(const caller_statement& statement);
     void handle_begin(const caller_statement& statement);
@@ -84,6 +99,10 @@
     session_engine& engine_;
     std::shared_ptr<transport::tcp_stream> stream_;
     transport::line_buffer lines_;
+    session_origin origin_;
+    relay_start relay_;                         ///< For another VM: where the statements go.
+    relay_limits limits_;                       ///< For another VM: of the next statement.
+    std::optional<state::log_point> wait_for_;  ///< For another VM: of the next statement.
     std::string database_;
     std::string caller_;
     session_values values_;
--- a/src/gateway/fleet_view.cpp
+++ b/src/gateway/fleet_view.cpp
@@ -102,6 +102,7 @@
     contact& known = entry->second;
     known.heard_at = now;
     known.is_served_by_store = pong.is_served_by_store;
+    known.is_stopping = pong.is_stopping;
     if (*asked_at < known.asked_at) {
         return;
     }
@@ -135,6 +136,16 @@
     return result;
 }
 
+std::vector<fleet_member> fleet_view::get_live(std::int64_t now) const {
+    std::vector<fleet_member> result{self_};
+    for (const auto& [vm, known] : contacts_) {
+        if (now - std::max(known.heard_at, known.joined_at) < responsive_ms && !known.is_stopping) {
+            result.push_back(members_.at(vm));
+        }
+    }
+    return result;
+}
+
 std::set<std::string> fleet_view::get_right_holders(std::int64_t now) const {
     std::set<std::string> result{self_.vm};
     for (const auto& [vm, member] : members_) {
--- a/src/gateway/fleet_view.h
+++ b/src/gateway/fleet_view.h
@@ -51,6 +51,9 @@
     /** Members that answered lately. */
     std::set<std::string> get_responsive(std::int64_t now) const;
 
+    /** VMs that answered lately or have just joined, and do not stop; with this one. */
+    std::vector<fleet_member> get_live(std::int64_t now) const;
+
     /**
      * VMs that may hold a right: this one, the listed ones, and those that left the list so lately
      * that a right of theirs may not have ended. This VM promises nothing to a VM that left, and
@@ -80,6 +83,7 @@
         std::map<std::string, std::int64_t> promises;  ///< Record versions, by group.
         std::int64_t joined_at = 0;
         bool is_served_by_store = false;
+        bool is_stopping = false;
     };
 
     fleet_member self_;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -44,7 +44,8 @@
       log_(settings_.vm),
       fleet_({settings_.vm, get_unix_ms(), settings_.peer_address, settings_.control_address,
               settings_.place}),
-      engine_(loop, protocol, log_, counters_, settings_.place, get_regions(settings_)),
+      engine_(loop, protocol, log_, counters_, settings_.vm, settings_.place,
+              get_regions(settings_)),
       store_(loop, settings_.store_address, log_, counters_),
       follower_(loop, store_, services, log_,
                 {.configuration_changed =
@@ -78,7 +79,13 @@
       stop_timer_(loop) {
     callers_ = std::make_unique<transport::tcp_listener>(
         loop, settings_.caller_address,
-        [this](const std::shared_ptr<transport::tcp_stream>& stream) { engine_.accept(stream); });
+        [this](const std::shared_ptr<transport::tcp_stream>& stream) {
+            engine_.accept(stream, session_origin::caller);
+        });
+    relays_ = std::make_unique<transport::tcp_listener>(
+        loop, settings_.peer_address, [this](const std::shared_ptr<transport::tcp_stream>& stream) {
+            engine_.accept(stream, session_origin::peer);
+        });
 }
 
 void gateway::start() {
@@ -162,7 +169,7 @@
     for (const std::string& vm : left) {
         log_.write(event_member_left, {{"member", vm}});
     }
-    engine_.set_fleet_size(static_cast<int>(fleet_.get_members().size()) + 1);
+    update_homes(now);
     if (!is_self_listed) {
         // Without its row nobody would wait for this VM, so it has no rights.
         register_self();
@@ -175,6 +182,10 @@
     remove_lost_members(rows, now);
 }
 
+void gateway::update_homes(std::int64_t now) {
+    engine_.set_fleet(fleet_.get_live(now), static_cast<int>(fleet_.get_members().size()) + 1);
+}
+
 void gateway::register_self() {
     const std::int64_t now = transport::get_boot_time();
     if (stopping_since_ != 0 ||
@@ -209,6 +220,7 @@
 void gateway::send_pings() {
     const std::int64_t now = transport::get_boot_time();
     check_isolation();
+    update_homes(now);
     const std::int64_t sequence = fleet_.begin_round(now);
     for (const auto& [vm, member] : fleet_.get_members()) {
         messenger_.send(member.peer_address,
@@ -254,10 +266,11 @@
         follower_.read_rows();
     }
     messenger_.send(
-        from, peer_pong{settings_.vm, fleet_.get_self().incarnation, ping.sequence,
-                        follower_.get_configuration_version(), store_.is_served(),
-                        is_member ? leadership_.get_promises() : std::vector<record_promise>(),
-                        leadership_.get_positions()});
+        from,
+        peer_pong{settings_.vm, fleet_.get_self().incarnation, ping.sequence,
+                  follower_.get_configuration_version(), store_.is_served(), stopping_since_ != 0,
+                  is_member ? leadership_.get_promises() : std::vector<record_promise>(),
+                  leadership_.get_positions()});
 }
 
 void gateway::take_pong(const peer_pong& pong) {
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -44,6 +44,8 @@
     bool is_isolated() const;
     void check_isolation();
     void take_rows(const std::vector<stored_row>& rows, std::int64_t asked_at);
+    /** Tells the engine which VMs may hold connections for others. */
+    void update_homes(std::int64_t now);
     void register_self();
     void remove_lost_members(const std::vector<stored_row>& rows, std::int64_t now);
     void send_pings();
@@ -71,6 +73,7 @@
     transport::http_listener readiness_;
     transport::http_listener control_;
     std::unique_ptr<transport::tcp_listener> callers_;
+    std::unique_ptr<transport::tcp_listener> relays_;  ///< From other VMs.
     transport::loop_timer ping_timer_;
     transport::loop_timer stop_timer_;
     std::vector<std::unique_ptr<transport::signal_watcher>> signals_;
--- a/src/gateway/leadership_keeper.cpp
+++ b/src/gateway/leadership_keeper.cpp
@@ -17,7 +17,7 @@
 constexpr std::int64_t drain_ms = 400;  ///< A planned change lets transactions end this long.
 constexpr std::int64_t record_fresh_ms = 4500;  ///< One rare reading of the store and a delay.
 /// Left of a right when the store is read because promises did not extend it.
-constexpr std::int64_t reading_reserve_ms = 1200;
+constexpr std::int64_t reading_reserve_ms = 1000;
 /// A usual answer takes less, so a connection opened only to ask is rarely needed.
 constexpr std::int64_t probe_silence_ms = 250;
 constexpr std::int64_t demoted_ms = 2000;      ///< An answer "not the primary" counts this long.
@@ -300,12 +300,44 @@
     }
     if (now - duty.asked_at >= ask_ms) {
         duty.asked_at = now;
-        for (const auto& [vm, member] : fleet_.get_members()) {
-            messenger_.send(member.peer_address, reach_request{group.name, record->target});
+        for (const std::string& vm : get_judges(group, now)) {
+            messenger_.send(fleet_.get_members().at(vm).peer_address,
+                            reach_request{group.name, record->target});
         }
     }
 }
 
+std::set<std::string> leadership_keeper::get_judges(const target_group& group,
+                                                    std::int64_t now) const {
+    std::set<std::string> responsive = fleet_.get_responsive(now);
+    const auto& record = group.right.get_record();
+    const auto primary = record ? group.targets.find(record->target) : group.targets.end();
+    if (primary == group.targets.end()) {
+        return responsive;
+    }
+    // Only homes hold connections to the target; the others hear of it through them.
+    std::set<std::string> judges;
+    for (const std::string& home : primary->second.plan.homes) {
+        if (responsive.contains(home)) {
+            judges.insert(home);
+        }
+    }
+    return judges.empty() ? responsive : judges;
+}
+
+int leadership_keeper::get_claim_rank(const target_group& group, std::int64_t now) const {
+    const auto& record = group.right.get_record();
+    const auto primary = record ? group.targets.find(record->target) : group.targets.end();
+    if (primary == group.targets.end() || primary->second.plan.homes.empty()) {
+        return fleet_.get_rank(group.name, now);
+    }
+    const std::vector<std::string>& homes = primary->second.plan.homes;
+    const auto own = std::find(homes.begin(), homes.end(), fleet_.get_self().vm);
+    // Homes are the first to know of a loss, so they come before all others.
+    return own != homes.end() ? static_cast<int>(own - homes.begin())
+                              : static_cast<int>(homes.size()) + fleet_.get_rank(group.name, now);
+}
+
 void leadership_keeper::handle(const transport::endpoint& from, const reach_request& message) {
     const std::int64_t now = transport::get_boot_time();
     const auto group = engine_.get_groups().find(message.group);
@@ -364,9 +396,11 @@
                                                                  coordination::right_margin_ms;
     facts.is_established =
         listed_since && now - *listed_since >= coordination::max_store_absence_ms;
-    facts.rank = fleet_.get_rank(group.name, now);
-    facts.is_loss_confirmed = coordination::is_loss_confirmed(
-        duty.suspect_since, fleet_.get_responsive(now), duty.answers, facts.is_record_fresh, now);
+    facts.rank = get_claim_rank(group, now);
+    facts.is_loss_confirmed =
+        duty.suspect_since != 0 &&
+        coordination::is_loss_confirmed(duty.suspect_since, get_judges(group, now), duty.answers,
+                                        facts.is_record_fresh, now);
     facts.members = fleet_.get_right_holders(now);
     facts.members_asked_at = store_read_at_;
     for (const auto& [id, target] : group.targets) {
--- a/src/gateway/leadership_keeper.h
+++ b/src/gateway/leadership_keeper.h
@@ -80,6 +80,10 @@
     };
 
     void tick();
+    /** The other VMs whose word counts for the loss of a target: its homes that answer, or without
+     * homes all that answer. */
+    std::set<std::string> get_judges(const target_group& group, std::int64_t now) const;
+    int get_claim_rank(const target_group& group, std::int64_t now) const;
     void check_suspicion(target_group& group, group_duty& duty, std::int64_t now);
     void check_revocation(target_group& group, group_duty& duty, std::int64_t now);
     void check_right(target_group& group, group_duty& duty, std::int64_t now);
--- a/src/gateway/peer_message.cpp
+++ b/src/gateway/peer_message.cpp
@@ -26,7 +26,8 @@
         promises.push_back(json::array({entry.group, entry.version}));
     }
     return json::array({message_kind::pong, m.vm, m.incarnation, m.sequence,
-                        m.configuration_version, m.is_served_by_store, promises, positions});
+                        m.configuration_version, m.is_served_by_store, m.is_stopping, promises,
+                        positions});
 }
 
 json to_array(const revoke_request& m) {
@@ -50,11 +51,12 @@
 }
 
 peer_pong read_pong(const json& fields) {
-    peer_pong pong{fields.at(1), fields.at(2), fields.at(3), fields.at(4), fields.at(5), {}, {}};
-    for (const json& entry : fields.at(6)) {
+    peer_pong pong{fields.at(1), fields.at(2), fields.at(3), fields.at(4),
+                   fields.at(5), fields.at(6), {},           {}};
+    for (const json& entry : fields.at(7)) {
         pong.promises.push_back({entry.at(0), entry.at(1)});
     }
-    for (const json& entry : fields.at(7)) {
+    for (const json& entry : fields.at(8)) {
         pong.positions.push_back({entry.at(0), {entry.at(1), entry.at(2)}, entry.at(3)});
     }
     return pong;
--- a/src/gateway/peer_message.h
+++ b/src/gateway/peer_message.h
@@ -47,6 +47,7 @@
     std::int64_t sequence = 0;  ///< Of the ping.
     std::int64_t configuration_version = 0;
     bool is_served_by_store = false;
+    bool is_stopping = false;  ///< Its callers and its work for other VMs have to go elsewhere.
     std::vector<record_promise> promises;  ///< Empty when the asker is not known as a member.
     std::vector<known_position> positions;
 
--- a/src/gateway/pending_statement.h
+++ b/src/gateway/pending_statement.h
@@ -21,6 +21,9 @@
     caller_statement statement;
     std::optional<caller_statement> begin;  ///< Sent first when the statement opens a transaction.
     route target_route;
+    std::optional<std::string> target;         ///< For another VM, which chose it.
+    std::optional<state::log_point> wait_for;  ///< For another VM: what the log must reach.
+    std::int64_t wait_ms = 0;                  ///< For another VM: longest wait for a connection.
     bool needs_primary = false;
     bool is_repeatable = false;                 ///< It only reads, so it may run more than once.
     std::optional<state::log_point> own_point;  ///< Newest commit of the session.
@@ -30,11 +33,14 @@
     int in_flight = 0;                              ///< Connections that owe an answer.
     std::vector<std::weak_ptr<target_link>> links;  ///< It was sent on these.
     std::int64_t last_sent_at = 0;
-    bool is_settled = false;        ///< The caller has its answer, or is gone.
-    bool is_in_doubt = false;       ///< A connection was lost after the statement was sent.
-    std::set<std::string> avoided;  ///< Targets that failed it.
+    bool is_settled = false;              ///< The caller has its answer, or is gone.
+    bool is_in_doubt = false;             ///< A connection was lost after the statement was sent.
+    std::set<std::string> avoided;        ///< Targets that failed it.
+    std::set<std::string> avoided_homes;  ///< VMs that could not run it.
     std::optional<target_failure> last_failure;
 
+    bool is_relayed() const { return target.has_value(); }
+
     /** Higher priority first, then older. */
     bool is_before(const pending_statement& other) const {
         return target_route.priority != other.target_route.priority
--- a/src/gateway/session_engine.cpp
+++ b/src/gateway/session_engine.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "coordination/home_assignment.h"
 #include "gateway/gateway_events.h"
 
 namespace hornbeamhook::gateway {
@@ -29,11 +30,19 @@
 constexpr std::int64_t spare_idle_ms = 1500;    ///< Idle links above the share are closed after it.
 /// Connections opened at once to one target: a slot each for 12 ms, of 2 or 3.
 constexpr int max_openings = 2;
-constexpr int spare_links = 1;  ///< Above the share, while the target accepts them.
-/// Connections kept free for VMs that join before all others know of them.
-constexpr int reserved_vms = 1;
-constexpr double answer_weight = 0.1;        ///< Of a new time in the moving mean.
-constexpr double initial_answer_ms = 15;     ///< A usual statement on an idle target.
+/// At a VM that is no home: for statements of VMs that still take it for one, and when all homes
+/// fail.
+constexpr int fallback_links = 1;
+constexpr std::int64_t home_retry_ms = 100;  ///< Before homes that refused are asked once more.
+/// Connections opened at once to the home of a target; they take no slot of the target.
+constexpr int max_relay_openings = 4;
+/// Connections to the homes of one target: more statements at once than its queue takes.
+constexpr int max_relayed_links = 24;
+constexpr int kept_relayed_links = 2;             ///< Stay open although they are idle.
+constexpr std::int64_t home_rest_ms = 500;        ///< A home that failed is not used for this long.
+constexpr std::int64_t min_relayed_wait_ms = 30;  ///< A home may always look once for a connection.
+constexpr double answer_weight = 0.1;             ///< Of a new time in the moving mean.
+constexpr double initial_answer_ms = 15;          ///< A usual statement on an idle target.
 constexpr double primary_read_factor = 1.6;  ///< Slots of primaries are short: writes need them.
 constexpr std::int64_t region_distance_ms = 16;  ///< A trip between regions and back.
 constexpr std::int64_t answer_decay_ms = 2000;   ///< Without answers the mean is forgotten.
@@ -58,14 +67,15 @@
 }  // namespace
 
 session_engine::session_engine(transport::event_loop& loop, const session_protocol& protocol,
-                               bounded_log& log, gateway_counters& counters, std::string place,
-                               std::map<std::string, std::string> place_regions)
+                               bounded_log& log, gateway_counters& counters, std::string vm,
+                               std::string place, std::map<std::string, std::string> place_regions)
     : loop_(loop),
       protocol_(protocol),
       log_(log),
       counters_(counters),
+      vm_(std::move(vm)),
       place_(std::move(place)),
-      place_regions_(std::move(place_regions)),
+      facts_{{}, 1, std::move(place_regions)},
       timer_(loop) {
     timer_.start(tick_ms, tick_ms, [this] { tick(); });
 }
@@ -87,6 +97,34 @@
 
 void session_engine::set_configuration(const configuration& value) {
     configuration_ = value;
+    for (auto& [name, group] : groups_) {
+        for (auto& [id, target] : group.targets) {
+            update_plan(target);
+        }
+    }
+}
+
+void session_engine::set_fleet(std::vector<fleet_member> live, int fleet_size) {
+    home_facts facts{std::move(live), fleet_size, facts_.place_regions};
+    if (facts == facts_) {
+        return;
+    }
+    facts_ = std::move(facts);
+    for (auto& [name, group] : groups_) {
+        for (auto& [id, target] : group.targets) {
+            update_plan(target);
+        }
+    }
+}
+
+void session_engine::update_plan(target_state& target) {
+    const auto limit = configuration_.connection_limits.find(target.entry.group);
+    target.plan = plan_homes(
+        target.entry, limit == configuration_.connection_limits.end() ? 0 : limit->second, facts_);
+}
+
+bool session_engine::is_direct(const target_state& target) const {
+    return target.plan.homes.empty() || target.plan.is_home(vm_);
 }
 
 void session_engine::update_target(const std::string& id,
@@ -116,6 +154,7 @@
                             target.entry.is_primary != entry->is_primary || target.gone_at != 0;
     target.entry = *entry;
     target.gone_at = 0;
+    update_plan(target);
     if (is_reborn) {
         cut_off(entry->group, id);
         target.retry_at = 0;
@@ -144,8 +183,9 @@
     return entry == configuration_.routes.end() ? nullptr : &entry->second;
 }
 
-void session_engine::accept(const std::shared_ptr<transport::tcp_stream>& stream) {
-    const auto session = std::make_shared<caller_session>(*this, stream);
+void session_engine::accept(const std::shared_ptr<transport::tcp_stream>& stream,
+                            session_origin origin) {
+    const auto session = std::make_shared<caller_session>(*this, stream, origin);
     sessions_.emplace(session.get(), session);
     session->start();
 }
@@ -201,6 +241,9 @@
 
 session_engine::placement session_engine::place(target_group& group,
                                                 const pending_pointer& pending) {
+    if (pending->is_relayed()) {
+        return place_relayed(group, pending);
+    }
     return pending->needs_primary ? place_at_primary(group, pending) : place_read(group, pending);
 }
 
@@ -253,6 +296,27 @@
     return placement::waits;
 }
 
+session_engine::placement session_engine::place_relayed(target_group& group,
+                                                        const pending_pointer& pending) {
+    const std::int64_t now = transport::get_boot_time();
+    target_state* target = find_target(group.name, *pending->target);
+    const auto record = group.right.get_usable(now);
+    const bool is_barred =
+        pending->needs_primary && (!record || record->target != *pending->target);
+    if (target == nullptr || target->gone_at != 0 || is_barred) {
+        refuse(group, pending, failure_code::busy,
+               is_barred ? "no right to this primary" : "no such target");
+        return placement::impossible;
+    }
+    const std::shared_ptr<target_link> link =
+        now < target->retry_at ? nullptr : find_direct_link(*target, *pending);
+    if (!link) {
+        return placement::waits;
+    }
+    run(group, pending, link, pending->wait_for);
+    return placement::sent;
+}
+
 double session_engine::get_cost(const target_state& target, bool is_primary,
                                 std::int64_t now) const {
     const auto distance = static_cast<double>(get_distance_ms(target.entry.place));
@@ -266,28 +330,53 @@
     if (place == place_) {
         return 0;
     }
-    const auto own = place_regions_.find(place_);
-    const auto other = place_regions_.find(place);
-    const bool is_same_region = own != place_regions_.end() && other != place_regions_.end() &&
-                                own->second == other->second;
+    const auto own = facts_.place_regions.find(place_);
+    const auto other = facts_.place_regions.find(place);
+    const bool is_same_region = own != facts_.place_regions.end() &&
+                                other != facts_.place_regions.end() && own->second == other->second;
     return is_same_region ? 1 : region_distance_ms;
 }
 
 int session_engine::get_link_share(const target_state& target, std::int64_t now) const {
-    const auto limit = configuration_.connection_limits.find(target.entry.group);
-    const int connections = limit == configuration_.connection_limits.end() || limit->second <= 0
-                                ? fleet_size_ + reserved_vms
-                                : limit->second;
-    const int share = std::max(1, connections / (fleet_size_ + reserved_vms));
-    return now < target.limited_until ? share : share + spare_links;
+    if (!is_direct(target)) {
+        // Other VMs that still take this one for a home, or all homes fail.
+        return now < target.limited_until ? 0 : fallback_links;
+    }
+    return target.plan.share + (now < target.limited_until ? 0 : target.plan.spare);
 }
 
 std::shared_ptr<target_link> session_engine::find_link(target_state& target,
-                                                       const pending_statement& pending) {
+                                                       pending_statement& pending) {
+    if (is_direct(target) || is_every_home_resting(target)) {
+        return find_direct_link(target, pending);
+    }
+    if (choose_home(target, pending).empty()) {
+        if (transport::get_boot_time() - pending.last_sent_at < home_retry_ms) {
+            return nullptr;
+        }
+        pending.avoided_homes.clear();
+    }
+    return find_relayed_link(target, pending);
+}
+
+bool session_engine::is_every_home_resting(const target_state& target) const {
+    const std::int64_t now = transport::get_boot_time();
+    return std::all_of(target.plan.homes.begin(), target.plan.homes.end(),
+                       [&](const std::string& home) {
+                           const auto entry = homes_resting_until_.find(home);
+                           return entry != homes_resting_until_.end() && now < entry->second;
+                       });
+}
+
+std::shared_ptr<target_link> session_engine::find_direct_link(target_state& target,
+                                                              const pending_statement& pending) {
     std::shared_ptr<target_link> best;
     int opening = 0;
     int open = 0;
     for (const std::shared_ptr<target_link>& link : target.links) {
+        if (link->is_relayed()) {
+            continue;
+        }
         opening += !link->is_open() && !link->is_ended() ? 1 : 0;
         open += link->is_ended() ? 0 : 1;
         if (!link->is_idle() || link->is_pinned()) {
@@ -305,6 +394,90 @@
     return best;
 }
 
+std::shared_ptr<target_link> session_engine::find_relayed_link(target_state& target,
+                                                               const pending_statement& pending) {
+    std::shared_ptr<target_link> best;
+    int opening = 0;
+    int open = 0;
+    for (const std::shared_ptr<target_link>& link : target.links) {
+        if (!link->is_relayed()) {
+            continue;
+        }
+        opening += !link->is_open() && !link->is_ended() ? 1 : 0;
+        open += link->is_ended() ? 0 : 1;
+        if (!link->is_idle() || link->is_pinned() ||
+            !may_use_home(link->get_home(), target, pending)) {
+            continue;
+        }
+        if (!best || link->values == pending.session->get_values()) {
+            best = link;
+        }
+    }
+    if (!best && opening < max_relay_openings && open < max_relayed_links) {
+        open_relayed_link(target, choose_home(target, pending));
+    }
+    return best;
+}
+
+bool session_engine::may_use_home(const std::string& home, const target_state& target,
+                                  const pending_statement& pending) const {
+    const auto resting = homes_resting_until_.find(home);
+    const bool is_resting =
+        resting != homes_resting_until_.end() && transport::get_boot_time() < resting->second;
+    return target.plan.is_home(home) && !is_resting && !pending.avoided_homes.contains(home);
+}
+
+std::string session_engine::choose_home(const target_state& target,
+                                        const pending_statement& pending) const {
+    const std::vector<std::string>& homes = target.plan.homes;
+    // Each VM prefers another home, so that the homes share the work.
+    const std::size_t first = coordination::get_rendezvous_weight(target.entry.id, vm_);
+    for (std::size_t i = 0; i < homes.size(); ++i) {
+        const std::string& home = homes[(first + i) % homes.size()];
+        if (home != vm_ && may_use_home(home, target, pending)) {
+            return home;
+        }
+    }
+    return {};
+}
+
+void session_engine::rest_home(const std::string& home) {
+    homes_resting_until_[home] = transport::get_boot_time() + home_rest_ms;
+}
+
+void session_engine::open_relayed_link(target_state& target, const std::string& home) {
+    const auto member = std::find_if(facts_.live.begin(), facts_.live.end(),
+                                     [&](const fleet_member& value) { return value.vm == home; });
+    if (member == facts_.live.end()) {
+        return;
+    }
+    const std::string group = target.entry.group;
+    const std::string id = target.entry.id;
+    target.links.push_back(target_link::open(
+        loop_, protocol_, target.entry,
+        {.opened = [this, group] { dispatch(group); },
+         .ended =
+             [this, id, home](const target_link::link_end& end) {
+                 if (end.is_own) {
+                     return;
+                 }
+                 log_.write(event_link_ended,
+                            {{"target", id},
+                             {"home", home},
+                             {"refused", end.is_refused ? "yes" : "no"},
+                             {"reason", end.failure ? end.failure->word : "closed"}});
+                 rest_home(home);
+             },
+         .answered =
+             [this, group, id](const target_ready& ready, std::int64_t sent_at) {
+                 // Without a position the home answered by itself.
+                 if (ready.position) {
+                     note_answer(group, id, ready, sent_at);
+                 }
+             }},
+        link_home{home, member->peer_address}));
+}
+
 void session_engine::open_link(target_state& target) {
     counters_.opened_links.Increment();
     const std::string group = target.entry.group;
@@ -312,14 +485,16 @@
     target.links.push_back(target_link::open(
         loop_, protocol_, target.entry,
         {.opened = [this, group] { dispatch(group); },
-         .ended = [this, group, id](const std::optional<target_failure>& failure,
-                                    bool is_refused) { note_end(group, id, failure, is_refused); },
+         .ended = [this, group, id](const target_link::link_end& end) { note_end(group, id, end); },
          .answered = [this, group, id](
                          const target_ready& ready,
                          std::int64_t sent_at) { note_answer(group, id, ready, sent_at); }}));
 }
 
 void session_engine::probe(target_state& target) {
+    if (!is_direct(target)) {
+        return;
+    }
     const std::int64_t now = transport::get_boot_time();
     const bool is_opening =
         std::any_of(target.links.begin(), target.links.end(),
@@ -353,23 +528,24 @@
 }
 
 void session_engine::note_end(const std::string& group_name, const std::string& id,
-                              const std::optional<target_failure>& failure, bool is_refused) {
+                              const target_link::link_end& end) {
     target_state* target = find_target(group_name, id);
     if (target == nullptr) {
         return;
     }
     const std::int64_t now = transport::get_boot_time();
+    const std::optional<target_failure>& failure = end.failure;
     const bool is_limited = failure && failure->code == failure_code::too_many_connections;
     log_.write(event_link_ended,
                {{"target", id},
-                {"refused", is_refused ? "yes" : "no"},
+                {"refused", end.is_refused ? "yes" : "no"},
                 {"reason", failure ? failure->word + " " + failure->text : "closed"}});
     if (is_limited) {
         target->limited_until = now + limited_ms;
         target->last_answer_at = now;
     }
     target->retry_at = now + reconnect_ms;
-    if (is_refused && target->refused_since == 0) {
+    if (end.is_refused && target->refused_since == 0) {
         target->refused_since = now;
     }
 }
@@ -378,7 +554,7 @@
                           const caller_statement& statement,
                           const std::optional<caller_statement>& begin,
                           const std::optional<state::log_point>& wait_for,
-                          target_link::answer_callback done) {
+                          target_link::answer_callback done, const std::string& prefix) {
     std::string bytes;
     int setup = 0;
     const session_values& wanted = session.get_values();
@@ -391,6 +567,8 @@
         link->values.clear();
         link->prepared.clear();
     }
+    // A home puts BEGIN and the first statement together by itself.
+    const bool is_begin_setup = begin && link->is_relayed();
     for (const auto& [name, value] : wanted) {
         const auto held = link->values.find(name);
         if (held == link->values.end() || held->second != value) {
@@ -415,8 +593,12 @@
             ? protocol_.format_execute(statement.id, statement_wait, prepared_name,
                                        statement.argument)
             : protocol_.format_statement(statement.id, statement_wait, statement.text);
-    if (!begin) {
-        link->send(bytes + main_bytes, setup, std::move(done));
+    if (is_begin_setup) {
+        bytes += protocol_.format_statement(begin->id, wait_for, begin->text);
+        ++setup;
+    }
+    if (!begin || is_begin_setup) {
+        link->send(prefix + bytes + main_bytes, setup, std::move(done));
         return;
     }
     // The statement must wait for the answer: if the transaction does not begin, it would run
@@ -452,10 +634,19 @@
     group.running.push_back(pending);
     const state::term_number term = record ? record->term : 0;
     const std::string name = group.name;
-    send(*pending->session, link, pending->statement, pending->begin, wait_for,
-         [this, name, pending, link, term](const target_answer& answer) {
-             finish(name, pending, link, term, answer);
-         });
+    std::string prefix;
+    if (link->is_relayed()) {
+        const std::int64_t wait =
+            scale(get_objective(*pending), queue_wait_share) - (now - pending->arrived_at);
+        prefix = protocol_.format_relay_limits(
+            {std::max(wait, min_relayed_wait_ms), pending->target_route.priority});
+    }
+    send(
+        *pending->session, link, pending->statement, pending->begin, wait_for,
+        [this, name, pending, link, term](const target_answer& answer) {
+            finish(name, pending, link, term, answer);
+        },
+        prefix);
 }
 
 void session_engine::finish(const std::string& group_name, const pending_pointer& pending,
@@ -503,6 +694,9 @@
         pending->session->complete(pending, answer, link);
     } else {
         pending->avoided.insert(link->get_target());
+        if (link->is_relayed()) {
+            pending->avoided_homes.insert(link->get_home());
+        }
         if (link->is_open() && link->get_state() != transaction_state::idle) {
             release_pinned(link);
         }
@@ -540,6 +734,9 @@
 bool session_engine::may_retry(const pending_statement& pending,
                                const target_answer& answer) const {
     const std::int64_t waited = transport::get_boot_time() - pending.arrived_at;
+    if (pending.is_relayed()) {
+        return false;  // The VM that passed it on knows what else it can do.
+    }
     if (pending.attempts >= max_attempts || waited >= get_timeout(pending)) {
         return false;
     }
@@ -683,7 +880,7 @@
                                   }
                               });
              },
-         .ended = [shared](const auto&, bool) { shared->finish(std::nullopt); },
+         .ended = [shared](const auto&) { shared->finish(std::nullopt); },
          .answered = {}});
     shared->link = link;
     control_links_.push_back(link);
@@ -738,6 +935,12 @@
             std::erase(group.queue, pending);
             continue;
         }
+        if (pending->is_relayed()) {
+            if (now - pending->arrived_at >= pending->wait_ms) {
+                refuse(group, pending, failure_code::busy, "no connection became free");
+            }
+            continue;
+        }
         const bool is_unusable =
             pending->needs_primary && pending->attempts == 0 && !group.right.get_usable(now);
         const double share = is_unusable ? unusable_wait_share : queue_wait_share;
@@ -763,6 +966,9 @@
         for (const std::weak_ptr<target_link>& weak : pending->links) {
             const std::shared_ptr<target_link> link = weak.lock();
             if (link && !link->is_pinned() && !link->is_idle()) {
+                if (link->is_relayed()) {
+                    rest_home(link->get_home());
+                }
                 link->close();
             }
         }
@@ -793,22 +999,25 @@
 
 void session_engine::trim_links(target_group& group, std::int64_t now) {
     for (auto& [id, target] : group.targets) {
-        const int share =
-            get_link_share(target, now) - (now < target.limited_until ? 0 : spare_links);
-        int open = 0;
+        const int share = is_direct(target) ? target.plan.share : 0;
+        int direct = 0;
+        int relayed = 0;
         const std::vector<std::shared_ptr<target_link>> links = target.links;
         for (const std::shared_ptr<target_link>& link : links) {
             if (link->is_ended()) {
                 continue;
             }
-            ++open;
+            const bool is_above_share = link->is_relayed()
+                                            ? ++relayed > kept_relayed_links || is_direct(target) ||
+                                                  !target.plan.is_home(link->get_home())
+                                            : ++direct > share;
             const std::int64_t silent_since = link->get_oldest_sent_at();
             const bool is_silent_opening =
                 !link->is_open() && now - link->get_opened_at() > connect_limit_ms;
             // Long enough for every timeout, so that no caller still waits for the answer.
             const bool is_silent = link->is_open() && !link->is_pinned() && silent_since != 0 &&
                                    now - silent_since > default_timeout_ms / 2;
-            const bool is_spare = open > share && link->is_idle() && !link->is_pinned() &&
+            const bool is_spare = is_above_share && link->is_idle() && !link->is_pinned() &&
                                   now - link->get_idle_since() > spare_idle_ms;
             if (is_silent_opening || is_silent || is_spare) {
                 link->close();
--- a/src/gateway/session_engine.h
+++ b/src/gateway/session_engine.h
@@ -12,6 +12,7 @@
 #include "gateway/caller_session.h"
 #include "gateway/configuration.h"
 #include "gateway/gateway_counters.h"
+#include "gateway/home_plan.h"
 #include "gateway/pending_statement.h"
 #include "gateway/session_protocol.h"
 #include "gateway/target_group.h"
@@ -27,7 +28,7 @@
 class session_engine {
 public:
     session_engine(transport::event_loop& loop, const session_protocol& protocol, bounded_log& log,
-                   gateway_counters& counters, std::string place,
+                   gateway_counters& counters, std::string vm, std::string place,
                    std::map<std::string, std::string> place_regions);
 
     ~session_engine();
@@ -40,11 +41,12 @@
     void set_configuration(const configuration& value);
     /** Adds or updates one target, or removes it when `entry` is empty. */
     void update_target(const std::string& id, const std::optional<target_entry>& entry);
-    /** Number of VMs that share the targets' connections. */
-    void set_fleet_size(int vms) { fleet_size_ = vms; }
+    /** The VMs that share the targets' connections. `live` includes this one. */
+    void set_fleet(std::vector<fleet_member> live, int fleet_size);
     std::map<std::string, target_group>& get_groups() { return groups_; }
 
-    /** Opens a connection to a target when none is open, so that its answer tells its state. */
+    /** Opens a connection to a target when none is open, so that its answer tells its state. Does
+     * nothing at a VM that reaches the target through its homes. */
     void probe(target_state& target);
     /** Asks a target for a report on a connection of its own; `done` gets it or empty. */
     void request_report(const target_entry& target,
@@ -61,7 +63,7 @@
 
     // For the listener.
 
-    void accept(const std::shared_ptr<transport::tcp_stream>& stream);
+    void accept(const std::shared_ptr<transport::tcp_stream>& stream, session_origin origin);
     std::size_t count_sessions() const { return sessions_.size(); }
     /** Sessions end as soon as they are idle. */
     void set_stopping() { is_stopping_ = true; }
@@ -75,10 +77,12 @@
     bool is_stopping() const { return is_stopping_; }
     const route* find_route(const std::string& database) const;
     void submit(const pending_pointer& pending);
-    /** Sends a statement on a link, after bringing the link to the session's state. */
+    /** Sends a statement on a link, after bringing the link to the session's state; `prefix` goes
+     * before everything and has no answer. */
     void send(const caller_session& session, const std::shared_ptr<target_link>& link,
               const caller_statement& statement, const std::optional<caller_statement>& begin,
-              const std::optional<state::log_point>& wait_for, target_link::answer_callback done);
+              const std::optional<state::log_point>& wait_for, target_link::answer_callback done,
+              const std::string& prefix = {});
     /** Gives back a link; an open transaction is rolled back. */
     void release_pinned(const std::shared_ptr<target_link>& link);
     void forget(const caller_session& session);
@@ -101,9 +105,23 @@
     placement place(target_group& group, const pending_pointer& pending);
     placement place_at_primary(target_group& group, const pending_pointer& pending);
     placement place_read(target_group& group, const pending_pointer& pending);
-    std::shared_ptr<target_link> find_link(target_state& target, const pending_statement& pending);
+    placement place_relayed(target_group& group, const pending_pointer& pending);
+    std::shared_ptr<target_link> find_link(target_state& target, pending_statement& pending);
+    bool is_every_home_resting(const target_state& target) const;
     int get_link_share(const target_state& target, std::int64_t now) const;
+    std::shared_ptr<target_link> find_direct_link(target_state& target,
+                                                  const pending_statement& pending);
+    std::shared_ptr<target_link> find_relayed_link(target_state& target,
+                                                   const pending_statement& pending);
     void open_link(target_state& target);
+    void open_relayed_link(target_state& target, const std::string& home);
+    void update_plan(target_state& target);
+    bool is_direct(const target_state& target) const;
+    /** The home that a new connection for the statement should use; empty without a usable one. */
+    std::string choose_home(const target_state& target, const pending_statement& pending) const;
+    bool may_use_home(const std::string& home, const target_state& target,
+                      const pending_statement& pending) const;
+    void rest_home(const std::string& home);
     void run(target_group& group, const pending_pointer& pending,
              const std::shared_ptr<target_link>& link,
              const std::optional<state::log_point>& wait_for);
@@ -118,7 +136,7 @@
     void note_answer(const std::string& group, const std::string& target, const target_ready& ready,
                      std::int64_t sent_at);
     void note_end(const std::string& group, const std::string& target,
-                  const std::optional<target_failure>& failure, bool is_refused);
+                  const target_link::link_end& end);
     double get_cost(const target_state& target, bool is_primary, std::int64_t now) const;
     std::int64_t get_distance_ms(const std::string& place) const;
     target_state* find_target(const std::string& group, const std::string& target);
@@ -127,15 +145,16 @@
     const session_protocol& protocol_;
     bounded_log& log_;
     gateway_counters& counters_;
+    std::string vm_;
     std::string place_;
-    std::map<std::string, std::string> place_regions_;
+    home_facts facts_;
+    std::map<std::string, std::int64_t> homes_resting_until_;  ///< VMs that failed as homes.
     configuration configuration_;
     std::map<std::string, target_group> groups_;
     std::map<std::string, std::string> group_of_target_;
     std::map<const caller_session*, std::shared_ptr<caller_session>> sessions_;
     std::vector<std::shared_ptr<target_link>> control_links_;  ///< For reports and control.
     transport::loop_timer timer_;
-    int fleet_size_ = 1;
     bool is_stopping_ = false;
 };
 
--- a/src/gateway/session_protocol.h
+++ b/src/gateway/session_protocol.h
@@ -24,6 +24,7 @@
     prepare,
     execute,
     close_prepared,
+    reset,  ///< Drops values and prepared statements; only between VMs.
     unknown,
 };
 
@@ -95,6 +96,34 @@
 using caller_message =
     std::variant<session_start, caller_statement, session_end, malformed_message>;
 
+/** Another VM opens a connection to run statements at a target through this VM. */
+struct relay_start {
+    std::string group;
+    std::string target;
+
+    bool operator==(const relay_start&) const = default;
+};
+
+/** What another VM knows of the next statement. Has no answer. */
+struct relay_limits {
+    std::int64_t wait_ms = 0;   ///< It may wait this long for a connection.
+    std::int64_t priority = 0;  ///< Of its route; 0 is the highest.
+
+    bool operator==(const relay_limits&) const = default;
+};
+
+/** A statement that another VM passes on. */
+struct relayed_statement {
+    caller_statement statement;
+    /// Position that the target's log must reach; empty for what only the primary may run.
+    std::optional<state::log_point> wait_for;
+
+    bool operator==(const relayed_statement&) const = default;
+};
+
+using relay_message =
+    std::variant<relay_start, relay_limits, relayed_statement, session_end, malformed_message>;
+
 /** One row of a target's answer, as it is forwarded to the caller. */
 struct target_row {
     std::string payload;
@@ -149,6 +178,8 @@
 
     virtual caller_message parse_caller_line(std::string_view line) const = 0;
     virtual target_message parse_target_line(std::string_view line) const = 0;
+    /** What another VM sends: the lines for a target, with limits between them. */
+    virtual relay_message parse_relay_line(std::string_view line) const = 0;
     virtual std::optional<target_report> parse_report(std::string_view row) const = 0;
 
     virtual std::string format_row(std::string_view payload) const = 0;
@@ -174,6 +205,7 @@
     virtual std::string format_report_request() const = 0;
     virtual std::string format_step_down(state::term_number term) const = 0;
     virtual std::string format_resume() const = 0;
+    virtual std::string format_relay_limits(const relay_limits& limits) const = 0;
 };
 
 }  // namespace hornbeamhook::gateway
--- a/src/gateway/store_follower.cpp
+++ b/src/gateway/store_follower.cpp
@@ -10,6 +10,9 @@
 
 namespace {
 
+constexpr std::int64_t rows_check_ms = 100;  ///< Of whether a reading is due.
+/// Targets change in series, for example at their start; one answer tells of several.
+constexpr std::int64_t targets_watch_gap_ms = 250;
 constexpr std::int64_t rows_interval_ms = 700;  ///< A third of coordination::right_duration_ms.
 /// While the promises of members keep all rights alive; each reading is billed.
 constexpr std::int64_t idle_rows_interval_ms = 2700;
@@ -38,9 +41,9 @@
     read_table(platform_table::configuration);
     read_table(platform_table::targets);
     read_rows();
-    poll_timer_.start(rows_interval_ms, rows_interval_ms, [this] {
+    poll_timer_.start(rows_check_ms, rows_check_ms, [this] {
         const std::int64_t age = transport::get_boot_time() - rows_asked_at_;
-        if (age >= idle_rows_interval_ms || events_.is_reading_due()) {
+        if (age >= idle_rows_interval_ms || (age >= rows_interval_ms && events_.is_reading_due())) {
             read_rows();
         }
     });
@@ -92,7 +95,14 @@
                     const store_answer parsed = services_.parse_store_answer(answer);
                     if (parsed.outcome == store_outcome::done) {
                         apply(table, parsed.rows);
-                        watch_table(table, std::max(after, parsed.version));
+                        const row_version next = std::max(after, parsed.version);
+                        if (table == platform_table::targets) {
+                            retry_timers_[table]->start(
+                                targets_watch_gap_ms, 0,
+                                [this, table, next] { watch_table(table, next); });
+                        } else {
+                            watch_table(table, next);
+                        }
                         return;
                     }
                     retry_timers_[table]->start(retry_ms, 0, [this, table] { read_table(table); });
--- a/src/gateway/target_group.h
+++ b/src/gateway/target_group.h
@@ -8,6 +8,7 @@
 
 #include "coordination/position_history.h"
 #include "coordination/primary_right.h"
+#include "gateway/home_plan.h"
 #include "gateway/pending_statement.h"
 #include "gateway/target_entry.h"
 #include "gateway/target_link.h"
@@ -18,6 +19,7 @@
 struct target_state {
     target_entry entry;
     std::vector<std::shared_ptr<target_link>> links;
+    home_plan plan;                  ///< Which VMs hold connections to it.
     std::int64_t gone_at = 0;        ///< When its entry disappeared; 0 while it is listed.
     std::int64_t avoided_until = 0;  ///< It failed; others are preferred.
     std::int64_t behind_until = 0;   ///< Its log was too short for a read.
--- a/src/gateway/target_link.cpp
+++ b/src/gateway/target_link.cpp
@@ -16,13 +16,15 @@
 
 std::shared_ptr<target_link> target_link::open(transport::event_loop& loop,
                                                const session_protocol& protocol,
-                                               const target_entry& target, link_events events) {
+                                               const target_entry& target, link_events events,
+                                               const std::optional<link_home>& home) {
     std::shared_ptr<target_link> link(new target_link(protocol, target));
+    link->home_ = home ? home->vm : std::string();
     link->events_ = std::move(events);
     link->opened_at_ = transport::get_boot_time();
     const std::weak_ptr<target_link> weak = link;
     link->stream_ = transport::tcp_stream::connect(
-        loop, target.address,
+        loop, home ? home->address : target.address,
         {.connected =
              [weak] {
                  if (const auto self = weak.lock()) {
@@ -39,7 +41,7 @@
          .ended =
              [weak](bool is_refused) {
                  if (const auto self = weak.lock()) {
-                     self->end(std::nullopt, is_refused);
+                     self->end({std::nullopt, is_refused, false});
                  }
              }});
     return link;
@@ -71,7 +73,7 @@
         handle(protocol_.parse_target_line(*line));
     }
     if (lines_.is_overlong()) {
-        end(target_failure{failure_code::malformed, {}, "line too long"}, false);
+        end({target_failure{failure_code::malformed, {}, "line too long"}, false, false});
     }
 }
 
@@ -79,7 +81,7 @@
     if (const auto* row = std::get_if<target_row>(&message)) {
         answer_bytes_ += row->payload.size();
         if (answer_bytes_ > max_answer_bytes) {
-            end(target_failure{failure_code::too_big, {}, "answer too long"}, false);
+            end({target_failure{failure_code::too_big, {}, "answer too long"}, false, false});
             return;
         }
         answer_.rows.push_back(row->payload);
@@ -87,14 +89,14 @@
         answer_.done = *done;
     } else if (const auto* failure = std::get_if<target_failure>(&message)) {
         if (!is_open_) {
-            end(*failure, false);
+            end({*failure, false, false});
             return;
         }
         answer_.failure = *failure;
     } else if (const auto* ready = std::get_if<target_ready>(&message)) {
         complete(*ready);
     } else {
-        end(target_failure{failure_code::malformed, {}, "unknown message"}, false);
+        end({target_failure{failure_code::malformed, {}, "unknown message"}, false, false});
     }
 }
 
@@ -113,7 +115,8 @@
         return;
     }
     if (expected_.empty()) {
-        end(target_failure{failure_code::malformed, {}, "answer without a statement"}, false);
+        end({target_failure{failure_code::malformed, {}, "answer without a statement"}, false,
+             false});
         return;
     }
     const expectation finished = std::move(expected_.front());
@@ -124,7 +127,7 @@
     answer.sent_at = finished.sent_at;
     if (finished.is_setup) {
         if (answer.failure) {
-            end(answer.failure, false);
+            end({answer.failure, false, false});
         }
         return;
     }
@@ -138,16 +141,16 @@
 }
 
 void target_link::close() {
-    end(std::nullopt, false);
+    end({std::nullopt, false, true});
 }
 
 void target_link::abandon() {
     events_ = {};
     expected_.clear();
-    end(std::nullopt, false);
+    end({std::nullopt, false, true});
 }
 
-void target_link::end(const std::optional<target_failure>& failure, bool is_refused) {
+void target_link::end(const link_end& cause) {
     if (is_ended_) {
         return;
     }
@@ -171,7 +174,7 @@
         }
     }
     if (const auto ended = std::exchange(events_.ended, {})) {
-        ended(failure, is_refused);
+        ended(cause);
     }
 }
 
--- a/src/gateway/target_link.h
+++ b/src/gateway/target_link.h
@@ -29,22 +29,38 @@
     bool is_lost = false;      ///< The connection ended or was given up first.
 };
 
-/** One connection to a target. Loop thread only. */
+/** Another VM through which a target is reached. */
+struct link_home {
+    std::string vm;
+    transport::endpoint address;
+
+    auto operator<=>(const link_home&) const = default;
+};
+
+/** One connection to a target, direct or through its home. Loop thread only. */
 class target_link : public std::enable_shared_from_this<target_link> {
 public:
     using answer_callback = std::function<void(const target_answer&)>;
 
+    /** How a connection ended. */
+    struct link_end {
+        std::optional<target_failure> failure;  ///< What the target said.
+        bool is_refused = false;                ///< Nothing listens at the address.
+        bool is_own = false;                    ///< It was closed on this side.
+    };
+
     struct link_events {
         std::function<void()> opened;
-        /// The connection could not be opened or ended; `failure` is what the target said.
-        std::function<void(const std::optional<target_failure>& failure, bool is_refused)> ended;
+        std::function<void(const link_end&)> ended;
         /// An answer is complete, with the log position that the target reported.
         std::function<void(const target_ready&, std::int64_t sent_at)> answered;
     };
 
+    /** Connects to the target, or to `home`, which passes the statements on. */
     static std::shared_ptr<target_link> open(transport::event_loop& loop,
                                              const session_protocol& protocol,
-                                             const target_entry& target, link_events events);
+                                             const target_entry& target, link_events events,
+                                             const std::optional<link_home>& home = std::nullopt);
 
     /**
      * Sends formatted statements at once. Each of the first `setup` ones only prepares the
@@ -70,6 +86,9 @@
 
     transaction_state get_state() const { return state_; }
     const std::string& get_target() const { return target_; }
+    /** The VM that passes the statements on; empty for a direct connection. */
+    const std::string& get_home() const { return home_; }
+    bool is_relayed() const { return !home_.empty(); }
     std::int64_t get_opened_at() const { return opened_at_; }
     std::int64_t get_idle_since() const { return idle_since_; }
 
@@ -91,11 +110,12 @@
     void receive(std::string_view bytes);
     void handle(const target_message& message);
     void complete(const target_ready& ready);
-    void end(const std::optional<target_failure>& failure, bool is_refused);
+    void end(const link_end& cause);
 
     const session_protocol& protocol_;
     std::string group_;
     std::string target_;
+    std::string home_;
     link_events events_;
     std::shared_ptr<transport::tcp_stream> stream_;
     transport::line_buffer lines_;
--- a/tests/gateway/fleet_view_test.cpp
+++ b/tests/gateway/fleet_view_test.cpp
@@ -13,7 +13,7 @@
 
 peer_pong make_pong(const std::string& vm, std::int64_t sequence,
                     std::vector<record_promise> promises) {
-    return {vm, 1, sequence, 0, true, std::move(promises), {}};
+    return {vm, 1, sequence, 0, true, false, std::move(promises), {}};
 }
 
 class fleet_view_test : public testing::Test {
--- /dev/null
+++ b/tests/gateway/home_plan_test.cpp
@@ -0,0 +1,101 @@
+#include "gateway/home_plan.h"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <set>
+
+namespace hornbeamhook::gateway {
+namespace {
+
+fleet_member make_vm(const std::string& vm, const std::string& place) {
+    return {vm, 1, {"10.0.0.1", 7440}, {"10.0.0.1", 8782}, place};
+}
+
+home_facts make_fleet(int per_place) {
+    home_facts facts;
+    facts.place_regions = {{"a1", "a"}, {"a2", "a"}, {"b1", "b"}};
+    for (const char* place : {"a1", "a2", "b1"}) {
+        for (int i = 0; i < per_place; ++i) {
+            facts.live.push_back(make_vm(std::string(place) + "-" + std::to_string(i), place));
+        }
+    }
+    facts.fleet_size = static_cast<int>(facts.live.size());
+    return facts;
+}
+
+target_entry make_target(const std::string& id, const std::string& place) {
+    return {id, "g", {"10.0.1.1", 8227}, place, 1, 3, false, false};
+}
+
+std::set<std::string> get_places(const home_plan& plan) {
+    std::set<std::string> result;
+    for (const std::string& vm : plan.homes) {
+        result.insert(vm.substr(0, 2));
+    }
+    return result;
+}
+
+TEST(home_plan, a_small_fleet_connects_directly) {
+    const home_plan plan = plan_homes(make_target("t1", "a1"), 23, make_fleet(2));
+    EXPECT_TRUE(plan.homes.empty());
+    EXPECT_EQ(plan.share, 3);
+    EXPECT_TRUE(plan_homes(make_target("t1", "a1"), 0, make_fleet(20)).homes.empty());
+}
+
+// Guards against more connections than the target allows, also while VMs see different homes.
+TEST(home_plan, homes_stay_below_the_limit_with_one_more_of_them) {
+    for (const int limit : {8, 20, 32, 107}) {
+        for (const int per_place : {13, 20, 25, 100}) {
+            const home_plan plan =
+                plan_homes(make_target("t1", "a1"), limit, make_fleet(per_place));
+            if (plan.homes.empty()) {
+                EXPECT_LE(plan.share * 3 * per_place, limit);
+                continue;
+            }
+            EXPECT_EQ(plan.homes.size(), 3U);
+            EXPECT_LE(plan.share * 4, limit) << limit << " " << per_place;
+            EXPECT_LE((plan.share + plan.spare) * 3, limit) << limit << " " << per_place;
+        }
+    }
+}
+
+// Guards against statements that cross regions twice.
+TEST(home_plan, homes_are_near_the_target) {
+    home_facts facts = make_fleet(20);
+    EXPECT_EQ(get_places(plan_homes(make_target("t1", "a1"), 32, facts)),
+              (std::set<std::string>{"a1"}));
+    std::erase_if(facts.live, [](const fleet_member& vm) { return vm.place == "a1"; });
+    EXPECT_EQ(get_places(plan_homes(make_target("t1", "a1"), 32, facts)),
+              (std::set<std::string>{"a2"}));
+    std::erase_if(facts.live, [](const fleet_member& vm) { return vm.place == "a2"; });
+    EXPECT_EQ(get_places(plan_homes(make_target("t1", "a1"), 32, facts)),
+              (std::set<std::string>{"b1"}));
+}
+
+// Guards against VMs that name different homes because they list the fleet in another order, and
+// against a lost VM that moves targets it was no home of.
+TEST(home_plan, depends_only_on_the_members) {
+    home_facts facts = make_fleet(20);
+    const home_plan plan = plan_homes(make_target("t1", "a1"), 32, facts);
+    std::reverse(facts.live.begin(), facts.live.end());
+    EXPECT_EQ(plan_homes(make_target("t1", "a1"), 32, facts), plan);
+    std::erase_if(facts.live, [&](const fleet_member& vm) { return vm.vm == plan.homes[1]; });
+    const home_plan after = plan_homes(make_target("t1", "a1"), 32, facts);
+    EXPECT_EQ(after.homes[0], plan.homes[0]);
+    EXPECT_EQ(after.homes[1], plan.homes[2]);
+}
+
+// Guards against a few VMs that are homes of all targets.
+TEST(home_plan, spreads_the_targets) {
+    std::set<std::string> homes;
+    for (int i = 0; i < 24; ++i) {
+        const home_plan plan =
+            plan_homes(make_target("t" + std::to_string(i), "a1"), 32, make_fleet(20));
+        homes.insert(plan.homes.begin(), plan.homes.end());
+    }
+    EXPECT_GE(homes.size(), 15U);
+}
+
+}  // namespace
+}  // namespace hornbeamhook::gateway
--- a/tests/gateway/peer_message_test.cpp
+++ b/tests/gateway/peer_message_test.cpp
@@ -11,7 +11,7 @@
 
 std::vector<peer_message> make_samples() {
     return {peer_ping{"vm1", 17, 3},
-            peer_pong{"vm2", 18, 3, 40, true, {{"g", 12}}, {{"g", {2, 77}, 150}}},
+            peer_pong{"vm2", 18, 3, 40, true, true, {{"g", 12}}, {{"g", {2, 77}, 150}}},
             revoke_request{"g", 12, true},
             revoke_answer{"vm1", "g", 12},
             reach_request{"g", "t1"},
--- /dev/null
+++ b/tests/gateway/relayed_session_test.cpp
@@ -0,0 +1,306 @@
+#include <gtest/gtest.h>
+
+#include <map>
+
+#include "gateway/session_engine.h"
+#include "platform/wire_codec.h"
+#include "support/free_port.h"
+#include "support/scripted_target.h"
+#include "support/test_caller.h"
+
+namespace hornbeamhook::gateway {
+namespace {
+
+using tests::contains;
+using tests::make_idle_target;
+using tests::scripted_target;
+using tests::test_caller;
+
+constexpr std::int64_t wait_limit_ms = 5000;  ///< Far above what any exchange here takes.
+
+/** One VM of the test's fleet. */
+struct test_vm {
+    test_vm(transport::event_loop& loop, const session_protocol& protocol, const std::string& name,
+            const std::string& place)
+        : log(name),
+          engine(loop, protocol, log, counters, name, place, {{"near", "r"}, {"far", "s"}}),
+          member{name, 1, *transport::parse_endpoint(tests::get_free_address()), {}, place},
+          caller_address(*transport::parse_endpoint(tests::get_free_address())),
+          callers(loop, caller_address,
+                  [this](const auto& stream) { engine.accept(stream, session_origin::caller); }),
+          peers(std::make_unique<transport::tcp_listener>(
+              loop, member.peer_address,
+              [this](const auto& stream) { engine.accept(stream, session_origin::peer); })) {}
+
+    bounded_log log;
+    gateway_counters counters;
+    session_engine engine;
+    fleet_member member;
+    transport::endpoint caller_address;
+    transport::tcp_listener callers;
+    std::unique_ptr<transport::tcp_listener> peers;
+};
+
+/**
+ * Five VMs share four connections to a target: three homes in its place, and one VM far away whose
+ * callers the tests are.
+ */
+class relayed_session_test : public testing::Test {
+protected:
+    relayed_session_test() {
+        for (const char* name : {"home-1", "home-2", "home-3", "near-4"}) {
+            vms_.push_back(std::make_unique<test_vm>(loop_, codec_, name, "near"));
+        }
+        vms_.push_back(std::make_unique<test_vm>(loop_, codec_, "entry", "far"));
+        std::vector<fleet_member> live;
+        for (const auto& vm : vms_) {
+            live.push_back(vm->member);
+        }
+        configuration value;
+        value.version = 1;
+        value.routes["strict"] = {"strict", "g", read_policy::primary, 0, 800, 400, 1};
+        value.routes["bounded"] = {"bounded", "g", read_policy::bounded, 1500, 800, 400, 1};
+        value.connection_limits["g"] = 4;
+        for (const auto& vm : vms_) {
+            vm->engine.set_configuration(value);
+            vm->engine.set_fleet(live, static_cast<int>(live.size()));
+        }
+    }
+
+    test_vm& get_entry() { return *vms_.back(); }
+
+    scripted_target& add_target(const std::string& id, bool is_primary,
+                                scripted_target::script answer) {
+        const transport::endpoint address = *transport::parse_endpoint(tests::get_free_address());
+        targets_[id] = std::make_unique<scripted_target>(loop_, address, std::move(answer));
+        for (const auto& vm : vms_) {
+            vm->engine.update_target(
+                id, target_entry{id, "g", address, "near", 1, 2, false, is_primary});
+        }
+        return *targets_[id];
+    }
+
+    static void give_right(test_vm& vm, const std::string& target, state::term_number term = 1) {
+        vm.engine.get_groups()["g"].name = "g";
+        vm.engine.get_groups()["g"].right.confirm(
+            {target, term, {}, 10 + static_cast<std::int64_t>(term)}, transport::get_boot_time());
+    }
+
+    void give_right_to_all(const std::string& target) {
+        for (const auto& vm : vms_) {
+            give_right(*vm, target);
+        }
+    }
+
+    void run_until(const std::function<bool()>& condition) {
+        const std::int64_t limit = transport::get_boot_time() + wait_limit_ms;
+        while (!condition()) {
+            ASSERT_LT(transport::get_boot_time(), limit) << "condition never held";
+            uv_run(loop_.get_handle(), UV_RUN_ONCE);
+        }
+    }
+
+    std::unique_ptr<test_caller> open_session(const std::string& database) {
+        auto caller = std::make_unique<test_caller>(loop_, get_entry().caller_address);
+        caller->send("STARTUP " + database + " u");
+        run_until([&] { return !caller->lines.empty() || caller->is_ended; });
+        return caller;
+    }
+
+    std::vector<std::string> ask(test_caller& caller, const std::string& text) {
+        caller.lines.clear();
+        caller.send("QUERY " + std::to_string(next_id_++) + " " + text);
+        run_until([&] {
+            return caller.is_ended ||
+                   (!caller.lines.empty() && caller.lines.back().starts_with("READY"));
+        });
+        return caller.lines;
+    }
+
+    transport::event_loop loop_;
+    platform::wire_codec codec_;
+    std::vector<std::unique_ptr<test_vm>> vms_;
+    std::map<std::string, std::unique_ptr<scripted_target>> targets_;
+    int next_id_ = 100;
+};
+
+// Guards against more connections than the target allows when the fleet is larger than its limit.
+TEST_F(relayed_session_test, runs_statements_through_a_home) {
+    scripted_target& target = add_target("t1", true, make_idle_target());
+    give_right_to_all("t1");
+    const auto caller = open_session("strict");
+    EXPECT_EQ(ask(*caller, "READ k1"),
+              (std::vector<std::string>{"DATAROW row", "COMPLETE proof", "READY I 1.5"}));
+    EXPECT_EQ(ask(*caller, "WRITE k1 x"),
+              (std::vector<std::string>{"COMPLETE proof", "READY I 1.5"}));
+    EXPECT_EQ(target.lines,
+              (std::vector<std::string>{"QUERY 100 READ k1", "QUERY 101 WRITE k1 x"}));
+    EXPECT_EQ(target.connections, 1);
+    EXPECT_EQ(get_entry().engine.get_groups()["g"].targets["t1"].links.size(), 1U);
+    EXPECT_TRUE(get_entry().engine.get_groups()["g"].targets["t1"].links[0]->is_relayed());
+}
+
+// Guards against a transaction, a session value or a prepared statement that gets lost on the way.
+TEST_F(relayed_session_test, keeps_a_transaction_on_one_connection) {
+    scripted_target& target = add_target("t1", true, make_idle_target());
+    give_right_to_all("t1");
+    const auto caller = open_session("strict");
+    ask(*caller, "SET mode a");
+    ask(*caller, "PARSE s WRITE shape1");
+    ask(*caller, "BEGIN");
+    EXPECT_EQ(ask(*caller, "EXECUTE s k1 x").back(), "READY T 1.5");
+    EXPECT_EQ(ask(*caller, "READ k2").back(), "READY T 1.5");
+    EXPECT_EQ(ask(*caller, "COMMIT").back(), "READY I 1.5");
+    EXPECT_EQ(target.lines,
+              (std::vector<std::string>{"QUERY - SET mode a", "QUERY - PARSE wshape1 WRITE shape1",
+                                        "QUERY 102 BEGIN", "QUERY 103 EXECUTE wshape1 k1 x",
+                                        "QUERY 104 READ k2", "QUERY 105 COMMIT"}));
+    EXPECT_EQ(target.connections, 1);
+}
+
+// Guards against a transaction that stays open at the target after its caller has left.
+TEST_F(relayed_session_test, rolls_back_when_the_caller_leaves) {
+    scripted_target& target = add_target("t1", true, make_idle_target());
+    give_right_to_all("t1");
+    auto caller = open_session("strict");
+    ask(*caller, "BEGIN");
+    ask(*caller, "WRITE k1 x");
+    caller.reset();
+    run_until([&] { return contains(target.lines, "QUERY - ROLLBACK"); });
+    EXPECT_FALSE(contains(target.lines, "COMMIT"));
+}
+
+// Guards against a read that a replica answers before it has the position of the entry's VM.
+TEST_F(relayed_session_test, passes_the_required_position_on) {
+    add_target("t1", true, [](const std::string&) { return std::string(); });
+    scripted_target& replica = add_target("t2", false, make_idle_target());
+    get_entry().engine.get_groups()["g"].name = "g";
+    get_entry().engine.get_groups()["g"].history.add({1, 7}, transport::get_boot_time());
+    const auto caller = open_session("bounded");
+    EXPECT_EQ(ask(*caller, "READ k1").back(), "READY I 1.5");
+    EXPECT_EQ(replica.lines, (std::vector<std::string>{"QUERY 100 WAITLSN 1.7 READ k1"}));
+    ask(*caller, "BEGIN READ");
+    ask(*caller, "READ k2");
+    EXPECT_TRUE(contains(replica.lines, "QUERY 101 WAITLSN 1.7 BEGIN READ"));
+}
+
+// Guards against a statement at a primary for which the home has no right: the primary may have
+// been replaced without the home being asked.
+TEST_F(relayed_session_test, a_home_without_the_right_refuses) {
+    scripted_target& target = add_target("t1", true, make_idle_target());
+    give_right(get_entry(), "t1");
+    const auto caller = open_session("strict");
+    const auto answer = ask(*caller, "WRITE k1 x");
+    ASSERT_EQ(answer.size(), 2U);
+    EXPECT_TRUE(answer[0].starts_with("ERROR BUSY")) << answer[0];
+    EXPECT_TRUE(target.lines.empty());
+}
+
+// Guards against an acknowledged write of a primary that was replaced while it ran.
+TEST_F(relayed_session_test, does_not_acknowledge_what_a_home_may_not_deliver) {
+    add_target("t1", true, [this](const std::string& line) {
+        if (line.starts_with("STARTUP")) {
+            return std::string("READY I 1.5\r\n");
+        }
+        for (const auto& vm : vms_) {
+            if (vm.get() != &get_entry()) {
+                give_right(*vm, "t2", 2);
+            }
+        }
+        return std::string("COMPLETE proof\r\nREADY I 1.6\r\n");
+    });
+    give_right_to_all("t1");
+    const auto caller = open_session("strict");
+    const auto answer = ask(*caller, "WRITE k1 x");
+    EXPECT_TRUE(answer[0].starts_with("ERROR INDOUBT")) << answer[0];
+}
+
+// Guards against a write that another home runs again, and against a read that is given up although
+// another home can run it.
+TEST_F(relayed_session_test, a_lost_home_leaves_writes_in_doubt_and_repeats_reads) {
+    bool is_lost = true;
+    scripted_target& target = add_target("t1", true, [&](const std::string& line) {
+        if (line.starts_with("STARTUP")) {
+            return std::string("READY I 1.5\r\n");
+        }
+        if (is_lost) {
+            for (const auto& vm : vms_) {
+                if (vm.get() != &get_entry()) {
+                    vm->engine.close_all_sessions();
+                }
+            }
+            return std::string();
+        }
+        return std::string("COMPLETE proof\r\nREADY I 1.6\r\n");
+    });
+    give_right_to_all("t1");
+    const auto caller = open_session("strict");
+    EXPECT_TRUE(ask(*caller, "WRITE k1 x")[0].starts_with("ERROR INDOUBT"));
+    EXPECT_EQ(target.lines.size(), 1U);
+    caller->lines.clear();
+    caller->send("QUERY 1 READ k1");
+    run_until([&] { return target.lines.size() == 2; });
+    is_lost = false;
+    run_until([&] { return !caller->lines.empty(); });
+    EXPECT_EQ(caller->lines[0], "COMPLETE proof");
+}
+
+// Guards against callers that wait for their time limit when no connection becomes free.
+TEST_F(relayed_session_test, a_home_refuses_when_no_connection_becomes_free) {
+    scripted_target& target = add_target("t1", true, make_idle_target());
+    give_right_to_all("t1");
+    std::vector<std::unique_ptr<test_caller>> holders;
+    for (int i = 0; i < 3; ++i) {
+        holders.push_back(open_session("strict"));
+        ask(*holders.back(), "BEGIN");
+        const auto answer = ask(*holders.back(), "WRITE k1 x");
+        if (answer[0].starts_with("ERROR")) {
+            break;
+        }
+    }
+    const auto caller = open_session("strict");
+    const std::int64_t asked_at = transport::get_boot_time();
+    std::vector<std::string> answer;
+    while (answer.empty() || !answer[0].starts_with("ERROR")) {
+        answer = ask(*caller, "BEGIN");
+        answer = ask(*caller, "WRITE k2 x");
+        holders.push_back(open_session("strict"));
+        ask(*holders.back(), "BEGIN");
+        ask(*holders.back(), "WRITE k1 x");
+        ask(*caller, "ROLLBACK");
+        ASSERT_LT(transport::get_boot_time() - asked_at, wait_limit_ms);
+    }
+    EXPECT_TRUE(answer[0].starts_with("ERROR BUSY")) << answer[0];
+    EXPECT_LE(target.connections, 4);
+}
+
+// Guards against input from another VM's port that ends the process or is run as a statement.
+TEST_F(relayed_session_test, drops_malformed_input_from_other_vms) {
+    scripted_target& target = add_target("t1", true, make_idle_target());
+    give_right_to_all("t1");
+    for (const std::string& input :
+         {std::string("QUERY 1 READ k1\r\n"), std::string("\0\xff\xfe binary\r\n", 13),
+          std::string("STARTUP g\r\n"), std::string("STARTUP g x t1\r\nLIMITS a b\r\n"),
+          std::string("STARTUP g x t1\r\nQUERY 1 STEPDOWN 9\r\n"),
+          std::string("STARTUP g x t1\r\nQUERY 1 WAITLSN x READ k1\r\n"),
+          std::string("STARTUP g x t1\r\nQUERY 1 BEGIN\r\nQUERY 2 BEGIN\r\n"),
+          std::string((1U << 20) + 10, 'x')}) {
+        test_caller bad(loop_, vms_[0]->member.peer_address);
+        bad.send(input);
+        run_until([&] { return bad.is_ended; });
+    }
+    EXPECT_TRUE(target.lines.empty());
+    const auto caller = open_session("strict");
+    EXPECT_EQ(ask(*caller, "READ k1").back(), "READY I 1.5");
+}
+
+// Guards against a statement for a target that the home does not know and that waits in vain.
+TEST_F(relayed_session_test, a_home_refuses_statements_for_unknown_targets) {
+    give_right_to_all("t9");
+    test_caller peer(loop_, vms_[0]->member.peer_address);
+    peer.send("STARTUP g x t9\r\nLIMITS 300 1\r\nQUERY 1 WRITE k1 x");
+    run_until([&] { return contains(peer.lines, "ERROR BUSY"); });
+}
+
+}  // namespace
+}  // namespace hornbeamhook::gateway
--- a/tests/gateway/session_engine_test.cpp
+++ b/tests/gateway/session_engine_test.cpp
@@ -2,55 +2,31 @@
 
 #include <gtest/gtest.h>
 
-#include <algorithm>
 #include <map>
 
 #include "platform/wire_codec.h"
 #include "support/free_port.h"
 #include "support/scripted_target.h"
+#include "support/test_caller.h"
 
 namespace hornbeamhook::gateway {
 namespace {
 
+using tests::contains;
+using tests::make_idle_target;
 using tests::scripted_target;
+using tests::test_caller;
 
 constexpr std::int64_t wait_limit_ms = 5000;  ///< Far above what any exchange here takes.
 
-/** A caller on the test's loop that collects the lines it receives. */
-class test_caller {
-public:
-    test_caller(transport::event_loop& loop, const transport::endpoint& address)
-        : stream_(transport::tcp_stream::connect(loop, address,
-                                                 {.connected = {},
-                                                  .received =
-                                                      [this](std::string_view bytes) {
-                                                          buffer_.append(bytes);
-                                                          while (const auto line =
-                                                                     buffer_.take_line()) {
-                                                              lines.emplace_back(*line);
-                                                          }
-                                                      },
-                                                  .ended = [this](bool) { is_ended = true; }})) {}
-
-    ~test_caller() { stream_->reset(); }
-
-    void send(const std::string& line) { stream_->write(line + "\r\n"); }
-
-    std::vector<std::string> lines;
-    bool is_ended = false;
-
-private:
-    transport::line_buffer buffer_{1U << 20};
-    std::shared_ptr<transport::tcp_stream> stream_;
-};
-
 class session_engine_test : public testing::Test {
 protected:
     session_engine_test()
         : caller_address_(*transport::parse_endpoint(tests::get_free_address())),
-          engine_(loop_, codec_, log_, counters_, "z", {{"z", "r"}}),
-          listener_(loop_, caller_address_,
-                    [this](const auto& stream) { engine_.accept(stream); }) {
+          engine_(loop_, codec_, log_, counters_, "vm-a", "z", {{"z", "r"}}),
+          listener_(loop_, caller_address_, [this](const auto& stream) {
+              engine_.accept(stream, session_origin::caller);
+          }) {
         configuration value;
         value.version = 1;
         value.routes["strict"] = {"strict", "g", read_policy::primary, 0, 800, 400, 1};
@@ -119,30 +95,6 @@
     int next_id_ = 100;
 };
 
-/** Answers like an idle target of term 1, tracking whether a transaction is open. */
-scripted_target::script make_idle_target() {
-    const auto state = std::make_shared<std::string>("I");
-    return [state](const std::string& line) {
-        if (line.find(" BEGIN") != std::string::npos) {
-            *state = "T";
-        } else if (line.ends_with(" COMMIT") || line.ends_with(" ROLLBACK")) {
-            *state = "I";
-        }
-        if (line.starts_with("STARTUP")) {
-            return std::string("READY I 1.5\r\n");
-        }
-        const bool is_read = line.find(" READ ") != std::string::npos;
-        return std::string(is_read ? "DATAROW row\r\n" : "") + "COMPLETE proof\r\nREADY " + *state +
-               " 1.5\r\n";
-    };
-}
-
-bool contains(const std::vector<std::string>& lines, const std::string& part) {
-    return std::any_of(lines.begin(), lines.end(), [&](const std::string& line) {
-        return line.find(part) != std::string::npos;
-    });
-}
-
 TEST_F(session_engine_test, forwards_a_read_and_its_answer) {
     scripted_target& target = add_target("t1", true, make_idle_target());
     give_right("t1");
--- a/tests/platform/wire_codec_test.cpp
+++ b/tests/platform/wire_codec_test.cpp
@@ -79,6 +79,31 @@
     }
 }
 
+// Guards against a statement of another VM that loses its position or its limits.
+TEST(wire_codec, reads_what_other_vms_pass_on) {
+    const wire_codec codec;
+    EXPECT_EQ(std::get<gateway::relay_start>(codec.parse_relay_line("STARTUP huvo11a x i-7f3a")),
+              (gateway::relay_start{"huvo11a", "i-7f3a"}));
+    const std::string limits = codec.format_relay_limits({240, 2});
+    EXPECT_EQ(std::get<gateway::relay_limits>(
+                  codec.parse_relay_line(limits.substr(0, limits.size() - 2))),
+              (gateway::relay_limits{240, 2}));
+    const auto read = std::get<gateway::relayed_statement>(
+        codec.parse_relay_line("QUERY 5c0e WAITLSN 3.1207 READ 1a4"));
+    EXPECT_EQ(read.wait_for, (state::log_point{3, 1207}));
+    EXPECT_EQ(read.statement.text, "READ 1a4");
+    EXPECT_EQ(read.statement.id, "5c0e");
+    const auto reset =
+        std::get<gateway::relayed_statement>(codec.parse_relay_line("QUERY - DISCARD"));
+    EXPECT_EQ(reset.statement.kind, statement_kind::reset);
+    for (const char* line :
+         {"", "STARTUP g", "STARTUP g x", "LIMITS 1", "LIMITS a 1", "QUERY 1 STATUS",
+          "QUERY 1 PAUSE 4", "QUERY 1 WAITLSN 3 READ 1a4", "QUERY", "HELLO"}) {
+        EXPECT_TRUE(std::holds_alternative<malformed_message>(codec.parse_relay_line(line)))
+            << line;
+    }
+}
+
 TEST(wire_codec, reads_reports) {
     const auto report = wire_codec().parse_report("replica 3 3.1209 5 12 2 17");
     ASSERT_TRUE(report.has_value());
