Turn from silent homes, refuse unprovable reads early, split the engine

Change: a read that neither a right nor a known position covers is refused after a tenth of the objective, as statements for the primary are, and the reason says so; callers try another VM. A home that answered nothing for 250 ms while a statement waits gets no new ones while another home answers. Both have a test that fails without the change. session_engine.cpp is split: home_directory (which home to use), statement_bytes (what to send on a link), target_control (reports and control statements).

--- a/src/gateway/leadership_keeper.cpp
+++ b/src/gateway/leadership_keeper.cpp
@@ -535,27 +535,28 @@
     if (entry == nullptr) {
         return;
     }
-    engine_.request_report(*entry, [this, name, number = action.survey, target = action.target](
-                                       const std::optional<target_report>& report) {
-        std::optional<coordination::survey_report> survey;
-        if (report) {
-            survey = coordination::survey_report{report->is_primary, report->term, report->received,
-                                                 report->held_term};
-        }
-        step(name, coordination::report_received{number, target, survey});
-    });
+    engine_.get_control().request_report(
+        *entry, [this, name, number = action.survey,
+                 target = action.target](const std::optional<target_report>& report) {
+            std::optional<coordination::survey_report> survey;
+            if (report) {
+                survey = coordination::survey_report{report->is_primary, report->term,
+                                                     report->received, report->held_term};
+            }
+            step(name, coordination::report_received{number, target, survey});
+        });
 }
 
 void leadership_keeper::act(const std::string& name, const coordination::step_down& action) {
     engine_.cut_off(name, action.target);
     if (const target_entry* entry = find_entry(name, action.target)) {
-        engine_.send_control(*entry, engine_.get_protocol().format_step_down(action.term));
+        engine_.get_control().send(*entry, engine_.get_protocol().format_step_down(action.term));
     }
 }
 
 void leadership_keeper::act(const std::string& name, const coordination::resume_replica& action) {
     if (const target_entry* entry = find_entry(name, action.target)) {
-        engine_.send_control(*entry, engine_.get_protocol().format_resume());
+        engine_.get_control().send(*entry, engine_.get_protocol().format_resume());
     }
 }
 
--- a/src/gateway/session_engine.cpp
+++ b/src/gateway/session_engine.cpp
@@ -3,8 +3,8 @@
 #include <algorithm>
 #include <utility>
 
-#include "coordination/home_assignment.h"
 #include "gateway/gateway_events.h"
+#include "gateway/statement_bytes.h"
 
 namespace hornbeamhook::gateway {
 
@@ -39,7 +39,6 @@
 /// Connections to the homes of one target: more statements at once than its queue takes.
 constexpr int max_relayed_links = 24;
 constexpr int kept_relayed_links = 2;             ///< Stay open although they are idle.
-constexpr std::int64_t home_rest_ms = 500;        ///< A home that failed is not used for this long.
 constexpr std::int64_t min_relayed_wait_ms = 30;  ///< A home may always look once for a connection.
 constexpr double answer_weight = 0.1;             ///< Of a new time in the moving mean.
 constexpr double initial_answer_ms = 15;          ///< A usual statement on an idle target.
@@ -48,7 +47,6 @@
 constexpr std::int64_t answer_decay_ms = 2000;   ///< Without answers the mean is forgotten.
 /// A commit whose answer arrives later than this after the right ended may have been rolled back.
 constexpr std::int64_t commit_grace_ms = 100;
-constexpr std::int64_t control_limit_ms = 500;  ///< A report takes a slot and two trips.
 
 std::int64_t get_objective(const pending_statement& pending) {
     return pending.target_route.objective_ms > 0 ? pending.target_route.objective_ms
@@ -76,6 +74,8 @@
       vm_(std::move(vm)),
       place_(std::move(place)),
       facts_{{}, 1, std::move(place_regions)},
+      homes_(vm_),
+      control_(loop, protocol),
       timer_(loop) {
     timer_.start(tick_ms, tick_ms, [this] { tick(); });
 }
@@ -89,9 +89,6 @@
             }
         }
     }
-    for (const std::shared_ptr<target_link>& link : control_links_) {
-        link->abandon();
-    }
     close_all_sessions();
 }
 
@@ -347,11 +344,12 @@
 
 std::shared_ptr<target_link> session_engine::find_link(target_state& target,
                                                        pending_statement& pending) {
-    if (is_direct(target) || is_every_home_resting(target)) {
+    const std::int64_t now = transport::get_boot_time();
+    if (is_direct(target) || homes_.is_every_resting(target.plan, now)) {
         return find_direct_link(target, pending);
     }
-    if (choose_home(target, pending).empty()) {
-        if (transport::get_boot_time() - pending.last_sent_at < home_retry_ms) {
+    if (homes_.choose(target.plan, target.entry.id, pending.avoided_homes, now).empty()) {
+        if (now - pending.last_sent_at < home_retry_ms) {
             return nullptr;
         }
         pending.avoided_homes.clear();
@@ -359,15 +357,6 @@
     return find_relayed_link(target, pending);
 }
 
-bool session_engine::is_every_home_resting(const target_state& target) const {
-    const std::int64_t now = transport::get_boot_time();
-    return std::all_of(target.plan.homes.begin(), target.plan.homes.end(),
-                       [&](const std::string& home) {
-                           const auto entry = homes_resting_until_.find(home);
-                           return entry != homes_resting_until_.end() && now < entry->second;
-                       });
-}
-
 std::shared_ptr<target_link> session_engine::find_direct_link(target_state& target,
                                                               const pending_statement& pending) {
     std::shared_ptr<target_link> best;
@@ -396,6 +385,10 @@
 
 std::shared_ptr<target_link> session_engine::find_relayed_link(target_state& target,
                                                                const pending_statement& pending) {
+    const std::int64_t now = transport::get_boot_time();
+    const std::string home =
+        homes_.choose(target.plan, target.entry.id, pending.avoided_homes, now);
+    const bool must_answer = !homes_.is_silent(home, now);
     std::shared_ptr<target_link> best;
     int opening = 0;
     int open = 0;
@@ -405,44 +398,32 @@
         }
         opening += !link->is_open() && !link->is_ended() ? 1 : 0;
         open += link->is_ended() ? 0 : 1;
-        if (!link->is_idle() || link->is_pinned() ||
-            !may_use_home(link->get_home(), target, pending)) {
-            continue;
-        }
-        if (!best || link->values == pending.session->get_values()) {
+        const bool is_usable = link->is_idle() && !link->is_pinned() &&
+                               homes_.may_use(target.plan, link->get_home(), now) &&
+                               !pending.avoided_homes.contains(link->get_home()) &&
+                               !(must_answer && homes_.is_silent(link->get_home(), now));
+        if (is_usable && (!best || link->values == pending.session->get_values())) {
             best = link;
         }
     }
     if (!best && opening < max_relay_openings && open < max_relayed_links) {
-        open_relayed_link(target, choose_home(target, pending));
+        open_relayed_link(target, home);
     }
     return best;
 }
 
-bool session_engine::may_use_home(const std::string& home, const target_state& target,
-                                  const pending_statement& pending) const {
-    const auto resting = homes_resting_until_.find(home);
-    const bool is_resting =
-        resting != homes_resting_until_.end() && transport::get_boot_time() < resting->second;
-    return target.plan.is_home(home) && !is_resting && !pending.avoided_homes.contains(home);
-}
-
-std::string session_engine::choose_home(const target_state& target,
-                                        const pending_statement& pending) const {
-    const std::vector<std::string>& homes = target.plan.homes;
-    // Each VM prefers another home, so that the homes share the work.
-    const std::size_t first = coordination::get_rendezvous_weight(target.entry.id, vm_);
-    for (std::size_t i = 0; i < homes.size(); ++i) {
-        const std::string& home = homes[(first + i) % homes.size()];
-        if (home != vm_ && may_use_home(home, target, pending)) {
-            return home;
+void session_engine::update_homes() {
+    homes_.begin_update();
+    for (const auto& [name, group] : groups_) {
+        for (const auto& [id, target] : group.targets) {
+            for (const std::shared_ptr<target_link>& link : target.links) {
+                const std::int64_t since = link->is_relayed() ? link->get_oldest_sent_at() : 0;
+                if (since != 0) {
+                    homes_.note_waiting(link->get_home(), since);
+                }
+            }
         }
     }
-    return {};
-}
-
-void session_engine::rest_home(const std::string& home) {
-    homes_resting_until_[home] = transport::get_boot_time() + home_rest_ms;
 }
 
 void session_engine::open_relayed_link(target_state& target, const std::string& home) {
@@ -466,10 +447,11 @@
                              {"home", home},
                              {"refused", end.is_refused ? "yes" : "no"},
                              {"reason", end.failure ? end.failure->word : "closed"}});
-                 rest_home(home);
+                 homes_.rest(home, transport::get_boot_time());
              },
          .answered =
-             [this, group, id](const target_ready& ready, std::int64_t sent_at) {
+             [this, group, id, home](const target_ready& ready, std::int64_t sent_at) {
+                 homes_.note_answer(home, transport::get_boot_time());
                  // Without a position the home answered by itself.
                  if (ready.position) {
                      note_answer(group, id, ready, sent_at);
@@ -555,66 +537,27 @@
                           const std::optional<caller_statement>& begin,
                           const std::optional<state::log_point>& wait_for,
                           target_link::answer_callback done, const std::string& prefix) {
-    std::string bytes;
-    int setup = 0;
-    const session_values& wanted = session.get_values();
-    const bool has_foreign_value =
-        std::any_of(link->values.begin(), link->values.end(),
-                    [&](const auto& entry) { return !wanted.contains(entry.first); });
-    if (has_foreign_value) {
-        bytes += protocol_.format_reset();
-        ++setup;
-        link->values.clear();
-        link->prepared.clear();
-    }
-    // A home puts BEGIN and the first statement together by itself.
-    const bool is_begin_setup = begin && link->is_relayed();
-    for (const auto& [name, value] : wanted) {
-        const auto held = link->values.find(name);
-        if (held == link->values.end() || held->second != value) {
-            bytes += protocol_.format_set(name, value);
-            ++setup;
-            link->values[name] = value;
-        }
-    }
-    std::string prepared_name;
-    if (statement.kind == statement_kind::execute) {
-        const prepared_statement* prepared = session.find_prepared(statement.name);
-        // The name is made of what it stands for, so that sessions can share it.
-        prepared_name = (prepared->is_write ? "w" : "r") + prepared->shape;
-        if (link->prepared.insert(prepared_name).second) {
-            bytes += protocol_.format_prepare(prepared_name, prepared->is_write, prepared->shape);
-            ++setup;
-        }
-    }
-    const std::optional<state::log_point> statement_wait = begin ? std::nullopt : wait_for;
-    const std::string main_bytes =
-        statement.kind == statement_kind::execute
-            ? protocol_.format_execute(statement.id, statement_wait, prepared_name,
-                                       statement.argument)
-            : protocol_.format_statement(statement.id, statement_wait, statement.text);
-    if (is_begin_setup) {
-        bytes += protocol_.format_statement(begin->id, wait_for, begin->text);
-        ++setup;
-    }
-    if (!begin || is_begin_setup) {
-        link->send(prefix + bytes + main_bytes, setup, std::move(done));
+    const statement_bytes bytes =
+        format_for_link(protocol_, session, *link, statement, begin, wait_for);
+    if (bytes.after_begin.empty()) {
+        link->send(prefix + bytes.first, bytes.setup, std::move(done));
         return;
     }
     // The statement must wait for the answer: if the transaction does not begin, it would run
     // outside of it.
-    link->send(bytes + protocol_.format_statement(begin->id, wait_for, begin->text), setup,
-               [link, main_bytes, done = std::move(done)](const target_answer& answer) {
-                   if (answer.is_lost || answer.failure) {
-                       done(answer);
-                   } else if (!link->is_open() || answer.ready.state != transaction_state::open) {
-                       target_answer lost = answer;
-                       lost.is_lost = true;
-                       done(lost);
-                   } else {
-                       link->send(main_bytes, 0, done);
-                   }
-               });
+    link->send(
+        bytes.first, bytes.setup,
+        [link, rest = bytes.after_begin, done = std::move(done)](const target_answer& answer) {
+            if (answer.is_lost || answer.failure) {
+                done(answer);
+            } else if (!link->is_open() || answer.ready.state != transaction_state::open) {
+                target_answer lost = answer;
+                lost.is_lost = true;
+                done(lost);
+            } else {
+                link->send(rest, 0, done);
+            }
+        });
 }
 
 void session_engine::run(target_group& group, const pending_pointer& pending,
@@ -852,75 +795,16 @@
     }
 }
 
-void session_engine::request_report(const target_entry& target,
-                                    std::function<void(const std::optional<target_report>&)> done) {
-    struct request {
-        std::function<void(const std::optional<target_report>&)> done;
-        std::weak_ptr<target_link> link;
-        void finish(const std::optional<target_report>& report) {
-            if (const auto callback = std::exchange(done, nullptr)) {
-                callback(report);
-            }
-        }
-    };
-    const auto shared = std::make_shared<request>();
-    shared->done = std::move(done);
-    const std::shared_ptr<target_link> link = target_link::open(
-        loop_, protocol_, target,
-        {.opened =
-             [this, shared] {
-                 const auto opened = shared->link.lock();
-                 opened->send(protocol_.format_report_request(), 0,
-                              [this, shared](const target_answer& answer) {
-                                  shared->finish(answer.rows.empty()
-                                                     ? std::nullopt
-                                                     : protocol_.parse_report(answer.rows[0]));
-                                  if (const auto used = shared->link.lock()) {
-                                      used->close();
-                                  }
-                              });
-             },
-         .ended = [shared](const auto&) { shared->finish(std::nullopt); },
-         .answered = {}});
-    shared->link = link;
-    control_links_.push_back(link);
-}
-
-void session_engine::send_control(const target_entry& target, const std::string& bytes) {
-    const auto shared = std::make_shared<std::weak_ptr<target_link>>();
-    const std::shared_ptr<target_link> link =
-        target_link::open(loop_, protocol_, target,
-                          {.opened =
-                               [shared, bytes] {
-                                   const auto opened = shared->lock();
-                                   opened->send(bytes, 0, [shared](const target_answer&) {
-                                       if (const auto used = shared->lock()) {
-                                           used->close();
-                                       }
-                                   });
-                               },
-                           .ended = {},
-                           .answered = {}});
-    *shared = link;
-    control_links_.push_back(link);
-}
-
 void session_engine::tick() {
     const std::int64_t now = transport::get_boot_time();
+    update_homes();
     for (auto& [name, group] : groups_) {
         trim_links(group, now);
         hedge(group, now);
         expire(group, now);
         dispatch(name);
     }
-    // A copy, because the end of one report may request the next.
-    const std::vector<std::shared_ptr<target_link>> control_links = control_links_;
-    for (const std::shared_ptr<target_link>& link : control_links) {
-        if (!link->is_ended() && now - link->get_opened_at() > control_limit_ms) {
-            link->close();
-        }
-    }
-    std::erase_if(control_links_, [](const auto& link) { return link->is_ended(); });
+    control_.close_overdue(now);
     const auto sessions = sessions_;
     for (const auto& [key, session] : sessions) {
         session->check_time(now, configuration_.transaction_idle_ms);
@@ -941,13 +825,14 @@
             }
             continue;
         }
-        const bool is_unusable =
-            pending->needs_primary && pending->attempts == 0 && !group.right.get_usable(now);
+        const bool is_unusable = pending->attempts == 0 && !is_provable(group, *pending, now);
         const double share = is_unusable ? unusable_wait_share : queue_wait_share;
         if (now - pending->arrived_at >= scale(get_objective(*pending), share)) {
             refuse(group, pending,
                    pending->is_in_doubt ? failure_code::aborted : failure_code::busy,
-                   is_unusable ? "no primary may be used" : "no connection became free");
+                   !is_unusable             ? "no connection became free"
+                   : pending->needs_primary ? "no primary may be used"
+                                            : "no position is recent enough");
         }
     }
     const std::vector<pending_pointer> running = group.running;
@@ -967,7 +852,7 @@
             const std::shared_ptr<target_link> link = weak.lock();
             if (link && !link->is_pinned() && !link->is_idle()) {
                 if (link->is_relayed()) {
-                    rest_home(link->get_home());
+                    homes_.rest(link->get_home(), now);
                 }
                 link->close();
             }
@@ -975,6 +860,14 @@
     }
 }
 
+bool session_engine::is_provable(const target_group& group, const pending_statement& pending,
+                                 std::int64_t now) {
+    const bool has_position =
+        !pending.needs_primary &&
+        group.history.find_covering(pending.first_byte_at - pending.target_route.staleness_ms);
+    return has_position || group.right.get_usable(now);
+}
+
 void session_engine::hedge(target_group& group, std::int64_t now) {
     const std::vector<pending_pointer> running = group.running;
     for (const pending_pointer& pending : running) {
--- a/src/gateway/session_engine.h
+++ b/src/gateway/session_engine.h
@@ -12,9 +12,10 @@
 #include "gateway/caller_session.h"
 #include "gateway/configuration.h"
 #include "gateway/gateway_counters.h"
-#include "gateway/home_plan.h"
+#include "gateway/home_directory.h"
 #include "gateway/pending_statement.h"
 #include "gateway/session_protocol.h"
+#include "gateway/target_control.h"
 #include "gateway/target_group.h"
 #include "transport/event_loop.h"
 
@@ -48,11 +49,8 @@
     /** Opens a connection to a target when none is open, so that its answer tells its state. Does
      * nothing at a VM that reaches the target through its homes. */
     void probe(target_state& target);
-    /** Asks a target for a report on a connection of its own; `done` gets it or empty. */
-    void request_report(const target_entry& target,
-                        std::function<void(const std::optional<target_report>&)> done);
-    /** Sends a control statement whose answer does not matter. */
-    void send_control(const target_entry& target, const std::string& bytes);
+    /** Reports of targets and control statements. */
+    target_control& get_control() { return control_; }
 
     /** Statements and transactions of this VM at a target that may still write there. */
     int count_work(const std::string& group, const std::string& target) const;
@@ -107,7 +105,6 @@
     placement place_read(target_group& group, const pending_pointer& pending);
     placement place_relayed(target_group& group, const pending_pointer& pending);
     std::shared_ptr<target_link> find_link(target_state& target, pending_statement& pending);
-    bool is_every_home_resting(const target_state& target) const;
     int get_link_share(const target_state& target, std::int64_t now) const;
     std::shared_ptr<target_link> find_direct_link(target_state& target,
                                                   const pending_statement& pending);
@@ -117,11 +114,10 @@
     void open_relayed_link(target_state& target, const std::string& home);
     void update_plan(target_state& target);
     bool is_direct(const target_state& target) const;
-    /** The home that a new connection for the statement should use; empty without a usable one. */
-    std::string choose_home(const target_state& target, const pending_statement& pending) const;
-    bool may_use_home(const std::string& home, const target_state& target,
-                      const pending_statement& pending) const;
-    void rest_home(const std::string& home);
+    void update_homes();
+    /** Whether a target may run the statement as far as rights and known positions go. */
+    static bool is_provable(const target_group& group, const pending_statement& pending,
+                            std::int64_t now);
     void run(target_group& group, const pending_pointer& pending,
              const std::shared_ptr<target_link>& link,
              const std::optional<state::log_point>& wait_for);
@@ -148,12 +144,12 @@
     std::string vm_;
     std::string place_;
     home_facts facts_;
-    std::map<std::string, std::int64_t> homes_resting_until_;  ///< VMs that failed as homes.
+    home_directory homes_;
     configuration configuration_;
     std::map<std::string, target_group> groups_;
     std::map<std::string, std::string> group_of_target_;
     std::map<const caller_session*, std::shared_ptr<caller_session>> sessions_;
-    std::vector<std::shared_ptr<target_link>> control_links_;  ///< For reports and control.
+    target_control control_;
     transport::loop_timer timer_;
     bool is_stopping_ = false;
 };
--- /dev/null
+++ b/src/gateway/statement_bytes.cpp
@@ -0,0 +1,79 @@
+#include "gateway/statement_bytes.h"
+
+#include <algorithm>
+
+#include "gateway/caller_session.h"
+#include "gateway/target_link.h"
+
+namespace hornbeamhook::gateway {
+
+namespace {
+
+/** Sets the session's values on the link, after dropping those of other sessions. */
+void add_values(const session_protocol& protocol, const session_values& wanted, target_link& link,
+                statement_bytes& bytes) {
+    const bool has_foreign_value =
+        std::any_of(link.values.begin(), link.values.end(),
+                    [&](const auto& entry) { return !wanted.contains(entry.first); });
+    if (has_foreign_value) {
+        bytes.first += protocol.format_reset();
+        ++bytes.setup;
+        link.values.clear();
+        link.prepared.clear();
+    }
+    for (const auto& [name, value] : wanted) {
+        const auto held = link.values.find(name);
+        if (held == link.values.end() || held->second != value) {
+            bytes.first += protocol.format_set(name, value);
+            ++bytes.setup;
+            link.values[name] = value;
+        }
+    }
+}
+
+/** Prepares what the statement executes; returns its name on the link. */
+std::string add_prepared(const session_protocol& protocol, const prepared_statement& prepared,
+                         target_link& link, statement_bytes& bytes) {
+    // The name is made of what it stands for, so that sessions can share it.
+    std::string name = (prepared.is_write ? "w" : "r") + prepared.shape;
+    if (link.prepared.insert(name).second) {
+        bytes.first += protocol.format_prepare(name, prepared.is_write, prepared.shape);
+        ++bytes.setup;
+    }
+    return name;
+}
+
+}  // namespace
+
+statement_bytes format_for_link(const session_protocol& protocol, const caller_session& session,
+                                target_link& link, const caller_statement& statement,
+                                const std::optional<caller_statement>& begin,
+                                const std::optional<state::log_point>& wait_for) {
+    statement_bytes bytes;
+    add_values(protocol, session.get_values(), link, bytes);
+    const auto statement_wait = begin ? std::nullopt : wait_for;
+    std::string main_bytes;
+    if (statement.kind == statement_kind::execute) {
+        const std::string name =
+            add_prepared(protocol, *session.find_prepared(statement.name), link, bytes);
+        main_bytes =
+            protocol.format_execute(statement.id, statement_wait, name, statement.argument);
+    } else {
+        main_bytes = protocol.format_statement(statement.id, statement_wait, statement.text);
+    }
+    if (!begin) {
+        bytes.first += main_bytes;
+        return bytes;
+    }
+    bytes.first += protocol.format_statement(begin->id, wait_for, begin->text);
+    if (link.is_relayed()) {
+        // A home puts BEGIN and the first statement together by itself.
+        ++bytes.setup;
+        bytes.first += main_bytes;
+    } else {
+        bytes.after_begin = main_bytes;
+    }
+    return bytes;
+}
+
+}  // namespace hornbeamhook::gateway
--- /dev/null
+++ b/src/gateway/statement_bytes.h
@@ -0,0 +1,31 @@
+#pragma once
+
+#include <optional>
+#include <string>
+
+#include "gateway/session_protocol.h"
+
+namespace hornbeamhook::gateway {
+
+class caller_session;
+class target_link;
+
+/** What to send on a target connection for one statement. */
+struct statement_bytes {
+    std::string first;
+    int setup = 0;            ///< Statements in `first` that only prepare the connection.
+    std::string after_begin;  ///< Sent when the last statement of `first` began a transaction.
+};
+
+/**
+ * Formats a statement with everything that brings the connection to the session's state, and notes
+ * on the link what it will hold then. `begin` opens a transaction first; `wait_for` goes with the
+ * first of the two. Precondition: an executed statement is prepared in the session. Loop thread
+ * only.
+ */
+statement_bytes format_for_link(const session_protocol& protocol, const caller_session& session,
+                                target_link& link, const caller_statement& statement,
+                                const std::optional<caller_statement>& begin,
+                                const std::optional<state::log_point>& wait_for);
+
+}  // namespace hornbeamhook::gateway
--- a/tests/gateway/relayed_session_test.cpp
+++ b/tests/gateway/relayed_session_test.cpp
@@ -1,5 +1,6 @@
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <map>
 
 #include "gateway/session_engine.h"
@@ -121,6 +122,7 @@
     platform::wire_codec codec_;
     std::vector<std::unique_ptr<test_vm>> vms_;
     std::map<std::string, std::unique_ptr<scripted_target>> targets_;
+    std::unique_ptr<scripted_target> silent_;  ///< In place of a home.
     int next_id_ = 100;
 };
 
@@ -245,6 +247,35 @@
     EXPECT_EQ(caller->lines[0], "COMPLETE proof");
 }
 
+// Guards against statements that wait behind a home that is suspended or cut off, although the
+// target's other homes answer.
+TEST_F(relayed_session_test, turns_from_a_silent_home_to_another) {
+    add_target("t1", true, make_idle_target());
+    give_right_to_all("t1");
+    const auto first = open_session("strict");
+    ask(*first, "READ k1");
+    const std::string home =
+        get_entry().engine.get_groups()["g"].targets["t1"].links[0]->get_home();
+    for (const auto& vm : vms_) {
+        if (vm->member.vm == home) {
+            // What listens there now accepts connections and never answers.
+            get_entry().engine.cut_off("g", "t1");
+            vm->peers.reset();
+            silent_ = std::make_unique<scripted_target>(
+                loop_, vm->member.peer_address, [](const std::string&) { return std::string(); });
+        }
+    }
+    std::vector<std::string> answer;
+    for (int i = 0; i < 3 && (answer.empty() || answer[0] != "COMPLETE proof"); ++i) {
+        answer = ask(*first, "WRITE k2 x");
+    }
+    EXPECT_EQ(answer[0], "COMPLETE proof");
+    const auto& links = get_entry().engine.get_groups()["g"].targets["t1"].links;
+    EXPECT_TRUE(std::any_of(links.begin(), links.end(), [&](const auto& link) {
+        return link->is_open() && link->get_home() != home;
+    }));
+}
+
 // Guards against callers that wait for their time limit when no connection becomes free.
 TEST_F(relayed_session_test, a_home_refuses_when_no_connection_becomes_free) {
     scripted_target& target = add_target("t1", true, make_idle_target());
--- a/tests/gateway/session_engine_test.cpp
+++ b/tests/gateway/session_engine_test.cpp
@@ -196,6 +196,18 @@
     EXPECT_TRUE(target.lines.empty());
 }
 
+// Guards against callers that wait most of their objective for a read that this VM cannot prove to
+// be fresh, instead of trying another VM.
+TEST_F(session_engine_test, refuses_a_read_without_right_and_position_early) {
+    scripted_target& target = add_target("t2", false, make_idle_target());
+    const auto caller = open_session("bounded");
+    const std::int64_t asked_at = transport::get_boot_time();
+    const auto answer = ask(*caller, "READ k1");
+    EXPECT_TRUE(answer.back().starts_with("ERROR BUSY")) << answer.back();
+    EXPECT_LT(transport::get_boot_time() - asked_at, 200);  // Half of the objective.
+    EXPECT_TRUE(target.lines.empty());
+}
+
 // Guards against an acknowledgement from a primary that was replaced while the write ran.
 TEST_F(session_engine_test, does_not_acknowledge_a_write_of_a_superseded_primary) {
     add_target("t1", true, [this](const std::string& line) {
@@ -237,13 +249,14 @@
     int requested = 0;
     std::function<void()> request = [&] {
         ++requested;
-        engine_.request_report(entry, [&](const std::optional<target_report>& report) {
-            EXPECT_FALSE(report.has_value());
-            ++ended;
-            for (int i = 0; i < 20 && requested < 60; ++i) {
-                request();
-            }
-        });
+        engine_.get_control().request_report(entry,
+                                             [&](const std::optional<target_report>& report) {
+                                                 EXPECT_FALSE(report.has_value());
+                                                 ++ended;
+                                                 for (int i = 0; i < 20 && requested < 60; ++i) {
+                                                     request();
+                                                 }
+                                             });
     };
     request();
     run_until([&] { return ended == 60; });
