Explain a statement and a promotion from the gateways' logs

Cause: an engineer who has a request's id had to know which events to search for on which VM (docs/platform-operations.md listed the greps).

Lines of other programs and damaged lines are passed over.

--- a/src/main/hornbeamhook_ctl.cpp
+++ b/src/main/hornbeamhook_ctl.cpp
@@ -9,6 +9,7 @@
 #include "ctl/console.h"
 #include "ctl/ctl_settings.h"
 #include "ctl/executor.h"
+#include "ctl/gateway_log.h"
 #include "state/json_reader.h"
 #include "transport/log_event.h"
 
@@ -49,6 +50,26 @@
         [] { return std::optional<ctl_settings>(); });
 }
 
+/** Prints a story from the gateways' log on standard input. */
+int explain(const cxxopts::ParseResult& arguments) {
+    const std::string input(std::istreambuf_iterator<char>(std::cin), {});
+    const auto log = hornbeamhook::ctl::parse_gateway_log(input);
+    const bool is_request = arguments.count("explain-request") > 0;
+    const std::string subject =
+        arguments[is_request ? "explain-request" : "explain-promotion"].as<std::string>();
+    const std::vector<std::string> story = is_request
+                                               ? hornbeamhook::ctl::explain_request(log, subject)
+                                               : hornbeamhook::ctl::explain_promotion(log, subject);
+    if (story.empty()) {
+        std::cerr << log.size() << " lines of gateways read; none is about " << subject << "\n";
+        return static_cast<int>(command_failure::rejected);
+    }
+    for (const std::string& line : story) {
+        std::cout << line << "\n";
+    }
+    return 0;
+}
+
 int run(const cxxopts::ParseResult& arguments) {
     const std::optional<ctl_settings> settings =
         read_settings(arguments["settings"].as<std::string>());
@@ -90,8 +111,11 @@
         "f,file", "Run the statements of this file", cxxopts::value<std::string>())(
         "c,command", "Run these statements", cxxopts::value<std::string>())(
         "output", "json or table", cxxopts::value<std::string>()->default_value("table"))(
-        "dry-run", "Check and show changes without making them")("help", "Show this text")(
-        "version", "Show the version");
+        "dry-run", "Check and show changes without making them")(
+        "explain-request", "Explain a statement by the gateways' log on standard input",
+        cxxopts::value<std::string>())(
+        "explain-promotion", "Tell the changes of a group's primary from that log",
+        cxxopts::value<std::string>())("help", "Show this text")("version", "Show the version");
     try {
         const cxxopts::ParseResult arguments = options.parse(argc, argv);
         if (arguments.count("help") > 0) {
@@ -102,6 +126,9 @@
             std::cout << HORNBEAMHOOK_VERSION << "\n";
             return 0;
         }
+        if (arguments.count("explain-request") + arguments.count("explain-promotion") == 1) {
+            return explain(arguments);
+        }
         if (arguments.count("settings") == 0) {
             std::cerr << "--settings FILE is required\n";
             return exit_usage;
--- /dev/null
+++ b/tests/ctl/gateway_log_test.cpp
@@ -0,0 +1,99 @@
+#include "ctl/gateway_log.h"
+
+#include <gtest/gtest.h>
+
+namespace hornbeamhook::ctl {
+namespace {
+
+constexpr const char* sample = R"(note: a line of another program
+  1.0001 vm-a boot_ms=1000 vm=vm-a event=7012 target_listed target=i-1 group=g place=z primary=yes leaving=no
+  6.1000 vm-a boot_ms=6100 vm=vm-a event=7014 store_lost status=503 reason="" served_ms_ago=1700
+  6.2000 vm-a boot_ms=6200 vm=vm-a event=7021 primary_right_lost group=g target=i-1 version=7 store_read_ms_ago=2000 revoked=no
+  6.3000 vm-a boot_ms=6300 vm=vm-a event=7030 statement_refused id=aa sent_to="" caller=u1 reason="no primary may be used" waited_ms=50 attempts=0 needs_primary=yes primary=i-1 record_version=7 right_left_ms=-90
+  6.4000 vm-b boot_ms=77 vm=vm-b event=7033 answer_lost id=bb caller=u2 target=i-1 commit=yes
+  6.5000 vm-b boot_ms=80 vm=vm-b event=7027 primary_suspected group=g target=i-1 answer_ms_ago=700 refused=no listed=yes
+  6.9000 vm-b boot_ms=90 vm=vm-b event=7020 leadership_record_changed group=g target=i-2 term=2 changer="" version=9
+  7.0000 vm-b boot_ms=99 vm=vm-b event=7030 statement_refused id=cc sent_to=i-1,i-2 caller=u2 reason="no answer in time" waited_ms=800 attempts=2 needs_primary=no primary=i-2 record_version=9 right_left_ms=900
+)";
+
+std::string join(const std::vector<std::string>& lines) {
+    std::string text;
+    for (const std::string& line : lines) {
+        text += line + "\n";
+    }
+    return text;
+}
+
+TEST(gateway_log, reads_lines_among_other_text) {
+    const auto log = parse_gateway_log(sample);
+    ASSERT_EQ(log.size(), 8U);
+    EXPECT_EQ(log[3].event, "statement_refused");
+    EXPECT_EQ(log[3].vm, "vm-a");
+    EXPECT_EQ(log[3].time, "6.3000");
+    EXPECT_EQ(log[3].get("reason"), "no primary may be used");
+    EXPECT_EQ(log[3].get("sent_to"), "");
+    EXPECT_EQ(log[3].get("boot_ms"), "");
+}
+
+// Guards against damaged logs that end the program or name wrong events.
+TEST(gateway_log, passes_over_damaged_lines) {
+    for (const char* line : {"", "boot_ms=", "boot_ms=1 vm=", "boot_ms=1 vm=a", "boot_ms=1 event=7",
+                             "boot_ms=1 vm=a \"", "vm=a event=7000 gateway_started"}) {
+        const auto parsed = parse_gateway_line(line);
+        EXPECT_TRUE(!parsed || !parsed->event.empty()) << line;
+    }
+    EXPECT_FALSE(parse_gateway_line("boot_ms=1 vm=a").has_value());
+    EXPECT_EQ(
+        parse_gateway_line("boot_ms=1 vm=a event=7000 gateway_started x=\"a \\\" b\"")->get("x"),
+        "a \" b");
+}
+
+// Guards against an explanation that names the refusal but not what the VM believed.
+TEST(gateway_log, explains_a_refusal_by_the_lost_right_and_the_store) {
+    const std::string story = join(explain_request(parse_gateway_log(sample), "aa"));
+    EXPECT_NE(story.find("statement_refused"), std::string::npos) << story;
+    EXPECT_NE(story.find("right: 6.2000 vm-a primary_right_lost"), std::string::npos) << story;
+    EXPECT_NE(story.find("store: 6.1000 vm-a store_lost"), std::string::npos) << story;
+    EXPECT_NE(story.find("cause: the VM could neither read the store"), std::string::npos) << story;
+    EXPECT_EQ(story.find("answer_lost"), std::string::npos) << story;
+}
+
+// Guards against a doubt that leaves open whether the effect may have been rolled back.
+TEST(gateway_log, explains_a_lost_answer_by_what_became_of_the_primary) {
+    const std::string story = join(explain_request(parse_gateway_log(sample), "bb"));
+    EXPECT_NE(story.find("afterwards: 6.9000 vm-b leadership_record_changed"), std::string::npos)
+        << story;
+    EXPECT_NE(story.find("it was replaced afterwards, so an effect may be gone"), std::string::npos)
+        << story;
+}
+
+// Guards against a doubt about a read that changed nothing.
+TEST(gateway_log, explains_a_lost_answer_of_a_replica) {
+    const std::string text = std::string(sample) +
+                             "7.1 vm-b boot_ms=99 vm=vm-b event=7033 answer_lost id=dd caller=u2 "
+                             "target=i-3 commit=no\n"
+                             "6.0 vm-b boot_ms=1 vm=vm-b event=7012 target_listed target=i-3 "
+                             "group=g place=z primary=no leaving=no\n";
+    auto log = parse_gateway_log(text);
+    std::swap(log[8], log[9]);
+    const std::string story = join(explain_request(log, "dd"));
+    EXPECT_NE(story.find("the answer of a replica was lost"), std::string::npos) << story;
+}
+
+TEST(gateway_log, explains_a_late_answer_by_the_silent_targets) {
+    const std::string story = join(explain_request(parse_gateway_log(sample), "cc"));
+    EXPECT_NE(story.find("suspicion: 6.5000 vm-b primary_suspected"), std::string::npos) << story;
+    EXPECT_NE(story.find("cause: i-1,i-2 did not answer in time"), std::string::npos) << story;
+}
+
+TEST(gateway_log, tells_a_promotion_in_order) {
+    const auto story = explain_promotion(parse_gateway_log(sample), "g");
+    ASSERT_EQ(story.size(), 3U);
+    EXPECT_TRUE(story[0].starts_with("6.2000 vm-a primary_right_lost"));
+    EXPECT_TRUE(story[2].starts_with("6.9000 vm-b leadership_record_changed"));
+    EXPECT_TRUE(explain_promotion(parse_gateway_log(sample), "other").empty());
+    EXPECT_TRUE(explain_request(parse_gateway_log(sample), "other").empty());
+}
+
+}  // namespace
+}  // namespace hornbeamhook::ctl
