--- a/src/ctl/gateway_log.cpp
+++ b/src/ctl/gateway_log.cpp
@@ -76,14 +76,21 @@
                    std::vector<std::string>& story) {
     const std::string vm = log[at].vm;
     const std::string primary = log[at].get("primary");
+    const gateway_log_line* listed = find_last(log, at, [&](const gateway_log_line& line) {
+        return line.event == "target_listed" && line.get("target") == primary;
+    });
+    const std::string group = listed == nullptr ? std::string() : listed->get("group");
     const gateway_log_line* lost = find_last(log, at, [&](const gateway_log_line& line) {
-        return line.vm == vm && line.event == "primary_right_lost" && line.get("target") == primary;
+        return line.vm == vm && line.get("group") == group &&
+               (line.event == "primary_right_lost" || line.event == "primary_right_revoked");
     });
     add(story, "right", lost);
     add(story, "store", find_last(log, at, [&](const gateway_log_line& line) {
             return line.vm == vm && (line.event == "store_lost" || line.event == "store_regained");
         }));
-    if (lost != nullptr && lost->get("revoked") == "yes") {
+    // A revocation is in force before the loss of the right is noticed and written.
+    if (lost != nullptr &&
+        (lost->event == "primary_right_revoked" || lost->get("revoked") == "yes")) {
         story.emplace_back("  cause: another VM was replacing the primary");
     } else if (lost != nullptr) {
         story.emplace_back(
--- a/tests/ctl/gateway_log_test.cpp
+++ b/tests/ctl/gateway_log_test.cpp
@@ -58,6 +58,17 @@
     EXPECT_EQ(story.find("answer_lost"), std::string::npos) << story;
 }
 
+// Guards against a revoked right that is told as one that never was.
+TEST(gateway_log, explains_a_refusal_during_a_change_of_the_primary) {
+    auto log = parse_gateway_log(sample);
+    log[2] = *parse_gateway_line(
+        "6.2 vm-a boot_ms=6200 vm=vm-a event=7023 primary_right_revoked group=g version=8 "
+        "planned=no");
+    const std::string story = join(explain_request(log, "aa"));
+    EXPECT_NE(story.find("cause: another VM was replacing the primary"), std::string::npos)
+        << story;
+}
+
 // Guards against a doubt that leaves open whether the effect may have been rolled back.
 TEST(gateway_log, explains_a_lost_answer_by_what_became_of_the_primary) {
     const std::string story = join(explain_request(parse_gateway_log(sample), "bb"));
