Log the limit of connections in the product's word

Change: target_link_ended says limited=yes, and explain reads that; a test for this explanation was missing.

--- a/src/ctl/gateway_log.cpp
+++ b/src/ctl/gateway_log.cpp
@@ -112,7 +112,7 @@
     if (reason == "no connection became free" || reason == "the queue is too long") {
         const gateway_log_line* limit = find_last(log, at, [&](const gateway_log_line& other) {
             return other.vm == line.vm && other.event == "target_link_ended" &&
-                   other.get("reason").starts_with("CONNLIMIT");
+                   other.get("limited") == "yes";
         });
         add(story, "limit", limit);
         story.push_back(std::string("  cause: all connections were taken") +
--- a/src/gateway/session_engine.cpp
+++ b/src/gateway/session_engine.cpp
@@ -566,6 +566,7 @@
     log_.write(event_link_ended,
                {{"target", id},
                 {"refused", end.is_refused ? "yes" : "no"},
+                {"limited", is_limited ? "yes" : "no"},
                 {"reason", failure ? failure->word + " " + failure->text : "closed"}});
     if (is_limited) {
         target->limited_until = now + limited_ms;
--- a/tests/ctl/gateway_log_test.cpp
+++ b/tests/ctl/gateway_log_test.cpp
@@ -91,6 +91,18 @@
     EXPECT_NE(story.find("the answer of a replica was lost"), std::string::npos) << story;
 }
 
+// Guards against a refused connection that the explanation overlooks.
+TEST(gateway_log, explains_a_refusal_by_the_limit_of_connections) {
+    const std::string story = join(explain_request(
+        parse_gateway_log("1 vm-a boot_ms=1 vm=vm-a event=7034 target_link_ended target=i-1 "
+                          "refused=no limited=yes reason=full\n"
+                          "2 vm-a boot_ms=2 vm=vm-a event=7030 statement_refused id=ee "
+                          "reason=\"no connection became free\" primary=i-1\n"),
+        "ee"));
+    EXPECT_NE(story.find("limit: 1 vm-a target_link_ended"), std::string::npos) << story;
+    EXPECT_NE(story.find("the target had refused more before"), std::string::npos) << story;
+}
+
 TEST(gateway_log, explains_a_late_answer_by_the_silent_targets) {
     const std::string story = join(explain_request(parse_gateway_log(sample), "cc"));
     EXPECT_NE(story.find("suspicion: 6.5000 vm-b primary_suspected"), std::string::npos) << story;
