Print help and version of all programs in one place

The shared part is now transport/program_options.h, which needs cxxopts alone; exit_usage moves there.

--- a/src/main/hornbeamhook_ctl.cpp
+++ b/src/main/hornbeamhook_ctl.cpp
@@ -12,6 +12,7 @@
 #include "ctl/gateway_log.h"
 #include "state/json_reader.h"
 #include "transport/log_event.h"
+#include "transport/program_options.h"
 
 namespace {
 
@@ -118,12 +119,7 @@
         cxxopts::value<std::string>())("help", "Show this text")("version", "Show the version");
     try {
         const cxxopts::ParseResult arguments = options.parse(argc, argv);
-        if (arguments.count("help") > 0) {
-            std::cout << options.help();
-            return 0;
-        }
-        if (arguments.count("version") > 0) {
-            std::cout << HORNBEAMHOOK_VERSION << "\n";
+        if (hornbeamhook::transport::print_information(options, arguments)) {
             return 0;
         }
         if (arguments.count("explain-request") + arguments.count("explain-promotion") == 1) {
--- a/src/main/hornbeamhook_fault_proxy.cpp
+++ b/src/main/hornbeamhook_fault_proxy.cpp
@@ -65,12 +65,7 @@
     options.add_options()("settings", "JSON settings file", cxxopts::value<std::string>())(
         "version", "Print the version")("help", "Print this help");
     const cxxopts::ParseResult arguments = options.parse(argc, argv);
-    if (arguments.count("help") > 0) {
-        std::cout << options.help();
-        return 0;
-    }
-    if (arguments.count("version") > 0) {
-        std::cout << HORNBEAMHOOK_VERSION << "\n";
+    if (transport::print_information(options, arguments)) {
         return 0;
     }
     if (arguments.count("settings") == 0) {
--- a/src/main/hornbeamhook_load.cpp
+++ b/src/main/hornbeamhook_load.cpp
@@ -16,6 +16,7 @@
 #include "state/json_reader.h"
 #include "state/state_error.h"
 #include "transport/log_event.h"
+#include "transport/program_options.h"
 
 namespace {
 
@@ -161,12 +162,7 @@
 int run(int argc, char** argv) {
     cxxopts::Options options = make_options();
     const cxxopts::ParseResult arguments = options.parse(argc, argv);
-    if (arguments.count("help") > 0) {
-        std::cout << options.help();
-        return 0;
-    }
-    if (arguments.count("version") > 0) {
-        std::cout << HORNBEAMHOOK_VERSION << "\n";
+    if (transport::print_information(options, arguments)) {
         return 0;
     }
     if (arguments.count("settings") + arguments.count("direct") == 0) {
--- a/src/main/hornbeamhook_target_standin.cpp
+++ b/src/main/hornbeamhook_target_standin.cpp
@@ -60,12 +60,7 @@
         options.add_options()("settings", "settings file (JSON)", cxxopts::value<std::string>())(
             "version", "print the version")("help", "print this help");
         const cxxopts::ParseResult arguments = options.parse(argc, argv);
-        if (arguments.count("help") > 0) {
-            std::cout << options.help();
-            return 0;
-        }
-        if (arguments.count("version") > 0) {
-            std::cout << HORNBEAMHOOK_VERSION << "\n";
+        if (hornbeamhook::transport::print_information(options, arguments)) {
             return 0;
         }
         if (arguments.count("settings") == 0) {
--- a/src/transport/program.h
+++ b/src/transport/program.h
@@ -12,12 +12,10 @@
 
 #include "state/json_reader.h"
 #include "transport/log_event.h"
+#include "transport/program_options.h"
 
 namespace hornbeamhook::transport {
 
-/** Exit code of a program whose options or settings are wrong. */
-inline constexpr int exit_usage = 2;
-
 /** SIGTERM and SIGINT, blocked in this thread and all that it starts later. */
 class termination_signals {
 public:
@@ -77,12 +75,7 @@
         options.add_options()("settings", "JSON settings file", cxxopts::value<std::string>())(
             "help", "Show this text")("version", "Show the version");
         const cxxopts::ParseResult arguments = options.parse(argc, argv);
-        if (arguments.count("help") > 0) {
-            std::cout << options.help();
-            return 0;
-        }
-        if (arguments.count("version") > 0) {
-            std::cout << HORNBEAMHOOK_VERSION << "\n";
+        if (print_information(options, arguments)) {
             return 0;
         }
         if (arguments.count("settings") == 0) {
