Share the wiring of streams, channels and addresses in transport

Three owners of a stream wrapped each event in the same weak pointer (caller_session, target_link, http_channel): make_weak_events() does it once. gateway and store_client each kept a map of HTTP channels by address: http_channel_pool is that map. HOST:PORT was put together in four places beside parse_endpoint(): format_endpoint() is its inverse.

--- a/src/gateway/caller_session.cpp
+++ b/src/gateway/caller_session.cpp
@@ -23,20 +23,13 @@
     : engine_(engine), stream_(std::move(stream)), lines_(max_line_bytes), origin_(origin) {}
 
 void caller_session::start() {
-    const std::weak_ptr<caller_session> weak = weak_from_this();
-    stream_->start({.connected = {},
-                    .received =
-                        [weak](std::string_view bytes) {
-                            if (const auto self = weak.lock()) {
-                                self->receive(bytes);
-                            }
-                        },
-                    .ended =
-                        [weak](bool) {
-                            if (const auto self = weak.lock()) {
-                                self->close();
-                            }
-                        }});
+    stream_->start(transport::make_weak_events<caller_session>(
+        weak_from_this(), nullptr, &caller_session::receive, &caller_session::end_stream));
+}
+
+void caller_session::end_stream(bool is_refused) {
+    static_cast<void>(is_refused);
+    close();
 }
 
 void caller_session::receive(std::string_view bytes) {
--- a/src/gateway/caller_session.h
+++ b/src/gateway/caller_session.h
@@ -67,6 +67,7 @@
     enum class phase { starting, idle, lazy_transaction, open_transaction, failed_transaction };
 
     void receive(std::string_view bytes);
+    void end_stream(bool is_refused);
     void handle_lines();
     void handle_line(std::string_view line);
     void handle(const caller_message& message);
--- a/src/gateway/fleet_view.cpp
+++ b/src/gateway/fleet_view.cpp
@@ -17,12 +17,10 @@
 }  // namespace
 
 std::string format_member(const fleet_member& member) {
-    return nlohmann::json{
-        {"incarnation", member.incarnation},
-        {"peer", member.peer_address.host + ":" + std::to_string(member.peer_address.port)},
-        {"control",
-         member.control_address.host + ":" + std::to_string(member.control_address.port)},
-        {"place", member.place}}
+    return nlohmann::json{{"incarnation", member.incarnation},
+                          {"peer", transport::format_endpoint(member.peer_address)},
+                          {"control", transport::format_endpoint(member.control_address)},
+                          {"place", member.place}}
         .dump();
 }
 
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -75,6 +75,7 @@
                       const transport::http_listener::responder& respond) {
                    serve_control(call, respond);
                }),
+      peer_channels_(loop),
       ping_timer_(loop),
       stop_timer_(loop) {
     callers_ = std::make_unique<transport::tcp_listener>(
@@ -307,20 +308,16 @@
         return;
     }
     fetched_at_ = now;
-    std::unique_ptr<transport::http_channel>& channel = peer_channels_[peer];
-    if (!channel) {
-        channel = std::make_unique<transport::http_channel>(loop_, peer);
-    }
-    channel->send({.method = "GET",
-                   .path = "/internal/v1/snapshot",
-                   .headers = {},
-                   .body = {},
-                   .timeout_ms = fetch_timeout_ms},
-                  [this](const transport::http_exchange_answer& answer) {
-                      if (answer.status == status_ok) {
-                          follower_.merge_snapshot(answer.body);
-                      }
-                  });
+    peer_channels_.get(peer).send({.method = "GET",
+                                   .path = "/internal/v1/snapshot",
+                                   .headers = {},
+                                   .body = {},
+                                   .timeout_ms = fetch_timeout_ms},
+                                  [this](const transport::http_exchange_answer& answer) {
+                                      if (answer.status == status_ok) {
+                                          follower_.merge_snapshot(answer.body);
+                                      }
+                                  });
 }
 
 void gateway::reload() {
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -17,6 +17,7 @@
 #include "gateway/store_client.h"
 #include "gateway/store_follower.h"
 #include "transport/event_loop.h"
+#include "transport/http_channel_pool.h"
 #include "transport/http_listener.h"
 
 namespace hornbeamhook::gateway {
@@ -74,10 +75,10 @@
     transport::http_listener control_;
     std::unique_ptr<transport::tcp_listener> callers_;
     std::unique_ptr<transport::tcp_listener> relays_;  ///< From other VMs.
+    transport::http_channel_pool peer_channels_;
     transport::loop_timer ping_timer_;
     transport::loop_timer stop_timer_;
     std::vector<std::unique_ptr<transport::signal_watcher>> signals_;
-    std::map<transport::endpoint, std::unique_ptr<transport::http_channel>> peer_channels_;
     std::int64_t started_at_ = 0;
     std::int64_t stopping_since_ = 0;  ///< 0 while serving.
     std::int64_t registered_at_ = 0;   ///< Of the last attempt.
--- a/src/gateway/store_client.cpp
+++ b/src/gateway/store_client.cpp
@@ -53,7 +53,7 @@
 
 store_client::store_client(transport::event_loop& loop, const transport::endpoint& store,
                            bounded_log& log, gateway_counters& counters)
-    : loop_(loop), direct_(loop, store), log_(log), counters_(counters) {}
+    : loop_(loop), direct_(loop, store), channels_(loop), log_(log), counters_(counters) {}
 
 bool store_client::is_served() const {
     return served_at_ != 0 && transport::get_boot_time() - served_at_ < served_ms;
@@ -89,38 +89,30 @@
     });
 }
 
-transport::http_channel& store_client::get_channel(const transport::endpoint& address) {
-    std::unique_ptr<transport::http_channel>& channel = channels_[address];
-    if (!channel) {
-        channel = std::make_unique<transport::http_channel>(loop_, address);
-    }
-    return *channel;
-}
-
 void store_client::send_relayed(const http_exchange_request& request, callback done) {
     const transport::endpoint relay = relays_[next_relay_++ % relays_.size()];
     const nlohmann::json body{{"method", request.method},
                               {"path", request.path},
                               {"body", request.body},
                               {"timeout_ms", request.timeout_ms}};
-    get_channel(relay).send({.method = "POST",
-                             .path = "/internal/v1/store",
-                             .headers = {},
-                             .body = body.dump(),
-                             .timeout_ms = request.timeout_ms + relay_extra_ms},
-                            [done = std::move(done)](const http_exchange_answer& answer) {
-                                constexpr int status_ok = 200;
-                                http_exchange_answer inner;
-                                inner.error = answer.error;
-                                const nlohmann::json reply =
-                                    nlohmann::json::parse(answer.body, nullptr, false);
-                                if (answer.status == status_ok && reply.is_object()) {
-                                    inner.status = reply.value("status", 0);
-                                    inner.body = reply.value("body", std::string());
-                                    inner.error.was_sent = reply.value("was_sent", true);
-                                }
-                                done(inner);
-                            });
+    channels_.get(relay).send({.method = "POST",
+                               .path = "/internal/v1/store",
+                               .headers = {},
+                               .body = body.dump(),
+                               .timeout_ms = request.timeout_ms + relay_extra_ms},
+                              [done = std::move(done)](const http_exchange_answer& answer) {
+                                  constexpr int status_ok = 200;
+                                  http_exchange_answer inner;
+                                  inner.error = answer.error;
+                                  const nlohmann::json reply =
+                                      nlohmann::json::parse(answer.body, nullptr, false);
+                                  if (answer.status == status_ok && reply.is_object()) {
+                                      inner.status = reply.value("status", 0);
+                                      inner.body = reply.value("body", std::string());
+                                      inner.error.was_sent = reply.value("was_sent", true);
+                                  }
+                                  done(inner);
+                              });
 }
 
 void store_client::read(const http_exchange_request& request, callback done) {
--- a/src/gateway/store_client.h
+++ b/src/gateway/store_client.h
@@ -1,14 +1,13 @@
 #pragma once
 
 #include <functional>
-#include <map>
 #include <memory>
 #include <vector>
 
 #include "gateway/bounded_log.h"
 #include "gateway/gateway_counters.h"
 #include "gateway/platform_services.h"
-#include "transport/http_channel.h"
+#include "transport/http_channel_pool.h"
 #include "transport/http_listener.h"
 
 namespace hornbeamhook::gateway {
@@ -47,11 +46,10 @@
     void send_relayed(const transport::http_exchange_request& request, callback done);
     void note_direct(const transport::http_exchange_answer& answer);
     bool is_direct_doubtful() const;
-    transport::http_channel& get_channel(const transport::endpoint& address);
 
     transport::event_loop& loop_;
     transport::http_channel direct_;
-    std::map<transport::endpoint, std::unique_ptr<transport::http_channel>> channels_;
+    transport::http_channel_pool channels_;  ///< To other VMs.
     std::vector<transport::endpoint> relays_;
     std::size_t next_relay_ = 0;
     bounded_log& log_;
--- a/src/gateway/target_link.cpp
+++ b/src/gateway/target_link.cpp
@@ -22,31 +22,21 @@
     link->home_ = home ? home->vm : std::string();
     link->events_ = std::move(events);
     link->opened_at_ = transport::get_boot_time();
-    const std::weak_ptr<target_link> weak = link;
     link->stream_ = transport::tcp_stream::connect(
         loop, home ? home->address : target.address,
-        {.connected =
-             [weak] {
-                 if (const auto self = weak.lock()) {
-                     self->stream_->write(
-                         self->protocol_.format_start(self->group_, self->target_));
-                 }
-             },
-         .received =
-             [weak](std::string_view bytes) {
-                 if (const auto self = weak.lock()) {
-                     self->receive(bytes);
-                 }
-             },
-         .ended =
-             [weak](bool is_refused) {
-                 if (const auto self = weak.lock()) {
-                     self->end({std::nullopt, is_refused, false});
-                 }
-             }});
+        transport::make_weak_events(std::weak_ptr<target_link>(link), &target_link::start_session,
+                                    &target_link::receive, &target_link::end_stream));
     return link;
 }
 
+void target_link::start_session() {
+    stream_->write(protocol_.format_start(group_, target_));
+}
+
+void target_link::end_stream(bool is_refused) {
+    end({std::nullopt, is_refused, false});
+}
+
 void target_link::send(std::string bytes, int setup, answer_callback done) {
     const std::int64_t now = transport::get_boot_time();
     for (int i = 0; i < setup; ++i) {
--- a/src/gateway/target_link.h
+++ b/src/gateway/target_link.h
@@ -107,6 +107,8 @@
     };
 
     target_link(const session_protocol& protocol, const target_entry& target);
+    void start_session();
+    void end_stream(bool is_refused);
     void receive(std::string_view bytes);
     void handle(const target_message& message);
     void complete(const target_ready& ready);
--- a/src/transport/endpoint.cpp
+++ b/src/transport/endpoint.cpp
@@ -4,6 +4,10 @@
 
 namespace hornbeamhook::transport {
 
+std::string format_endpoint(const endpoint& value) {
+    return value.host + ":" + std::to_string(value.port);
+}
+
 std::optional<endpoint> parse_endpoint(std::string_view text) {
     const std::size_t colon = text.rfind(':');
     if (colon == std::string_view::npos || colon == 0) {
--- a/src/transport/endpoint.h
+++ b/src/transport/endpoint.h
@@ -15,6 +15,9 @@
     auto operator<=>(const endpoint&) const = default;
 };
 
+/** The inverse of parse_endpoint(). Thread safe. */
+std::string format_endpoint(const endpoint& value);
+
 /** Parses "HOST:PORT"; empty when the text has another form. Thread safe. */
 std::optional<endpoint> parse_endpoint(std::string_view text);
 
--- a/src/transport/http_channel.cpp
+++ b/src/transport/http_channel.cpp
@@ -34,30 +34,9 @@
     }
 
     void open(event_loop& loop, const endpoint& address) {
-        const std::weak_ptr<connection> weak = weak_from_this();
-        stream_ = tcp_stream::connect(
-            loop, address,
-            {.connected =
-                 [weak] {
-                     if (const auto self = weak.lock()) {
-                         self->is_connected_ = true;
-                         self->stream_->write(std::exchange(self->pending_, {}));
-                     }
-                 },
-             .received =
-                 [weak](std::string_view bytes) {
-                     if (const auto self = weak.lock()) {
-                         self->receive(bytes);
-                     }
-                 },
-             .ended =
-                 [weak](bool is_refused) {
-                     if (const auto self = weak.lock()) {
-                         self->fail(
-                             is_refused ? transport_failure::refused : transport_failure::closed,
-                             "connection ended");
-                     }
-                 }});
+        stream_ = tcp_stream::connect(loop, address,
+                                      make_weak_events(weak_from_this(), &connection::send_pending,
+                                                       &connection::receive, &connection::end));
     }
 
     void begin(std::string bytes, milliseconds_count timeout_ms, callback done) {
@@ -91,6 +70,16 @@
     }
 
 private:
+    void send_pending() {
+        is_connected_ = true;
+        stream_->write(std::exchange(pending_, {}));
+    }
+
+    void end(bool is_refused) {
+        fail(is_refused ? transport_failure::refused : transport_failure::closed,
+             "connection ended");
+    }
+
     void receive(std::string_view bytes) {
         if (!done_) {
             fail(transport_failure::invalid, "bytes without a request");
@@ -152,8 +141,7 @@
 
 void http_channel::send(const http_exchange_request& request, callback done) {
     std::string bytes = request.method + " " + request.path +
-                        " HTTP/1.1\r\nHost: " + address_.host + ":" +
-                        std::to_string(address_.port) + "\r\n";
+                        " HTTP/1.1\r\nHost: " + format_endpoint(address_) + "\r\n";
     for (const http_header& header : request.headers) {
         bytes += header.name + ": " + header.value + "\r\n";
     }
--- a/src/transport/tcp_stream.cpp
+++ b/src/transport/tcp_stream.cpp
@@ -199,8 +199,8 @@
     uv_tcp_bind(&state_->handle, reinterpret_cast<const sockaddr*>(&local), 0);
     const int status = uv_listen(as_stream(state_->handle), listen_backlog, &tcp_listener::accept);
     if (status != 0) {
-        throw std::runtime_error("cannot listen on " + address.host + ":" +
-                                 std::to_string(address.port) + ": " + uv_strerror(status));
+        throw std::runtime_error("cannot listen on " + format_endpoint(address) + ": " +
+                                 uv_strerror(status));
     }
 }
 
--- a/src/transport/tcp_stream.h
+++ b/src/transport/tcp_stream.h
@@ -19,6 +19,29 @@
     std::function<void(bool is_refused)> ended;
 };
 
+/**
+ * Events that call the owner's functions as long as it lives. A function may drop the last other
+ * reference to the owner; `connected` may be null. Thread safe.
+ */
+template <typename owner>
+stream_events make_weak_events(const std::weak_ptr<owner>& weak, void (owner::*connected)(),
+                               void (owner::*received)(std::string_view),
+                               void (owner::*ended)(bool is_refused)) {
+    const auto call = [weak](auto function, auto... arguments) {
+        if (const auto self = weak.lock()) {
+            ((*self).*function)(arguments...);
+        }
+    };
+    stream_events events{
+        .connected = {},
+        .received = [call, received](std::string_view bytes) { call(received, bytes); },
+        .ended = [call, ended](bool is_refused) { call(ended, is_refused); }};
+    if (connected != nullptr) {
+        events.connected = [call, connected] { call(connected); };
+    }
+    return events;
+}
+
 /** A non-blocking TCP connection. Loop thread only. */
 class tcp_stream : public std::enable_shared_from_this<tcp_stream> {
 public:
