Search links, plan targets and find primaries in one place each

find_direct_link and find_relayed_link repeated the same walk: search_links() does it, and each gives only its condition. set_configuration and set_fleet share update_plans(). Five functions of leadership_keeper looked up the target of the newest record: target_group::find_primary(). The tick copied the whole list of sessions 20 times a second to find the few that are overdue; it now collects only those (caller_session::is_overdue).

--- a/src/gateway/caller_session.cpp
+++ b/src/gateway/caller_session.cpp
@@ -523,24 +523,30 @@
     engine_.forget(*this);
 }
 
+bool caller_session::is_overdue(std::int64_t now, std::int64_t transaction_idle_ms) const {
+    if (!pinned_statement_) {
+        return !is_busy_ && phase_ == phase::open_transaction && transaction_idle_ms > 0 &&
+               now - last_active_at_ >= transaction_idle_ms;
+    }
+    const std::int64_t timeout =
+        route_.timeout_ms > 0 ? route_.timeout_ms : default_statement_timeout_ms;
+    const bool is_commit = pinned_statement_->kind == statement_kind::commit;
+    const auto limit =
+        is_commit
+            ? timeout
+            : static_cast<std::int64_t>(static_cast<double>(timeout) * silent_statement_share);
+    return now - pinned_sent_at_ >= limit;
+}
+
 void caller_session::check_time(std::int64_t now, std::int64_t transaction_idle_ms) {
-    if (pinned_statement_) {
-        const std::int64_t timeout =
-            route_.timeout_ms > 0 ? route_.timeout_ms : default_statement_timeout_ms;
-        const bool is_commit = pinned_statement_->kind == statement_kind::commit;
-        const auto limit =
-            is_commit
-                ? timeout
-                : static_cast<std::int64_t>(static_cast<double>(timeout) * silent_statement_share);
-        if (now - pinned_sent_at_ >= limit) {
-            // Ends in finish_pinned() with a lost answer.
-            const std::shared_ptr<target_link> link = link_;
-            link->close();
-        }
+    if (!is_overdue(now, transaction_idle_ms)) {
         return;
     }
-    if (!is_busy_ && phase_ == phase::open_transaction && transaction_idle_ms > 0 &&
-        now - last_active_at_ >= transaction_idle_ms) {
+    if (pinned_statement_) {
+        // Ends in finish_pinned() with a lost answer.
+        const std::shared_ptr<target_link> link = link_;
+        link->close();
+    } else {
         drop_link();
         phase_ = phase::failed_transaction;
     }
--- a/src/gateway/caller_session.h
+++ b/src/gateway/caller_session.h
@@ -55,6 +55,9 @@
     /** Ends the session at once; an open transaction is rolled back. */
     void close();
 
+    /** Whether check_time() has something to end. */
+    bool is_overdue(std::int64_t now, std::int64_t transaction_idle_ms) const;
+
     /** Rolls back a transaction that has been idle, or whose statement is silent, for too long. */
     void check_time(std::int64_t now, std::int64_t transaction_idle_ms);
 
--- a/src/gateway/leadership_keeper.cpp
+++ b/src/gateway/leadership_keeper.cpp
@@ -146,12 +146,10 @@
     std::vector<known_position> result;
     for (const auto& [name, group] : engine_.get_groups()) {
         const auto newest = group.history.get_newest();
-        const auto& record = group.right.get_record();
-        const auto primary = record ? group.targets.find(record->target) : group.targets.end();
+        const target_state* primary = group.find_primary();
         // The homes of a primary hear of its position first; the others would only repeat them.
-        const bool is_source = primary == group.targets.end() ||
-                               primary->second.plan.homes.empty() ||
-                               primary->second.plan.is_home(fleet_.get_self().vm);
+        const bool is_source = primary == nullptr || primary->plan.homes.empty() ||
+                               primary->plan.is_home(fleet_.get_self().vm);
         if (newest && is_source) {
             result.push_back({name, *newest, now - group.history.get_newest_time()});
         }
@@ -264,11 +262,11 @@
         duty.suspect_since = 0;
         return;
     }
-    const auto entry = group.targets.find(record->target);
+    target_state* primary = group.find_primary();
     coordination::primary_contact contact;
-    contact.is_listed = entry != group.targets.end() && entry->second.gone_at == 0;
-    if (entry != group.targets.end()) {
-        target_state& target = entry->second;
+    contact.is_listed = primary != nullptr && primary->gone_at == 0;
+    if (primary != nullptr) {
+        target_state& target = *primary;
         contact.last_answer_at = target.last_answer_at;
         contact.refused_since = target.refused_since;
         for (const auto& link : target.links) {
@@ -316,14 +314,13 @@
 std::set<std::string> leadership_keeper::get_judges(const target_group& group,
                                                     std::int64_t now) const {
     std::set<std::string> responsive = fleet_.get_responsive(now);
-    const auto& record = group.right.get_record();
-    const auto primary = record ? group.targets.find(record->target) : group.targets.end();
-    if (primary == group.targets.end()) {
+    const target_state* primary = group.find_primary();
+    if (primary == nullptr) {
         return responsive;
     }
     // Only homes hold connections to the target; the others hear of it through them.
     std::set<std::string> judges;
-    for (const std::string& home : primary->second.plan.homes) {
+    for (const std::string& home : primary->plan.homes) {
         if (responsive.contains(home)) {
             judges.insert(home);
         }
@@ -332,12 +329,11 @@
 }
 
 int leadership_keeper::get_claim_rank(const target_group& group, std::int64_t now) const {
-    const auto& record = group.right.get_record();
-    const auto primary = record ? group.targets.find(record->target) : group.targets.end();
-    if (primary == group.targets.end() || primary->second.plan.homes.empty()) {
+    const target_state* primary = group.find_primary();
+    if (primary == nullptr || primary->plan.homes.empty()) {
         return fleet_.get_rank(group.name, now);
     }
-    const std::vector<std::string>& homes = primary->second.plan.homes;
+    const std::vector<std::string>& homes = primary->plan.homes;
     const auto own = std::find(homes.begin(), homes.end(), fleet_.get_self().vm);
     // Homes are the first to know of a loss, so they come before all others.
     return own != homes.end() ? static_cast<int>(own - homes.begin())
@@ -422,12 +418,9 @@
             }
         }
     }
-    if (!facts.record) {
-        return facts;
-    }
-    const auto primary = group.targets.find(facts.record->target);
-    if (primary != group.targets.end()) {
-        const target_state& target = primary->second;
+    const target_state* primary = group.find_primary();
+    if (primary != nullptr) {
+        const target_state& target = *primary;
         facts.is_primary_leaving = target.gone_at == 0 && target.entry.is_leaving;
         const bool was_read_only =
             target.read_only_at > duty.record_seen_at && now - target.read_only_at <= demoted_ms;
--- a/src/gateway/session_engine.cpp
+++ b/src/gateway/session_engine.cpp
@@ -64,6 +64,32 @@
     return static_cast<std::int64_t>(static_cast<double>(value) * factor);
 }
 
+/** What a target's connections of one kind offer a statement. */
+struct link_search {
+    std::shared_ptr<target_link> best;
+    int opening = 0;
+    int count = 0;  ///< With those that open.
+};
+
+template <typename link_filter>
+link_search search_links(const target_state& target, const pending_statement& pending,
+                         bool is_relayed, const link_filter& may_use) {
+    link_search result;
+    for (const std::shared_ptr<target_link>& link : target.links) {
+        if (link->is_ended() || link->is_relayed() != is_relayed) {
+            continue;
+        }
+        ++result.count;
+        result.opening += link->is_open() ? 0 : 1;
+        // A link that already holds the session's values needs no further statements.
+        const bool is_better = !result.best || link->values == pending.session->get_values();
+        if (link->is_idle() && !link->is_pinned() && is_better && may_use(*link)) {
+            result.best = link;
+        }
+    }
+    return result;
+}
+
 }  // namespace
 
 session_engine::session_engine(transport::event_loop& loop, const session_protocol& protocol,
@@ -96,11 +122,7 @@
 
 void session_engine::set_configuration(const configuration& value) {
     configuration_ = value;
-    for (auto& [name, group] : groups_) {
-        for (auto& [id, target] : group.targets) {
-            update_plan(target);
-        }
-    }
+    update_plans();
 }
 
 void session_engine::set_fleet(std::vector<fleet_member> live, int fleet_size) {
@@ -109,6 +131,10 @@
         return;
     }
     facts_ = std::move(facts);
+    update_plans();
+}
+
+void session_engine::update_plans() {
     for (auto& [name, group] : groups_) {
         for (auto& [id, target] : group.targets) {
             update_plan(target);
@@ -404,28 +430,13 @@
 
 std::shared_ptr<target_link> session_engine::find_direct_link(target_state& target,
                                                               const pending_statement& pending) {
-    std::shared_ptr<target_link> best;
-    int opening = 0;
-    int open = 0;
-    for (const std::shared_ptr<target_link>& link : target.links) {
-        if (link->is_relayed()) {
-            continue;
-        }
-        opening += !link->is_open() && !link->is_ended() ? 1 : 0;
-        open += link->is_ended() ? 0 : 1;
-        if (!link->is_idle() || link->is_pinned()) {
-            continue;
-        }
-        // A link that already holds the session's values needs no further statements.
-        if (!best || link->values == pending.session->get_values()) {
-            best = link;
-        }
-    }
-    if (!best && opening < max_openings &&
-        open < get_link_share(target, transport::get_boot_time())) {
+    const link_search found =
+        search_links(target, pending, false, [](const target_link&) { return true; });
+    if (!found.best && found.opening < max_openings &&
+        found.count < get_link_share(target, transport::get_boot_time())) {
         open_link(target);
     }
-    return best;
+    return found.best;
 }
 
 std::shared_ptr<target_link> session_engine::find_relayed_link(target_state& target,
@@ -434,27 +445,15 @@
     const std::string home =
         homes_.choose(target.plan, target.entry.id, pending.avoided_homes, now);
     const bool must_answer = !homes_.is_silent(home, now);
-    std::shared_ptr<target_link> best;
-    int opening = 0;
-    int open = 0;
-    for (const std::shared_ptr<target_link>& link : target.links) {
-        if (!link->is_relayed()) {
-            continue;
-        }
-        opening += !link->is_open() && !link->is_ended() ? 1 : 0;
-        open += link->is_ended() ? 0 : 1;
-        const bool is_usable = link->is_idle() && !link->is_pinned() &&
-                               homes_.may_use(target.plan, link->get_home(), now) &&
-                               !pending.avoided_homes.contains(link->get_home()) &&
-                               !(must_answer && homes_.is_silent(link->get_home(), now));
-        if (is_usable && (!best || link->values == pending.session->get_values())) {
-            best = link;
-        }
-    }
-    if (!best && opening < max_relay_openings && open < max_relayed_links) {
+    const link_search found = search_links(target, pending, true, [&](const target_link& link) {
+        return homes_.may_use(target.plan, link.get_home(), now) &&
+               !pending.avoided_homes.contains(link.get_home()) &&
+               !(must_answer && homes_.is_silent(link.get_home(), now));
+    });
+    if (!found.best && found.opening < max_relay_openings && found.count < max_relayed_links) {
         open_relayed_link(target, home);
     }
-    return best;
+    return found.best;
 }
 
 void session_engine::update_homes() {
@@ -856,11 +855,21 @@
         dispatch(name);
     }
     control_.close_overdue(now);
-    const auto sessions = sessions_;
-    for (const auto& [key, session] : sessions) {
+    end_overdue(now);
+    log_.flush();
+}
+
+void session_engine::end_overdue(std::int64_t now) {
+    // Ending one changes the list, and few of some thousand sessions are overdue at a time.
+    std::vector<std::shared_ptr<caller_session>> overdue;
+    for (const auto& [key, session] : sessions_) {
+        if (session->is_overdue(now, configuration_.transaction_idle_ms)) {
+            overdue.push_back(session);
+        }
+    }
+    for (const std::shared_ptr<caller_session>& session : overdue) {
         session->check_time(now, configuration_.transaction_idle_ms);
     }
-    log_.flush();
 }
 
 void session_engine::expire(target_group& group, std::int64_t now) {
--- a/src/gateway/session_engine.h
+++ b/src/gateway/session_engine.h
@@ -97,6 +97,7 @@
     enum class placement { sent, waits, impossible };
 
     void tick();
+    void end_overdue(std::int64_t now);
     void expire(target_group& group, std::int64_t now);
     void hedge(target_group& group, std::int64_t now);
     void trim_links(target_group& group, std::int64_t now);
@@ -112,6 +113,7 @@
                                                    const pending_statement& pending);
     void open_link(target_state& target);
     void open_relayed_link(target_state& target, const std::string& home);
+    void update_plans();
     void update_plan(target_state& target);
     bool is_direct(const target_state& target) const;
     void update_homes();
--- a/src/gateway/target_group.cpp
+++ b/src/gateway/target_group.cpp
@@ -1,6 +1,7 @@
 #include "gateway/target_group.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace hornbeamhook::gateway {
 
@@ -11,4 +12,14 @@
         }));
 }
 
+const target_state* target_group::find_primary() const {
+    const auto& record = right.get_record();
+    const auto entry = record ? targets.find(record->target) : targets.end();
+    return entry == targets.end() ? nullptr : &entry->second;
+}
+
+target_state* target_group::find_primary() {
+    return const_cast<target_state*>(std::as_const(*this).find_primary());
+}
+
 }  // namespace hornbeamhook::gateway
--- a/src/gateway/target_group.h
+++ b/src/gateway/target_group.h
@@ -47,6 +47,10 @@
     coordination::position_history history;
     std::vector<pending_pointer> queue;    ///< Ordered by is_before().
     std::vector<pending_pointer> running;  ///< Sent and not settled.
+
+    /** The listed target that the newest record names; null without one. */
+    const target_state* find_primary() const;
+    target_state* find_primary();
 };
 
 }  // namespace hornbeamhook::gateway
