--- a/tests/gateway/relayed_session_test.cpp
+++ b/tests/gateway/relayed_session_test.cpp
@@ -93,29 +93,14 @@
         }
     }
 
-    void run_until(const std::function<bool()>& condition) {
-        const std::int64_t limit = transport::get_boot_time() + wait_limit_ms;
-        while (!condition()) {
-            ASSERT_LT(transport::get_boot_time(), limit) << "condition never held";
-            uv_run(loop_.get_handle(), UV_RUN_ONCE);
-        }
-    }
+    void run_until(const std::function<bool()>& condition) { tests::run_until(loop_, condition); }
 
     std::unique_ptr<test_caller> open_session(const std::string& database) {
-        auto caller = std::make_unique<test_caller>(loop_, get_entry().caller_address);
-        caller->send("STARTUP " + database + " u");
-        run_until([&] { return !caller->lines.empty() || caller->is_ended; });
-        return caller;
+        return tests::open_session(loop_, get_entry().caller_address, database);
     }
 
     std::vector<std::string> ask(test_caller& caller, const std::string& text) {
-        caller.lines.clear();
-        caller.send("QUERY " + std::to_string(next_id_++) + " " + text);
-        run_until([&] {
-            return caller.is_ended ||
-                   (!caller.lines.empty() && caller.lines.back().starts_with("READY"));
-        });
-        return caller.lines;
+        return tests::ask(loop_, caller, next_id_++, text);
     }
 
     transport::event_loop loop_;
--- a/tests/gateway/session_engine_test.cpp
+++ b/tests/gateway/session_engine_test.cpp
@@ -17,8 +17,6 @@
 using tests::scripted_target;
 using tests::test_caller;
 
-constexpr std::int64_t wait_limit_ms = 5000;  ///< Far above what any exchange here takes.
-
 class session_engine_test : public testing::Test {
 protected:
     session_engine_test()
@@ -35,7 +33,7 @@
         engine_.set_configuration(value);
     }
 
-    /** Adds a target that answers with `answer`, or like an idle one where that is "default". */
+    /** Adds a target that answers with `answer`. */
     scripted_target& add_target(const std::string& id, bool is_primary,
                                 scripted_target::script answer) {
         const transport::endpoint address = *transport::parse_endpoint(tests::get_free_address());
@@ -50,31 +48,15 @@
         engine_.get_groups()["g"].right.confirm({target, term, {}, next_version_++}, now);
     }
 
-    /** Runs the loop until the condition holds; fails the test when it never does. */
-    void run_until(const std::function<bool()>& condition) {
-        const std::int64_t limit = transport::get_boot_time() + wait_limit_ms;
-        while (!condition()) {
-            ASSERT_LT(transport::get_boot_time(), limit) << "condition never held";
-            uv_run(loop_.get_handle(), UV_RUN_ONCE);
-        }
-    }
+    void run_until(const std::function<bool()>& condition) { tests::run_until(loop_, condition); }
 
     std::unique_ptr<test_caller> open_session(const std::string& database) {
-        auto caller = std::make_unique<test_caller>(loop_, caller_address_);
-        caller->send("STARTUP " + database + " u");
-        run_until([&] { return !caller->lines.empty() || caller->is_ended; });
-        return caller;
+        return tests::open_session(loop_, caller_address_, database);
     }
 
     /** Sends a statement and returns its answer without the final READY line. */
     std::vector<std::string> ask(test_caller& caller, const std::string& text) {
-        caller.lines.clear();
-        caller.send("QUERY " + std::to_string(next_id_++) + " " + text);
-        run_until([&] {
-            return caller.is_ended ||
-                   (!caller.lines.empty() && caller.lines.back().starts_with("READY"));
-        });
-        std::vector<std::string> answer = caller.lines;
+        std::vector<std::string> answer = tests::ask(loop_, caller, next_id_++, text);
         if (!answer.empty()) {
             last_ready_ = answer.back();
             answer.pop_back();
--- a/tests/support/test_caller.h
+++ b/tests/support/test_caller.h
@@ -1,11 +1,16 @@
 #pragma once
 
+#include <gtest/gtest.h>
+
 #include <algorithm>
+#include <cstdint>
+#include <functional>
 #include <memory>
 #include <string>
 #include <vector>
 
 #include "support/scripted_target.h"
+#include "transport/event_loop.h"
 #include "transport/line_buffer.h"
 #include "transport/tcp_stream.h"
 
@@ -63,4 +68,36 @@
     });
 }
 
+/** Runs the loop until the condition holds; fails the test when it never does. */
+inline void run_until(transport::event_loop& loop, const std::function<bool()>& condition) {
+    constexpr std::int64_t limit_ms = 5000;  // Far above what any exchange of a test takes.
+    const std::int64_t limit = transport::get_boot_time() + limit_ms;
+    while (!condition()) {
+        ASSERT_LT(transport::get_boot_time(), limit) << "condition never held";
+        uv_run(loop.get_handle(), UV_RUN_ONCE);
+    }
+}
+
+/** Opens a session at a VM's address for callers. */
+inline std::unique_ptr<test_caller> open_session(transport::event_loop& loop,
+                                                 const transport::endpoint& address,
+                                                 const std::string& database) {
+    auto caller = std::make_unique<test_caller>(loop, address);
+    caller->send("STARTUP " + database + " u");
+    run_until(loop, [&] { return !caller->lines.empty() || caller->is_ended; });
+    return caller;
+}
+
+/** Sends a statement and returns its answer with the final READY line. */
+inline std::vector<std::string> ask(transport::event_loop& loop, test_caller& caller, int id,
+                                    const std::string& text) {
+    caller.lines.clear();
+    caller.send("QUERY " + std::to_string(id) + " " + text);
+    run_until(loop, [&] {
+        return caller.is_ended ||
+               (!caller.lines.empty() && caller.lines.back().starts_with("READY"));
+    });
+    return caller.lines;
+}
+
 }  // namespace hornbeamhook::tests
