--- a/src/coordination/promotion.h
+++ b/src/coordination/promotion.h
@@ -162,8 +162,8 @@
  * Replaces the primary of one group. The claim is a conditional write of the leadership record, so
  * only one VM acts at a time; its row version is the fence of the promotion request. A claim has an
  * identity of its own, so that the row of an earlier claim by the same VM does not confirm it. The
- * request is sent only after each other VM has released its lease or the lease has expired. Pure: no clock, no
- * I/O. Not thread safe.
+ * request is sent only after each other VM has released its lease or the lease has expired. Pure:
+ * no clock, no I/O. Not thread safe.
  */
 class promotion {
 public:
--- a/src/gateway/fleet_membership.cpp
+++ b/src/gateway/fleet_membership.cpp
@@ -14,6 +14,10 @@
 constexpr std::size_t max_kept_pings = 16;  ///< About ten seconds of pings.
 /// Two ping intervals and a delay, so that one datagram may be lost.
 constexpr std::int64_t responsive_timeout_ms = 1800;
+/// Four hub requests, so that two datagrams may be lost.
+constexpr std::int64_t hub_silence_timeout_ms = 1400;
+/// A VM that hears from less than this share of the others removes none of them.
+constexpr std::size_t min_heard_divisor = 4;
 
 }  // namespace
 
@@ -113,6 +117,7 @@
     }
     peer_state& known = entry->second;
     known.last_pong_at = now;
+    known.heard_at = now;
     known.is_store_available = pong.is_store_available;
     known.is_stopping = pong.is_stopping;
     if (*ping_sent_at < known.answered_ping_sent_at) {
@@ -129,6 +134,57 @@
     }
 }
 
+void fleet_membership::handle_heard(const std::string& vm, bool is_stopping, std::int64_t now) {
+    const auto entry = peer_states_.find(vm);
+    if (entry != peer_states_.end()) {
+        entry->second.last_pong_at = now;
+        entry->second.heard_at = now;
+        entry->second.is_stopping = is_stopping;
+    }
+}
+
+void fleet_membership::set_store_available(const std::string& vm, bool is_available) {
+    const auto entry = peer_states_.find(vm);
+    if (entry != peer_states_.end()) {
+        entry->second.is_store_available = is_available;
+    }
+}
+
+void fleet_membership::apply_report(const place_report& report, std::int64_t as_of) {
+    const std::set<std::string> silent(report.silent.begin(), report.silent.end());
+    const std::set<std::string> stopping(report.stopping.begin(), report.stopping.end());
+    for (auto& [vm, known] : peer_states_) {
+        // What the member itself sent later is newer than the report.
+        if (members_.at(vm).place != report.place || known.heard_at >= as_of) {
+            continue;
+        }
+        known.is_stopping = stopping.contains(vm);
+        if (silent.contains(vm)) {
+            known.last_pong_at = std::min(known.last_pong_at, as_of - responsive_timeout_ms);
+        } else {
+            known.last_pong_at = std::max(known.last_pong_at, as_of);
+        }
+    }
+}
+
+place_report fleet_membership::get_place_report(bool may_report_silence, std::int64_t now) const {
+    place_report report{self_.place, 0, {}, {}};
+    for (const auto& [vm, known] : peer_states_) {
+        if (members_.at(vm).place != self_.place) {
+            continue;
+        }
+        const std::int64_t silent_since = may_report_silence ? known.heard_at : known.last_pong_at;
+        const std::int64_t timeout_ms =
+            may_report_silence ? hub_silence_timeout_ms : responsive_timeout_ms;
+        if (now - std::max(silent_since, known.joined_at) > timeout_ms) {
+            report.silent.push_back(vm);
+        } else if (known.is_stopping) {
+            report.stopping.push_back(vm);
+        }
+    }
+    return report;
+}
+
 std::optional<std::int64_t> fleet_membership::get_promised_since(const std::string& group,
                                                                  std::int64_t version) const {
     std::optional<std::int64_t> since;
@@ -179,6 +235,9 @@
 
 std::set<std::string> fleet_membership::get_removable_members(std::int64_t now) const {
     std::set<std::string> result;
+    if (get_responsive_members(now).size() < peer_states_.size() / min_heard_divisor) {
+        return result;
+    }
     for (const auto& [vm, known] : peer_states_) {
         if (now - std::max(known.last_pong_at, known.joined_at) >
             coordination::member_removal_timeout_ms) {
--- a/src/gateway/fleet_membership.h
+++ b/src/gateway/fleet_membership.h
@@ -42,6 +42,22 @@
     /** Updates the state of the member that answered a ping. */
     void handle_pong(const peer_pong& pong, std::int64_t now);
 
+    /** Records a message from the member itself. */
+    void handle_heard(const std::string& vm, bool is_stopping, std::int64_t now);
+
+    /** Records whether the store serves the member. */
+    void set_store_available(const std::string& vm, bool is_available);
+
+    /** Applies a hub's report on the members of a place, made at `as_of` or later. */
+    void apply_report(const place_report& report, std::int64_t as_of);
+
+    /**
+     * This VM's report on its own place, as a hub that the members send requests to. While
+     * `may_report_silence` is false, not all of them know this hub yet, and only members that the
+     * previous hub reported are silent.
+     */
+    place_report get_place_report(bool may_report_silence, std::int64_t now) const;
+
     /**
      * The latest time t such that every member, answering a ping sent at t or later, promised that
      * it knows no record newer than `version`. Empty when some member did not. A member that knows
@@ -66,7 +82,8 @@
      */
     std::set<std::string> get_lease_holders(std::int64_t now) const;
 
-    /** Members that have not answered for longer than the removal timeout. */
+    /** Members that have not answered for longer than the removal timeout. Empty while this VM
+     * hears from few members, because then its own connection has failed. */
     std::set<std::string> get_removable_members(std::int64_t now) const;
 
     /** Control addresses of responsive members for which the store is available. */
@@ -83,7 +100,8 @@
 
 private:
     struct peer_state {
-        std::int64_t last_pong_at = 0;
+        std::int64_t last_pong_at = 0;  ///< Of an answer, or of a report that the VM is alive.
+        std::int64_t heard_at = 0;      ///< Of the last message from the VM itself.
         std::int64_t answered_ping_sent_at = 0;
         std::map<std::string, std::int64_t> promises;  ///< Record versions, by group.
         std::int64_t joined_at = 0;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -15,6 +15,10 @@
 constexpr std::int64_t registration_interval_ms = 500;
 constexpr std::int64_t snapshot_request_interval_ms = 1000;
 constexpr std::int64_t snapshot_timeout_ms = 800;
+constexpr std::int64_t min_update_interval_ms = 200;  ///< Between update requests to a hub.
+constexpr std::int64_t update_timeout_ms = 800;
+/// After the notice of a new record; the hub has read it by then.
+constexpr std::int64_t notice_delay_ms = 60;
 /// The load balancer stops routing callers here after two failed readiness checks, one a second.
 constexpr std::int64_t balancer_detection_ms = 2300;
 constexpr std::int64_t shutdown_check_interval_ms = 50;
@@ -45,6 +49,7 @@
       log_(settings_.vm),
       fleet_({settings_.vm, get_unix_ms(), settings_.peer_address, settings_.control_address,
               settings_.place}),
+      hubs_(fleet_.get_self()),
       engine_(loop, protocol, log_, counters_, settings_.vm, settings_.place,
               get_regions(settings_)),
       store_(loop, settings_.store_address, log_, counters_),
@@ -57,8 +62,17 @@
                     },
                 .rows_read = [this](const std::vector<stored_row>& rows,
                                     std::int64_t requested_at) { apply_rows(rows, requested_at); },
+                .rows_confirmed =
+                    [this](std::int64_t requested_at) {
+                        if (fleet_.is_self_listed()) {
+                            leadership_.confirm_records(requested_at);
+                        }
+                    },
                 .is_read_due =
-                    [this] { return !fleet_.is_self_listed() || leadership_.is_read_due(); }}),
+                    [this] {
+                        return !fleet_.is_self_listed() ||
+                               leadership_.is_read_due(hubs_.is_enabled());
+                    }}),
       messenger_(loop, settings_.peer_address,
                  [this](const transport::endpoint& from, const peer_message& message) {
                      handle_message(from, message);
@@ -78,6 +92,8 @@
                         }),
       peer_channels_(loop),
       ping_timer_(loop),
+      hub_timer_(loop),
+      notice_timer_(loop),
       stop_timer_(loop) {
     caller_listener_ = std::make_unique<transport::tcp_listener>(
         loop, settings_.caller_address,
@@ -100,7 +116,9 @@
     signal_watchers_.push_back(
         std::make_unique<transport::signal_watcher>(loop_, SIGHUP, [this] { reload(); }));
     watcher_.start();
-    ping_timer_.start(ping_interval_ms, ping_interval_ms, [this] { send_pings(); });
+    ping_timer_.start(ping_interval_ms, ping_interval_ms, [this] { maintain_fleet(); });
+    hub_timer_.start(hub_request_interval_ms, hub_request_interval_ms,
+                     [this] { send_hub_requests(); });
 }
 
 bool gateway::is_ready() const {
@@ -144,6 +162,8 @@
         respond({.status = status_ok, .body = counters_.format(), .content_type = "text/plain"});
     } else if (call.path == "/internal/v1/snapshot") {
         respond({.status = status_ok, .body = watcher_.format_snapshot()});
+    } else if (call.path == "/internal/v1/updates") {
+        respond({.status = status_ok, .body = watcher_.format_updates(call.body)});
     } else if (call.path == "/internal/v1/store") {
         store_.serve_relayed(call, respond);
     } else {
@@ -180,7 +200,7 @@
         return;
     }
     leadership_.apply_records(rows, requested_at);
-    if (!joined.empty()) {
+    if (!joined.empty() && !hubs_.is_enabled()) {
         send_pings();
     }
     remove_lost_members(rows, now);
@@ -188,7 +208,9 @@
 
 void gateway::update_homes(std::int64_t now) {
     const int size = static_cast<int>(fleet_.get_members().size()) + 1;
-    engine_.set_fleet(fleet_.get_live_members(now), size);
+    const std::vector<fleet_member> live = fleet_.get_live_members(now);
+    hubs_.update(live, size, store_.is_store_available(), now);
+    engine_.set_fleet(live, size);
     watcher_.set_fleet_size(size);
 }
 
@@ -222,17 +244,14 @@
     }
 }
 
-void gateway::send_pings() {
+void gateway::maintain_fleet() {
     const std::int64_t now = transport::get_boot_time();
     check_isolation();
     update_homes(now);
     // Members that have not answered the last round may have answered the round before it.
     leadership_.extend_leases();
-    const std::vector<record_promise> promises = leadership_.get_promises();
-    const peer_ping ping{settings_.vm, fleet_.get_self().incarnation,
-                         fleet_.begin_ping_round(now, promises), get_digest(promises)};
-    for (const auto& [vm, member] : fleet_.get_members()) {
-        messenger_.send(member.peer_address, ping);
+    if (!hubs_.is_enabled()) {
+        send_pings();
     }
     store_.set_relays(fleet_.get_store_relays(now));
     // A VM that starts while the store is unavailable asks the seeds for a snapshot.
@@ -245,6 +264,162 @@
     }
 }
 
+void gateway::send_pings() {
+    const std::vector<record_promise> promises = leadership_.get_promises();
+    const peer_ping ping{settings_.vm, fleet_.get_self().incarnation,
+                         fleet_.begin_ping_round(transport::get_boot_time(), promises),
+                         get_digest(promises)};
+    for (const auto& [vm, member] : fleet_.get_members()) {
+        messenger_.send(member.peer_address, ping);
+    }
+}
+
+void gateway::send_hub_requests() {
+    const std::int64_t now = transport::get_boot_time();
+    update_homes(now);
+    if (!hubs_.is_enabled()) {
+        watcher_.set_source(store_watcher::source::store);
+        return;
+    }
+    std::vector<std::string> vms = hubs_.get_hubs();
+    for (const std::string& vm : get_position_sources()) {
+        if (std::find(vms.begin(), vms.end(), vm) == vms.end()) {
+            vms.push_back(vm);
+        }
+    }
+    const hub_request request{settings_.vm, fleet_.get_self().incarnation,
+                              hubs_.begin_request(vms, now), stopping_since_ != 0};
+    for (const std::string& vm : vms) {
+        const auto member = fleet_.get_members().find(vm);
+        if (member != fleet_.get_members().end()) {
+            messenger_.send(member->second.peer_address, request);
+        }
+    }
+    if (leadership_.needs_promises()) {
+        send_pings();
+    }
+    const bool may_follow = fleet_.is_self_listed() && hubs_.find_upstream(now).has_value();
+    watcher_.set_source(hubs_.is_reader()                    ? store_watcher::source::reader
+                        : may_follow && hubs_.is_first_hub() ? store_watcher::source::other_hub
+                        : may_follow                         ? store_watcher::source::hub
+                                                             : store_watcher::source::store);
+}
+
+bool gateway::is_position_reporter(const target_group& group) const {
+    const target_state* primary = group.find_primary();
+    if (primary == nullptr) {
+        return false;
+    }
+    if (primary->plan.homes.empty()) {
+        return primary->entry.place == settings_.place;
+    }
+    const std::string& home = primary->plan.homes.front();
+    const auto member = fleet_.get_members().find(home);
+    return home == settings_.vm ||
+           (member != fleet_.get_members().end() && member->second.place == settings_.place);
+}
+
+std::vector<std::string> gateway::get_position_sources() const {
+    std::set<std::string> sources;
+    if (hubs_.is_hub()) {
+        for (const auto& [name, group] : engine_.get_groups()) {
+            if (is_position_reporter(group)) {
+                const std::vector<std::string>& homes = group.find_primary()->plan.homes;
+                sources.insert(homes.begin(), homes.end());
+            }
+        }
+        sources.erase(settings_.vm);
+    }
+    return {sources.begin(), sources.end()};
+}
+
+void gateway::handle_hub_request(const transport::endpoint& from, const hub_request& request) {
+    const std::int64_t now = transport::get_boot_time();
+    const auto sender = fleet_.get_members().find(request.vm);
+    if (sender == fleet_.get_members().end() || sender->second.incarnation != request.incarnation) {
+        if (hubs_.is_reader() && now - unknown_member_read_at_ >= registration_interval_ms) {
+            unknown_member_read_at_ = now;
+            watcher_.read_rows();
+        }
+        return;
+    }
+    fleet_.handle_heard(request.vm, request.is_stopping, now);
+    const bool is_same_place = sender->second.place == settings_.place;
+    hub_answer answer{settings_.vm,
+                      fleet_.get_self().incarnation,
+                      request.sequence,
+                      store_.is_store_available(),
+                      stopping_since_ != 0,
+                      watcher_.get_digests(),
+                      watcher_.get_rows_age(now).value_or(-1),
+                      {},
+                      {}};
+    if (hubs_.is_hub()) {
+        if (is_same_place) {
+            answer.reports = hubs_.get_reports(now);
+        }
+        answer.reports.push_back(fleet_.get_place_report(hubs_.may_report_silence(now), now));
+    }
+    for (const known_position& position : leadership_.get_known_positions()) {
+        // Traffic between places is billed, so only the hubs of the primary's place report there.
+        if (is_same_place || is_position_reporter(engine_.get_groups().at(position.group))) {
+            answer.positions.push_back(position);
+        }
+    }
+    messenger_.send(from, answer);
+}
+
+void gateway::handle_hub_answer(const hub_answer& answer) {
+    const std::int64_t now = transport::get_boot_time();
+    const auto member = fleet_.get_members().find(answer.vm);
+    const std::optional<std::int64_t> sent_at = hubs_.get_request_time(answer.sequence);
+    if (member == fleet_.get_members().end() || member->second.incarnation != answer.incarnation ||
+        !sent_at) {
+        return;
+    }
+    hubs_.handle_answer(answer.vm, answer.is_store_available, now);
+    fleet_.handle_heard(answer.vm, answer.is_stopping, now);
+    fleet_.set_store_available(answer.vm, answer.is_store_available);
+    for (const place_report& report : answer.reports) {
+        if (report.age_ms >= 0) {
+            fleet_.apply_report(report, *sent_at - report.age_ms);
+            hubs_.handle_report(report, *sent_at - report.age_ms);
+        }
+    }
+    leadership_.apply_positions(answer.positions, *sent_at);
+    if (!hubs_.is_reader() && hubs_.find_upstream(now) == answer.vm) {
+        compare_tables(member->second, answer, *sent_at);
+    }
+}
+
+void gateway::compare_tables(const fleet_member& hub, const hub_answer& answer,
+                             std::int64_t sent_at) {
+    const table_digests own = watcher_.get_digests();
+    if (answer.rows_age_ms >= 0 && answer.digests.rows == own.rows) {
+        watcher_.confirm_rows(sent_at - answer.rows_age_ms);
+    }
+    const std::int64_t now = transport::get_boot_time();
+    if (answer.digests != own && now - updates_requested_at_ >= min_update_interval_ms) {
+        updates_requested_at_ = now;
+        fetch_updates(hub, answer.digests);
+    }
+}
+
+void gateway::fetch_updates(const fleet_member& hub, const table_digests& digests) {
+    const std::int64_t now = transport::get_boot_time();
+    peer_channels_.get(hub.control_address)
+        .send({.method = "POST",
+               .path = "/internal/v1/updates",
+               .headers = {},
+               .body = watcher_.format_update_request(digests),
+               .timeout_ms = update_timeout_ms},
+              [this, now](const transport::http_exchange_answer& answer) {
+                  if (answer.status == status_ok) {
+                      watcher_.apply_updates(answer.body, now);
+                  }
+              });
+}
+
 void gateway::handle_message(const transport::endpoint& from, const peer_message& message) {
     if (const auto* ping = std::get_if<peer_ping>(&message)) {
         answer_ping(from, *ping);
@@ -259,7 +434,15 @@
     } else if (const auto* reached = std::get_if<reachability_answer>(&message)) {
         leadership_.handle(*reached);
     } else if (const auto* notice = std::get_if<record_notice>(&message)) {
-        leadership_.handle(*notice);
+        if (watcher_.is_following()) {
+            notice_timer_.start(notice_delay_ms, 0, [this] { send_hub_requests(); });
+        } else {
+            leadership_.handle(*notice);
+        }
+    } else if (const auto* request = std::get_if<hub_request>(&message)) {
+        handle_hub_request(from, *request);
+    } else if (const auto* answer = std::get_if<hub_answer>(&message)) {
+        handle_hub_answer(*answer);
     }
 }
 
@@ -268,7 +451,10 @@
     const bool is_member =
         sender != fleet_.get_members().end() && sender->second.incarnation == ping.incarnation;
     const std::int64_t now = transport::get_boot_time();
-    if (!is_member && now - unknown_member_read_at_ >= registration_interval_ms) {
+    if (is_member) {
+        fleet_.handle_heard(ping.vm, false, now);
+    } else if (!watcher_.is_following() &&
+               now - unknown_member_read_at_ >= registration_interval_ms) {
         // A VM unknown to this one has joined.
         unknown_member_read_at_ = now;
         watcher_.read_rows();
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -6,6 +6,7 @@
 #include <string>
 
 #include "gateway/bounded_log.h"
+#include "gateway/fleet_hubs.h"
 #include "gateway/fleet_membership.h"
 #include "gateway/gateway_counters.h"
 #include "gateway/gateway_settings.h"
@@ -49,7 +50,19 @@
     void update_homes(std::int64_t now);
     void register_self();
     void remove_lost_members(const std::vector<stored_row>& rows, std::int64_t now);
+    /** Periodic work on the fleet that does not depend on its size. */
+    void maintain_fleet();
+    /** Asks all members for their promises. */
     void send_pings();
+    void send_hub_requests();
+    /** VMs whose log positions this VM collects as a hub. */
+    std::vector<std::string> get_position_sources() const;
+    /** Whether this VM reports the positions of the group's primary to other places. */
+    bool is_position_reporter(const target_group& group) const;
+    void handle_hub_request(const transport::endpoint& from, const hub_request& request);
+    void handle_hub_answer(const hub_answer& answer);
+    void compare_tables(const fleet_member& hub, const hub_answer& answer, std::int64_t sent_at);
+    void fetch_updates(const fleet_member& hub, const table_digests& digests);
     void handle_message(const transport::endpoint& from, const peer_message& message);
     void answer_ping(const transport::endpoint& from, const peer_ping& ping);
     void handle_pong(const peer_pong& pong);
@@ -65,6 +78,7 @@
     bounded_log log_;
     gateway_counters counters_;
     fleet_membership fleet_;
+    fleet_hubs hubs_;
     session_engine engine_;
     store_client store_;
     store_watcher watcher_;
@@ -77,12 +91,15 @@
     std::unique_ptr<transport::tcp_listener> peer_listener_;  ///< From other VMs.
     transport::http_channel_pool peer_channels_;
     transport::loop_timer ping_timer_;
+    transport::loop_timer hub_timer_;
+    transport::loop_timer notice_timer_;
     transport::loop_timer stop_timer_;
     std::vector<std::unique_ptr<transport::signal_watcher>> signal_watchers_;
     std::int64_t started_at_ = 0;
     std::int64_t stopping_since_ = 0;  ///< 0 while serving.
     std::int64_t last_registration_at_ = 0;
     std::int64_t snapshot_requested_at_ = 0;
+    std::int64_t updates_requested_at_ = 0;
     std::int64_t isolated_since_ = 0;  ///< 0 while the store is available or a lease is held.
     std::int64_t unknown_member_read_at_ = 0;  ///< Last store read because of an unknown VM.
 };
--- a/src/gateway/leadership_manager.cpp
+++ b/src/gateway/leadership_manager.cpp
@@ -20,6 +20,11 @@
 constexpr std::int64_t max_record_age_ms = 4500;  ///< The longest read interval, 4 s, and a delay.
 /// Remaining lease time at which the store is read because promises did not extend the lease.
 constexpr std::int64_t read_reserve_ms = 1000;
+/// The same in a fleet with hubs, after members were asked for promises.
+constexpr std::int64_t hub_read_reserve_ms = 250;
+/// Remaining lease time at which members are asked for promises. Hubs renew a lease with a read
+/// that is up to 1.1 s old, so reads have failed.
+constexpr std::int64_t promise_reserve_ms = 650;
 /// Answers usually arrive sooner, so that a connection is rarely opened only to probe.
 constexpr std::int64_t probe_delay_ms = 250;
 /// How long a target's read-only failure counts as a sign that it was demoted.
@@ -38,13 +43,13 @@
 
 std::optional<leadership_record> parse_record(const stored_row& row) {
     const nlohmann::json object = nlohmann::json::parse(row.value, nullptr, false);
-    if (!object.is_object() || !object.contains("target") || !object["target"].is_string() ||
-        !object.contains("term") || !object["term"].is_number_integer()) {
+    try {
+        return leadership_record{object.at("target"), object.at("term"),
+                                 object.contains("changer") ? object.at("changer") : "",
+                                 row.version};
+    } catch (const nlohmann::json::exception&) {
         return std::nullopt;
     }
-    return leadership_record{object["target"].get<std::string>(),
-                             object["term"].get<state::term_number>(),
-                             object.value("changer", std::string()), row.version};
 }
 
 leadership_manager::leadership_manager(transport::event_loop& loop, session_engine& engine,
@@ -103,6 +108,15 @@
     tick();
 }
 
+void leadership_manager::confirm_records(std::int64_t requested_at) {
+    store_read_at_ = std::max(store_read_at_, requested_at);
+    for (auto& [name, group] : engine_.get_groups()) {
+        if (const auto record = group.lease.get_record()) {
+            group.lease.confirm(*record, requested_at);
+        }
+    }
+}
+
 void leadership_manager::extend_leases() {
     for (auto& [name, group] : engine_.get_groups()) {
         const auto status = group_statuses_.find(name);
@@ -140,7 +154,7 @@
             continue;
         }
         const auto& record = group->second.lease.get_record();
-        if (record && record->term == entry.point.term) {
+        if (entry.age_ms >= 0 && record && record->term == entry.point.term) {
             group->second.history.add(entry.point, requested_at - entry.age_ms);
         }
     }
@@ -162,6 +176,17 @@
     return result;
 }
 
+std::vector<known_position> leadership_manager::get_known_positions() const {
+    const std::int64_t now = transport::get_boot_time();
+    std::vector<known_position> result;
+    for (const auto& [name, group] : engine_.get_groups()) {
+        if (const auto newest = group.history.get_newest()) {
+            result.push_back({name, *newest, now - group.history.get_newest_requested_at()});
+        }
+    }
+    return result;
+}
+
 bool leadership_manager::has_any_lease() const {
     const std::int64_t now = transport::get_boot_time();
     const auto& groups = engine_.get_groups();
@@ -170,15 +195,30 @@
     });
 }
 
-bool leadership_manager::is_read_due() const {
+bool leadership_manager::is_read_due(bool has_hubs) const {
     const std::int64_t now = transport::get_boot_time();
     const auto& groups = engine_.get_groups();
+    if (has_hubs) {
+        return std::any_of(groups.begin(), groups.end(), [now](const auto& entry) {
+            return entry.second.lease.get_record() &&
+                   entry.second.lease.get_end() - now < hub_read_reserve_ms;
+        });
+    }
     return groups.empty() || std::any_of(groups.begin(), groups.end(), [now](const auto& entry) {
                const target_group& group = entry.second;
                return !group.lease.get_usable(now) || group.lease.get_end() - now < read_reserve_ms;
            });
 }
 
+bool leadership_manager::needs_promises() const {
+    const std::int64_t now = transport::get_boot_time();
+    const auto& groups = engine_.get_groups();
+    return std::any_of(groups.begin(), groups.end(), [now](const auto& entry) {
+        return entry.second.lease.get_record() &&
+               entry.second.lease.get_end() - now < promise_reserve_ms;
+    });
+}
+
 void leadership_manager::tick() {
     const std::int64_t now = transport::get_boot_time();
     std::vector<std::string> names;
@@ -494,19 +534,23 @@
         {product_table, group_key_prefix + name, format_record(action.record), 0, false},
         action.expected,
         true};
-    store_.change(
-        platform_.format_change(change),
-        [this, name, write = action.write](const transport::http_exchange_answer& answer) {
-            const store_answer parsed = platform_.parse_store_answer(answer);
-            if (parsed.outcome == store_outcome::done) {
-                step(name, coordination::record_written{write, parsed.version});
-            } else if (parsed.outcome == store_outcome::conflict) {
-                step(name, coordination::record_written{write, std::nullopt});
-            } else {
-                step(name, coordination::record_unknown{write});
-            }
-            read_rows_();
-        });
+    store_.change(platform_.format_change(change),
+                  [this, name, write = action.write,
+                   is_first = action.expected == 0](const transport::http_exchange_answer& answer) {
+                      const store_answer parsed = platform_.parse_store_answer(answer);
+                      if (parsed.outcome == store_outcome::done) {
+                          if (is_first) {
+                              // Other VMs would otherwise try to write it too.
+                              send_notice(name, parsed.version);
+                          }
+                          step(name, coordination::record_written{write, parsed.version});
+                      } else if (parsed.outcome == store_outcome::conflict) {
+                          step(name, coordination::record_written{write, std::nullopt});
+                      } else {
+                          step(name, coordination::record_unknown{write});
+                      }
+                      read_rows_();
+                  });
 }
 
 void leadership_manager::execute(const std::string& name,
@@ -601,10 +645,14 @@
                                        {"term", std::to_string(action.record.term)},
                                        {"version", std::to_string(action.record.version)},
                                        {"duration_ms", std::to_string(action.duration_ms)}});
+    send_notice(name, action.record.version);
+    read_rows_();
+}
+
+void leadership_manager::send_notice(const std::string& group, std::int64_t version) {
     for (const auto& [vm, member] : fleet_.get_members()) {
-        messenger_.send(member.peer_address, record_notice{name, action.record.version});
+        messenger_.send(member.peer_address, record_notice{group, version});
     }
-    read_rows_();
 }
 
 void leadership_manager::execute(const std::string& name,
--- a/src/gateway/leadership_manager.h
+++ b/src/gateway/leadership_manager.h
@@ -41,6 +41,10 @@
     /** Applies the group rows of a store read sent at `requested_at` that listed this VM. */
     void apply_records(const std::vector<stored_row>& rows, std::int64_t requested_at);
 
+    /** Renews the leases: a read of the store sent at `requested_at` returned the known records and
+     * listed this VM. */
+    void confirm_records(std::int64_t requested_at);
+
     void handle(const transport::endpoint& from, const revoke_request& message);
     void handle(const revoke_answer& message);
     void handle(const transport::endpoint& from, const reachability_request& message);
@@ -53,17 +57,25 @@
     /** Applies positions reported by another VM in answer to a ping sent at `requested_at`. */
     void apply_positions(const std::vector<known_position>& positions, std::int64_t requested_at);
 
-    /** The newest log positions known to this VM, to send to other VMs. */
+    /** The newest log positions that this VM learned as a home of a primary. */
     std::vector<known_position> get_positions() const;
 
+    /** The newest known log position of each group. */
+    std::vector<known_position> get_known_positions() const;
+
     /** Promises for all groups in which this VM knows of no change of the primary under way. */
     std::vector<record_promise> get_promises() const;
 
     /** Whether this VM may use the primary of any group. */
     bool has_any_lease() const;
 
-    /** Whether a lease is missing or expires soon unless the store is read. */
-    bool is_read_due() const;
+    /** Whether a lease is missing or expires soon unless the store is read. In a fleet with hubs
+     * only a lease that expires soon counts, because a hub reports new records. */
+    bool is_read_due(bool has_hubs) const;
+
+    /** Whether a lease has not been renewed by a read of the store for so long that the members'
+     * promises are needed. */
+    bool needs_promises() const;
 
 private:
     struct group_status {
@@ -84,6 +96,7 @@
     };
 
     void tick();
+    void send_notice(const std::string& group, std::int64_t version);
     /** The other VMs that have to confirm the loss of the primary: its responsive homes, or all
      * responsive VMs if there are none. */
     std::set<std::string> get_loss_voters(const target_group& group, std::int64_t now) const;
--- a/src/gateway/peer_message.cpp
+++ b/src/gateway/peer_message.cpp
@@ -18,26 +18,40 @@
     revoke_answer,
     reachability_request,
     reachability_answer,
-    record_notice
+    record_notice,
+    hub_request,
+    hub_answer
 };
 
+json format_positions(const std::vector<known_position>& list) {
+    json positions = json::array();
+    for (const known_position& entry : list) {
+        positions.push_back(
+            json::array({entry.group, entry.point.term, entry.point.position, entry.age_ms}));
+    }
+    return positions;
+}
+
+std::vector<known_position> read_positions(const json& list) {
+    std::vector<known_position> positions;
+    for (const json& entry : list) {
+        positions.push_back({entry.at(0), {entry.at(1), entry.at(2)}, entry.at(3)});
+    }
+    return positions;
+}
+
 json to_array(const peer_ping& m) {
     return {message_kind::ping, m.vm, m.incarnation, m.sequence, m.digest};
 }
 
 json to_array(const peer_pong& m) {
-    json positions = json::array();
-    for (const known_position& entry : m.positions) {
-        positions.push_back(
-            json::array({entry.group, entry.point.term, entry.point.position, entry.age_ms}));
-    }
     json promises = json::array();
     for (const record_promise& entry : m.promises) {
         promises.push_back(json::array({entry.group, entry.version}));
     }
     return json::array({message_kind::pong, m.vm, m.incarnation, m.sequence,
                         m.configuration_version, m.is_store_available, m.is_stopping,
-                        m.is_digest_match, promises, positions});
+                        m.is_digest_match, promises, format_positions(m.positions)});
 }
 
 json to_array(const revoke_request& m) {
@@ -67,12 +81,62 @@
     for (const json& entry : fields.at(8)) {
         pong.promises.push_back({entry.at(0), entry.at(1)});
     }
-    for (const json& entry : fields.at(9)) {
-        pong.positions.push_back({entry.at(0), {entry.at(1), entry.at(2)}, entry.at(3)});
-    }
+    pong.positions = read_positions(fields.at(9));
     return pong;
 }
 
+json to_array(const hub_request& m) {
+    return json::array({message_kind::hub_request, m.vm, m.incarnation, m.sequence, m.is_stopping});
+}
+
+json to_array(const hub_answer& m) {
+    json reports = json::array();
+    for (const place_report& entry : m.reports) {
+        reports.push_back(json::array({entry.place, entry.age_ms, entry.silent, entry.stopping}));
+    }
+    return json::array({message_kind::hub_answer, m.vm, m.incarnation, m.sequence,
+                        m.is_store_available, m.is_stopping, m.digests.configuration,
+                        m.digests.targets, m.digests.rows, m.rows_age_ms, reports,
+                        format_positions(m.positions)});
+}
+
+hub_answer read_hub_answer(const json& fields) {
+    hub_answer answer{fields.at(1), fields.at(2), fields.at(3),
+                      fields.at(4), fields.at(5), {},
+                      fields.at(9), {},           {}};
+    answer.digests = {fields.at(6), fields.at(7), fields.at(8)};
+    for (const json& entry : fields.at(10)) {
+        answer.reports.push_back({entry.at(0), entry.at(1), entry.at(2), entry.at(3)});
+    }
+    answer.positions = read_positions(fields.at(11));
+    return answer;
+}
+
+/** Stops the parser at values that are nested deeper than any message. The parser is recursive, so
+ * a datagram of nested arrays would otherwise exhaust the stack. */
+class depth_check : public json::json_sax_t {
+public:
+    bool null() override { return true; }
+    bool boolean(bool) override { return true; }
+    bool number_integer(number_integer_t) override { return true; }
+    bool number_unsigned(number_unsigned_t) override { return true; }
+    bool number_float(number_float_t, const string_t&) override { return true; }
+    bool string(string_t&) override { return true; }
+    bool binary(binary_t&) override { return true; }
+    bool start_object(std::size_t) override { return ++depth_ <= max_depth; }
+    bool key(string_t&) override { return true; }
+    bool end_object() override { return --depth_ >= 0; }
+    bool start_array(std::size_t) override { return ++depth_ <= max_depth; }
+    bool end_array() override { return --depth_ >= 0; }
+    bool parse_error(std::size_t, const std::string&, const json::exception&) override {
+        return false;
+    }
+
+private:
+    static constexpr int max_depth = 4;  ///< A message, its reports, one report, its VMs.
+    int depth_ = 0;
+};
+
 peer_message read_message(const json& fields) {
     switch (fields.at(0).get<message_kind>()) {
         case message_kind::ping:
@@ -90,6 +154,10 @@
                                        fields.at(5)};
         case message_kind::record_notice:
             return record_notice{fields.at(1), fields.at(2)};
+        case message_kind::hub_request:
+            return hub_request{fields.at(1), fields.at(2), fields.at(3), fields.at(4)};
+        case message_kind::hub_answer:
+            return read_hub_answer(fields);
     }
     throw json::other_error::create(0, "unknown message kind", nullptr);
 }
@@ -112,6 +180,10 @@
 }
 
 std::optional<peer_message> parse_peer_message(std::string_view bytes) {
+    depth_check check;
+    if (!json::sax_parse(bytes, &check, json::input_format_t::msgpack)) {
+        return std::nullopt;
+    }
     const json fields = json::from_msgpack(bytes, true, false);
     if (!fields.is_array() || fields.empty() || !fields[0].is_number_integer()) {
         return std::nullopt;
--- a/src/gateway/peer_message.h
+++ b/src/gateway/peer_message.h
@@ -101,8 +101,53 @@
     auto operator<=>(const record_notice&) const = default;
 };
 
-using peer_message = std::variant<peer_ping, peer_pong, revoke_request, revoke_answer,
-                                  reachability_request, reachability_answer, record_notice>;
+/** Digests of a VM's copies of the stored tables. */
+struct table_digests {
+    std::uint64_t configuration = 0;
+    std::uint64_t targets = 0;
+    std::uint64_t rows = 0;  ///< The product's rows.
+
+    auto operator<=>(const table_digests&) const = default;
+};
+
+/** State of the members of one place, as its hub knows it. */
+struct place_report {
+    std::string place;
+    std::int64_t age_ms = 0;
+    std::vector<std::string> silent;    ///< VMs that the hub has not heard from.
+    std::vector<std::string> stopping;  ///< VMs that are about to end.
+
+    bool operator==(const place_report&) const = default;
+};
+
+/** Tells a hub that the sender is alive and asks for the fleet's state. */
+struct hub_request {
+    std::string vm;
+    std::int64_t incarnation = 0;
+    std::int64_t sequence = 0;
+    bool is_stopping = false;
+
+    auto operator<=>(const hub_request&) const = default;
+};
+
+/** Answers a hub_request; ages count up to the moment of the answer. */
+struct hub_answer {
+    std::string vm;
+    std::int64_t incarnation = 0;
+    std::int64_t sequence = 0;  ///< Of the request.
+    bool is_store_available = false;
+    bool is_stopping = false;
+    table_digests digests;
+    std::int64_t rows_age_ms = -1;  ///< Since the read of `digests.rows`; -1: never read.
+    std::vector<place_report> reports;
+    std::vector<known_position> positions;
+
+    bool operator==(const hub_answer&) const = default;
+};
+
+using peer_message =
+    std::variant<peer_ping, peer_pong, revoke_request, revoke_answer, reachability_request,
+                 reachability_answer, record_notice, hub_request, hub_answer>;
 
 /** Digest of promises; the same on every VM. Thread safe. */
 std::uint64_t get_digest(const std::vector<record_promise>& promises);
--- a/src/gateway/session_engine.h
+++ b/src/gateway/session_engine.h
@@ -45,6 +45,7 @@
     /** Sets the VMs that share the targets' connections. `live` includes this one. */
     void set_fleet(std::vector<fleet_member> live, int fleet_size);
     std::map<std::string, target_group>& get_groups() { return groups_; }
+    const std::map<std::string, target_group>& get_groups() const { return groups_; }
 
     /** Opens a connection to learn the target's state, unless one is being opened. Does nothing if
      * this VM reaches the target through its homes. */
--- a/src/gateway/store_client.cpp
+++ b/src/gateway/store_client.cpp
@@ -29,6 +29,21 @@
            (answer.status == 0 && !answer.error.was_sent);
 }
 
+/** The store's answer as another VM passed it on; a malformed one counts as no answer. */
+http_exchange_answer parse_relayed_answer(const std::string& text) {
+    const nlohmann::json reply = nlohmann::json::parse(text, nullptr, false);
+    http_exchange_answer answer;
+    answer.error.was_sent = true;
+    try {
+        answer.error.was_sent = reply.at("was_sent");
+        answer.body = reply.at("body");
+        answer.status = reply.at("status");
+    } catch (const nlohmann::json::exception& error) {
+        answer.error.message = error.what();
+    }
+    return answer;
+}
+
 bool is_store_response(const http_exchange_answer& answer) {
     return answer.status != 0 && answer.status != status_unavailable &&
            answer.status != status_limited;
@@ -107,12 +122,8 @@
                                   constexpr int status_ok = 200;
                                   http_exchange_answer inner;
                                   inner.error = answer.error;
-                                  const nlohmann::json reply =
-                                      nlohmann::json::parse(answer.body, nullptr, false);
-                                  if (answer.status == status_ok && reply.is_object()) {
-                                      inner.status = reply.value("status", 0);
-                                      inner.body = reply.value("body", std::string());
-                                      inner.error.was_sent = reply.value("was_sent", true);
+                                  if (answer.status == status_ok) {
+                                      inner = parse_relayed_answer(answer.body);
                                   }
                                   done(inner);
                               });
@@ -177,16 +188,17 @@
 void store_client::serve_relayed(const transport::http_call& call,
                                  const transport::http_listener::responder& respond) {
     const nlohmann::json body = nlohmann::json::parse(call.body, nullptr, false);
-    if (!body.is_object() || !body.contains("method") || !body.contains("path")) {
+    http_exchange_request request;
+    try {
+        request = {.method = body.at("method"),
+                   .path = body.at("path"),
+                   .headers = {},
+                   .body = body.value("body", std::string()),
+                   .timeout_ms = body.value("timeout_ms", std::int64_t{relay_hedge_delay_ms})};
+    } catch (const nlohmann::json::exception&) {
         respond({.status = status_bad_request, .body = "{}"});
         return;
     }
-    const http_exchange_request request{
-        .method = body.value("method", std::string()),
-        .path = body.value("path", std::string()),
-        .headers = {},
-        .body = body.value("body", std::string()),
-        .timeout_ms = body.value("timeout_ms", std::int64_t{relay_hedge_delay_ms})};
     send_direct(request, [respond](const http_exchange_answer& answer) {
         respond({.status = 200,
                  .body = nlohmann::json{{"status", answer.status},
--- a/src/gateway/store_watcher.cpp
+++ b/src/gateway/store_watcher.cpp
@@ -1,6 +1,7 @@
 #include "gateway/store_watcher.h"
 
 #include <algorithm>
+#include <limits>
 #include <nlohmann/json.hpp>
 #include <utility>
 
@@ -20,10 +21,25 @@
 constexpr std::int64_t min_idle_interval_ms = 2700;
 constexpr std::int64_t max_idle_interval_ms = 4000;
 constexpr std::int64_t idle_interval_per_member_ms = 60;
-constexpr std::int64_t retry_ms = 250;  ///< After a failed read or watch.
+/// Between reads for the fleet. VMs learn of a read through two hubs, each asked every 350 ms, and
+/// their leases need one that is at most 1.3 s old.
+constexpr std::int64_t reader_interval_ms = 300;
+/// Age of the reader's rows at which a hub reads them for its place: the reader's interval and a
+/// hub request, with a delay.
+constexpr std::int64_t max_followed_age_ms = 850;
+constexpr std::int64_t first_watch_delay_ms = 1500;  ///< After a table was read.
+constexpr std::int64_t retry_ms = 250;               ///< After a failed read or watch.
 /// Entries that expire while the store is unavailable reappear within about 2 s of its recovery.
 constexpr std::int64_t removal_delay_ms = 2500;
 constexpr std::int64_t removal_check_ms = 250;
+/// A larger configuration is read from the store: sent to all VMs of a place at once, it would
+/// delay the callers on a hub's link of 20 Mbit/s.
+constexpr std::size_t max_relayed_configuration_bytes = 65536;
+// Fields of update requests and of their answers.
+constexpr const char* configuration_field = "configuration";
+constexpr const char* targets_field = "targets";
+constexpr const char* rows_field = "rows";
+constexpr const char* rows_age_field = "rows_age_ms";
 
 }  // namespace
 
@@ -38,6 +54,7 @@
       removal_timer_(loop) {
     for (const platform_table table : {platform_table::configuration, platform_table::targets}) {
         retry_timers_[table] = std::make_unique<transport::loop_timer>(loop);
+        tables_[table];
     }
 }
 
@@ -47,7 +64,8 @@
     read_rows();
     poll_timer_.start(read_check_interval_ms, read_check_interval_ms, [this] {
         const std::int64_t age = transport::get_boot_time() - rows_requested_at_;
-        if (age >= idle_interval_ms_ || (age >= due_read_interval_ms && callbacks_.is_read_due())) {
+        if (age >= get_read_interval() ||
+            (age >= due_read_interval_ms && callbacks_.is_read_due())) {
             read_rows();
         }
     });
@@ -59,52 +77,99 @@
         std::clamp(idle_interval_per_member_ms * vms, min_idle_interval_ms, max_idle_interval_ms);
 }
 
+std::int64_t store_watcher::get_read_interval() const {
+    switch (source_) {
+        case source::store:
+            return idle_interval_ms_;
+        case source::reader:
+            return reader_interval_ms;
+        case source::other_hub:
+            // Only while the reader's rows are not renewed.
+            return transport::get_boot_time() - rows_confirmed_at_ >= max_followed_age_ms
+                       ? reader_interval_ms
+                       : std::numeric_limits<std::int64_t>::max();
+        case source::hub:
+            break;
+    }
+    return std::numeric_limits<std::int64_t>::max();
+}
+
+void store_watcher::set_source(source value) {
+    if (value == source_) {
+        return;
+    }
+    const bool was_following = is_following();
+    source_ = value;
+    if (was_following && !is_following()) {
+        for (const platform_table table :
+             {platform_table::configuration, platform_table::targets}) {
+            if (!watched_.contains(table)) {
+                watch_table(table, tables_[table].get_read_version());
+            }
+        }
+    }
+}
+
 void store_watcher::read_rows() {
     const std::int64_t requested_at = transport::get_boot_time();
     rows_requested_at_ = requested_at;
     store_.read(platform_.format_read(product_table, {}),
                 [this, requested_at](const transport::http_exchange_answer& answer) {
-                    const store_answer parsed = platform_.parse_store_answer(answer);
-                    if (parsed.outcome == store_outcome::done) {
-                        callbacks_.rows_read(parsed.rows, requested_at);
-                    }
+                    handle_rows_read(platform_.parse_store_answer(answer), requested_at);
                 });
 }
 
+void store_watcher::handle_rows_read(const store_answer& answer, std::int64_t requested_at) {
+    if (answer.outcome != store_outcome::done) {
+        return;
+    }
+    rows_.apply_read(answer.rows, answer.version);
+    rows_confirmed_at_ = std::max(rows_confirmed_at_, requested_at);
+    callbacks_.rows_read(rows_.get_rows(), requested_at);
+}
+
 void store_watcher::read_table(platform_table table) {
+    watched_.insert(table);
     store_.read(platform_.format_platform_read(table, {}),
                 [this, table](const transport::http_exchange_answer& answer) {
                     handle_table_read(table, platform_.parse_store_answer(answer));
                 });
 }
 
+void store_watcher::retry_table(platform_table table) {
+    retry_timers_[table]->start(retry_ms, 0, [this, table] { read_table(table); });
+}
+
 void store_watcher::handle_table_read(platform_table table, const store_answer& answer) {
     if (answer.outcome != store_outcome::done) {
-        retry_timers_[table]->start(retry_ms, 0, [this, table] { read_table(table); });
+        retry_table(table);
         return;
     }
-    std::vector<stored_row> rows = answer.rows;
-    // A read returns all rows, so rows missing from it were deleted.
-    for (const auto& [key, row] : rows_[table]) {
-        const bool is_listed = std::any_of(
-            rows.begin(), rows.end(),
-            [&wanted = row.key](const stored_row& listed) { return listed.key == wanted; });
-        if (!is_listed && row.version <= answer.version) {
-            rows.push_back({row.table, key, {}, answer.version, true});
-        }
-    }
-    apply(table, rows);
+    apply(table, tables_[table].apply_read(answer.rows, answer.version));
     has_targets_ = has_targets_ || table == platform_table::targets;
-    watch_table(table, answer.version);
+    // A VM that has just started usually learns of a hub during this pause and needs no watch.
+    retry_timers_[table]->start(first_watch_delay_ms, 0, [this, table, version = answer.version] {
+        watch_table(table, version);
+    });
 }
 
 void store_watcher::watch_table(platform_table table, row_version after) {
+    if (is_following()) {
+        watched_.erase(table);
+        return;
+    }
+    request_changes(table, after);
+}
+
+void store_watcher::request_changes(platform_table table, row_version after) {
+    watched_.insert(table);
     store_.read(platform_.format_watch(table, after),
                 [this, table, after](const transport::http_exchange_answer& answer) {
                     const store_answer parsed = platform_.parse_store_answer(answer);
                     if (parsed.outcome == store_outcome::done) {
-                        apply(table, parsed.rows);
                         const row_version next = std::max(after, parsed.version);
+                        apply(table, tables_[table].apply(parsed.rows));
+                        tables_[table].set_read_version(next);
                         if (table == platform_table::targets) {
                             retry_timers_[table]->start(
                                 targets_watch_pause_ms, 0,
@@ -114,19 +179,110 @@
                         }
                         return;
                     }
-                    retry_timers_[table]->start(retry_ms, 0, [this, table] { read_table(table); });
+                    retry_table(table);
                 });
 }
 
-void store_watcher::apply(platform_table table, const std::vector<stored_row>& rows) {
-    std::vector<stored_row> newer;
-    for (const stored_row& row : rows) {
-        const auto known = rows_[table].find(row.key);
-        if (known == rows_[table].end() || known->second.version < row.version) {
-            rows_[table][row.key] = row;
-            newer.push_back(row);
+table_digests store_watcher::get_digests() const {
+    const auto get_digest = [this](platform_table table) {
+        const auto entry = tables_.find(table);
+        return entry == tables_.end() ? 0 : entry->second.get_digest();
+    };
+    return {get_digest(platform_table::configuration), get_digest(platform_table::targets),
+            rows_.get_digest()};
+}
+
+std::optional<std::int64_t> store_watcher::get_rows_age(std::int64_t now) const {
+    return rows_confirmed_at_ == 0 ? std::nullopt : std::optional(now - rows_confirmed_at_);
+}
+
+void store_watcher::confirm_rows(std::int64_t requested_at) {
+    if (rows_confirmed_at_ != 0 && requested_at > rows_confirmed_at_) {
+        rows_confirmed_at_ = requested_at;
+        callbacks_.rows_confirmed(requested_at);
+    }
+}
+
+std::string store_watcher::format_update_request(const table_digests& digests) const {
+    const table_digests own = get_digests();
+    const auto get_after = [this](const table_copy& table) {
+        return requests_all_rows_ ? 0 : table.get_newest_version();
+    };
+    nlohmann::json request = nlohmann::json::object();
+    if (digests.configuration != own.configuration) {
+        request[configuration_field] = get_after(tables_.at(platform_table::configuration));
+    }
+    if (digests.targets != own.targets) {
+        request[targets_field] = get_after(tables_.at(platform_table::targets));
+    }
+    if (digests.rows != own.rows) {
+        request[rows_field] = get_after(rows_);
+    }
+    return request.dump();
+}
+
+std::string store_watcher::format_updates(const std::string& request) const {
+    const nlohmann::json wanted = nlohmann::json::parse(request, nullptr, false);
+    nlohmann::json result = nlohmann::json::object();
+    const auto add = [&](const char* field, const table_copy& table) {
+        const auto after = wanted.is_object() ? wanted.find(field) : wanted.end();
+        if (after != wanted.end() && after->is_number_integer()) {
+            result[field] = format_table_update(table.get_update(after->get<row_version>()));
         }
+    };
+    add(configuration_field, tables_.at(platform_table::configuration));
+    if (result.contains(configuration_field) &&
+        result[configuration_field].get_ref<const std::string&>().size() >
+            max_relayed_configuration_bytes) {
+        result[configuration_field] = nullptr;
     }
+    add(targets_field, tables_.at(platform_table::targets));
+    if (const auto age = get_rows_age(transport::get_boot_time())) {
+        add(rows_field, rows_);
+        result[rows_age_field] = *age;
+    }
+    return result.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+}
+
+void store_watcher::apply_updates(const std::string& text, std::int64_t sent_at) {
+    const nlohmann::json object = nlohmann::json::parse(text, nullptr, false);
+    const auto find_update = [&](const char* field) {
+        const auto entry = object.is_object() ? object.find(field) : object.end();
+        return entry != object.end() && entry->is_string()
+                   ? parse_table_update(entry->get<std::string>())
+                   : std::nullopt;
+    };
+    if (const auto update = find_update(configuration_field)) {
+        apply(platform_table::configuration,
+              tables_[platform_table::configuration].apply_update(*update));
+    }
+    const auto configuration = object.is_object() ? object.find(configuration_field) : object.end();
+    if (configuration != object.end() && configuration->is_null() &&
+        !watched_.contains(platform_table::configuration)) {
+        // A watch waits long enough for a large answer on a slow link.
+        request_changes(platform_table::configuration,
+                        tables_[platform_table::configuration].get_read_version());
+    }
+    if (const auto update = find_update(targets_field)) {
+        apply(platform_table::targets, tables_[platform_table::targets].apply_update(*update));
+        has_targets_ = true;
+    }
+    const auto age = object.is_object() ? object.find(rows_age_field) : object.end();
+    const auto rows = find_update(rows_field);
+    if (rows && age != object.end() && age->is_number_integer()) {
+        rows_.apply_update(*rows);
+        const std::int64_t requested_at = sent_at - age->get<std::int64_t>();
+        rows_confirmed_at_ = std::max(rows_confirmed_at_, requested_at);
+        callbacks_.rows_read(rows_.get_rows(), requested_at);
+    }
+    // Rows older than this VM's newest one are left out of an update; they are only missing here if
+    // an earlier update came from a hub that lacked them.
+    const table_digests reached = get_digests();
+    requests_all_rows_ = reached == updated_to_ && !requests_all_rows_;
+    updated_to_ = reached;
+}
+
+void store_watcher::apply(platform_table table, const std::vector<stored_row>& newer) {
     if (newer.empty()) {
         return;
     }
@@ -171,14 +327,11 @@
 
 std::string store_watcher::format_snapshot() const {
     nlohmann::json tables = nlohmann::json::object();
-    for (const auto& [table, rows] : rows_) {
+    for (const auto& [table, copy] : tables_) {
         nlohmann::json& list = tables[std::to_string(static_cast<int>(table))];
         list = nlohmann::json::array();
-        for (const auto& [key, row] : rows) {
-            list.push_back({{"key", key},
-                            {"value", row.value},
-                            {"version", row.version},
-                            {"deleted", row.is_deleted}});
+        for (const stored_row& row : copy.get_rows()) {
+            list.push_back({{"key", row.key}, {"value", row.value}, {"version", row.version}});
         }
     }
     return tables.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
@@ -188,21 +341,19 @@
     const nlohmann::json tables = nlohmann::json::parse(text, nullptr, false);
     for (const platform_table table : {platform_table::configuration, platform_table::targets}) {
         const std::string name = std::to_string(static_cast<int>(table));
-        if (!tables.is_object() || !tables.contains(name) || !tables[name].is_array()) {
-            continue;
-        }
         std::vector<stored_row> rows;
-        for (const nlohmann::json& entry : tables[name]) {
-            if (entry.is_object()) {
-                rows.push_back({{},
-                                entry.value("key", std::string()),
-                                entry.value("value", std::string()),
-                                entry.value("version", std::int64_t{0}),
-                                entry.value("deleted", false)});
+        try {
+            for (const nlohmann::json& entry : tables.at(name)) {
+                const bool is_deleted = entry.contains("deleted") && entry.at("deleted");
+                rows.push_back(
+                    {{}, entry.at("key"), entry.at("value"), entry.at("version"), is_deleted});
             }
+        } catch (const nlohmann::json::exception& error) {
+            log_.write(event_row_rejected, {{"reason", error.what()}});
+            continue;
         }
         has_targets_ = has_targets_ || (table == platform_table::targets && !rows.empty());
-        apply(table, rows);
+        apply(table, tables_[table].apply(rows));
     }
 }
 
--- a/src/gateway/store_watcher.h
+++ b/src/gateway/store_watcher.h
@@ -3,20 +3,25 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
 #include "gateway/bounded_log.h"
+#include "gateway/peer_message.h"
 #include "gateway/platform_protocol.h"
 #include "gateway/store_client.h"
+#include "gateway/table_copy.h"
 #include "transport/event_loop.h"
 
 namespace hornbeamhook::gateway {
 
 /**
- * Keeps this VM's copy of the configuration and the listed targets, and reads the product's rows.
- * The first two are watched. The rows are polled, because a read sent at t proves that no change
- * had been announced at t, whereas a watch without an answer does not. Loop thread only.
+ * Keeps this VM's copy of the configuration, the listed targets and the product's rows. The first
+ * two are watched. The rows are polled, because a read sent at t proves that no change had been
+ * announced at t, whereas a watch without an answer does not. In a large fleet one VM of a place
+ * does this for all, and the others compare their copies with that VM's. Loop thread only.
  */
 class store_watcher {
 public:
@@ -26,10 +31,21 @@
             target_changed;
         /// All of the product's rows, from a read that was sent at `requested_at`.
         std::function<void(const std::vector<stored_row>&, std::int64_t requested_at)> rows_read;
+        /// The product's rows have not changed since the last call of `rows_read`, as seen by a
+        /// read that was sent at `requested_at`.
+        std::function<void(std::int64_t requested_at)> rows_confirmed;
         /// Whether this VM's leases need a read of the rows; otherwise they are read rarely.
         std::function<bool()> is_read_due;
     };
 
+    /** How this VM learns of changes in the store. */
+    enum class source {
+        store,      ///< It watches the tables and reads the rows when a lease needs it.
+        reader,     ///< As above, and it reads the rows often, for the whole fleet.
+        other_hub,  ///< From the reader; it reads the rows for its place when they are old.
+        hub,        ///< From a hub of its place; it reads the rows only when a lease needs it.
+    };
+
     store_watcher(transport::event_loop& loop, store_client& store,
                   const platform_protocol& platform, bounded_log& log, store_callbacks callbacks);
 
@@ -38,9 +54,33 @@
     /** Adapts the interval between reads that the leases do not need to the size of the fleet. */
     void set_fleet_size(int vms);
 
+    /** Chooses between the store and a hub; watches end or begin accordingly. */
+    void set_source(source value);
+    /** Whether changes are learned from another VM. */
+    bool is_following() const { return source_ == source::hub || source_ == source::other_hub; }
+
     /** Reads the product's rows now. */
     void read_rows();
 
+    /** Digests of this VM's copies, to compare with a hub's. */
+    table_digests get_digests() const;
+
+    /** Time since the newest read that this VM's copy of the rows reflects was sent; empty before
+     * the first one. */
+    std::optional<std::int64_t> get_rows_age(std::int64_t now) const;
+
+    /** A hub holds the same rows, from a read that was sent at `requested_at` or later. */
+    void confirm_rows(std::int64_t requested_at);
+
+    /** What another VM lacks: `request` holds the newest version that it has of each table. */
+    std::string format_updates(const std::string& request) const;
+
+    /** Body for a request of updates from a hub with these digests. */
+    std::string format_update_request(const table_digests& digests) const;
+
+    /** Applies a hub's answer to an update request that was sent at `sent_at`. */
+    void apply_updates(const std::string& text, std::int64_t sent_at);
+
     bool has_targets() const { return has_targets_; }
 
     /** The configuration and the targets, as JSON, for a VM that cannot reach the store. */
@@ -52,10 +92,14 @@
     std::int64_t get_configuration_version() const { return configuration_version_; }
 
 private:
+    void handle_rows_read(const store_answer& answer, std::int64_t requested_at);
+    std::int64_t get_read_interval() const;
     void read_table(platform_table table);
     void handle_table_read(platform_table table, const store_answer& answer);
     void watch_table(platform_table table, row_version after);
-    void apply(platform_table table, const std::vector<stored_row>& rows);
+    void request_changes(platform_table table, row_version after);
+    void retry_table(platform_table table);
+    void apply(platform_table table, const std::vector<stored_row>& newer);
     void apply_target(const std::string& id, const std::optional<target_entry>& entry);
     void remove_expired_targets();
 
@@ -65,7 +109,13 @@
     store_callbacks callbacks_;
     transport::loop_timer poll_timer_;
     transport::loop_timer removal_timer_;
-    std::map<platform_table, std::map<std::string, stored_row>> rows_;  ///< Newest version, by key.
+    std::map<platform_table, table_copy> tables_;
+    table_copy rows_;  ///< The product's rows.
+    source source_ = source::store;
+    std::set<platform_table> watched_;    ///< Tables with a read or watch in progress.
+    std::int64_t rows_confirmed_at_ = 0;  ///< Send time of the newest read; 0 before the first.
+    bool requests_all_rows_ = false;      ///< The last update left a difference to the hub.
+    table_digests updated_to_;            ///< Digests after the last update.
     std::map<std::string, std::int64_t> missing_since_;  ///< Targets whose entry is missing.
     std::map<platform_table, std::unique_ptr<transport::loop_timer>> retry_timers_;
     std::int64_t configuration_version_ = 0;
--- /dev/null
+++ b/src/gateway/table_copy.h
@@ -0,0 +1,73 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "gateway/platform_protocol.h"
+
+namespace hornbeamhook::gateway {
+
+/** Difference between a copy of a table and an older copy of it. */
+struct table_update {
+    row_version read_version = 0;                 ///< The store's version that the copy reflects.
+    std::map<std::string, row_version> versions;  ///< Of all rows.
+    std::vector<stored_row> rows;                 ///< Those newer than the older copy.
+
+    bool operator==(const table_update&) const = default;
+};
+
+/** Formats an update as JSON. Bytes that are not valid UTF-8 are replaced. Thread safe. */
+std::string format_table_update(const table_update& update);
+
+/** Empty when the text is not a valid update. Thread safe. */
+std::optional<table_update> parse_table_update(const std::string& text);
+
+/**
+ * A VM's copy of one table of the store. Rows that were removed are remembered with the version at
+ * which they were missing, so that an older copy of another VM does not bring them back. Not thread
+ * safe.
+ */
+class table_copy {
+public:
+    /** Applies changed rows; returns those that are newer than the known ones. */
+    std::vector<stored_row> apply(const std::vector<stored_row>& rows);
+
+    /** Applies a read of all rows at `read_version`: other rows were removed. Returns the newer
+     * rows, removed ones included. */
+    std::vector<stored_row> apply_read(std::vector<stored_row> rows, row_version read_version);
+
+    /** Applies the difference to another VM's copy; returns the newer rows, removed ones included.
+     */
+    std::vector<stored_row> apply_update(const table_update& update);
+
+    /** The difference to a copy whose newest row has version `after`. */
+    table_update get_update(row_version after) const;
+
+    /** The rows, without removed ones. */
+    std::vector<stored_row> get_rows() const;
+
+    /** Digest of the keys and versions of all rows; equal copies have equal digests on all VMs. */
+    std::uint64_t get_digest() const { return digest_; }
+
+    /** Version of the newest row; 0 without rows. */
+    row_version get_newest_version() const;
+
+    /** The store's version that this copy reflects; 0 before the first read. */
+    row_version get_read_version() const { return read_version_; }
+
+    /** Records that this copy reflects the store's `version`. */
+    void set_read_version(row_version version);
+
+private:
+    std::vector<stored_row> remove_missing(const std::map<std::string, row_version>& listed,
+                                           row_version read_version) const;
+
+    std::map<std::string, stored_row> rows_;  ///< Includes removed rows.
+    std::uint64_t digest_ = 0;
+    row_version read_version_ = 0;
+};
+
+}  // namespace hornbeamhook::gateway
--- a/tests/coordination/promotion_test.cpp
+++ b/tests/coordination/promotion_test.cpp
@@ -268,8 +268,7 @@
     machine.step(input, lease_released{"vm2", 11}, 5600);
     std::vector<promotion_action> actions;
     for (const char* target : {"t1", "t2", "t3"}) {
-        const auto step =
-            machine.step(input, report_received{1, target, make_replica(90)}, 5650);
+        const auto step = machine.step(input, report_received{1, target, make_replica(90)}, 5650);
         actions.insert(actions.end(), step.begin(), step.end());
     }
     EXPECT_EQ(find<request_promotion>(actions), nullptr);
--- a/tests/gateway/fleet_membership_test.cpp
+++ b/tests/gateway/fleet_membership_test.cpp
@@ -113,5 +113,44 @@
     }
 }
 
+// Guards against a machine that is used for seconds after its place's hub has lost it.
+TEST_F(fleet_membership_test, a_report_makes_a_member_silent) {
+    fleet_.apply_report({"z", 0, {}, {}}, 3000);
+    EXPECT_EQ(fleet_.get_responsive_members(3100).size(), 2U);
+    fleet_.apply_report({"z", 0, {"vm2"}, {"vm3"}}, 3400);
+    EXPECT_EQ(fleet_.get_responsive_members(3500), std::set<std::string>{"vm3"});
+    EXPECT_EQ(fleet_.get_live_members(3500).size(), 1U);
+    EXPECT_TRUE(fleet_.get_removable_members(3500).empty());
+}
+
+// Guards against a report that is older than what the member itself sent.
+TEST_F(fleet_membership_test, a_message_of_the_member_goes_before_an_older_report) {
+    fleet_.handle_heard("vm2", false, 3000);
+    fleet_.apply_report({"z", 0, {"vm2"}, {}}, 2900);
+    EXPECT_TRUE(fleet_.get_responsive_members(3100).contains("vm2"));
+}
+
+// Guards against a hub that reports members as silent which have not sent it a request yet.
+TEST_F(fleet_membership_test, a_new_hub_repeats_what_its_predecessor_reported) {
+    fleet_.apply_report({"z", 0, {"vm2"}, {}}, 9000);
+    EXPECT_EQ(fleet_.get_place_report(false, 9100).silent, std::vector<std::string>{"vm2"});
+    fleet_.handle_heard("vm2", false, 9200);
+    EXPECT_EQ(fleet_.get_place_report(true, 9300).silent, std::vector<std::string>{"vm3"});
+}
+
+// Guards against a VM that is cut off from all others and removes them from the list, although the
+// others run.
+TEST_F(fleet_membership_test, a_vm_that_hears_from_no_other_removes_none) {
+    std::vector<fleet_member> members;
+    for (int i = 1; i <= 9; ++i) {
+        members.push_back(make_member("vm" + std::to_string(i)));
+    }
+    fleet_.update(members, true, 1000);
+    EXPECT_TRUE(fleet_.get_removable_members(9000).empty());
+    fleet_.handle_heard("vm2", false, 8900);
+    fleet_.handle_heard("vm3", false, 8900);
+    EXPECT_EQ(fleet_.get_removable_members(9000).size(), 6U);
+}
+
 }  // namespace
 }  // namespace hornbeamhook::gateway
--- a/tests/gateway/leadership_exploration_test.cpp
+++ b/tests/gateway/leadership_exploration_test.cpp
@@ -9,6 +9,7 @@
 
 #include "coordination/promotion.h"
 #include "gateway/fleet_membership.h"
+#include "gateway/table_copy.h"
 #include "support/seed.h"
 
 // Simulates changes of the primary with the gateway's own promotion, primary_lease and
@@ -35,6 +36,7 @@
     ignores_lease_expiry,
     ignores_removed_members,
     uses_stale_members,
+    ignores_relayed_age,
 };
 
 struct simulation;
@@ -44,6 +46,9 @@
     simulated_vm(simulation& sim, int number, std::int64_t incarnation);
 
     void poll();
+    /** Compares the rows with another VM's copy instead of reading the store. */
+    void poll_hub();
+    void apply_rows(std::int64_t requested_at);
     void ping();
     void tick();
     void step(const coordination::promotion_event& event);
@@ -58,6 +63,8 @@
     fleet_membership fleet;
     coordination::primary_lease lease;
     coordination::promotion promotion;
+    table_copy rows;
+    std::int64_t rows_read_at = -1;  ///< Send time of the newest read; -1 before the first.
     std::int64_t store_read_at = -100000;
     std::int64_t suspended_until = 0;
     bool is_store_unreachable = false;
@@ -133,6 +140,8 @@
 
     std::mt19937_64 random;
     injected_fault injected;
+    bool relays_reads = false;
+    bool reads_after_joining = false;  ///< VMs read the rows as soon as they are listed.
     std::int64_t now = 0;
     std::int64_t order = 0;
     std::priority_queue<event> events;
@@ -203,61 +212,106 @@
 }
 
 void simulated_vm::poll() {
+    if (sim.relays_reads && sim.chance(0.6)) {
+        poll_hub();
+        return;
+    }
     if (is_store_unreachable || sim.now < sim.store_down_until) {
         return;
     }
     const std::int64_t requested_at = sim.now;
     const auto self = sim.vms.at(name);
     sim.at(sim.now + sim.random_between(1, 40), [this, self, requested_at] {
-        const auto rows = sim.rows;
-        sim.at_vm(self, sim.now + sim.random_between(1, 40), [this, rows, requested_at] {
-            std::vector<fleet_member> members;
-            std::optional<leadership_record> record;
-            bool is_listed = false;
-            for (const auto& [key, row] : rows) {
-                if (key.starts_with("vm/")) {
-                    const std::string vm = key.substr(3);
-                    members.push_back({vm, std::stoll(row.value), {vm, 1}, {vm, 2}, "z"});
-                    is_listed = is_listed || (vm == name && members.back() == fleet.get_self());
-                } else {
-                    const std::size_t bar = row.value.find('|');
-                    const std::size_t second = row.value.find('|', bar + 1);
-                    record =
-                        leadership_record{row.value.substr(0, bar),
-                                          std::stoull(row.value.substr(bar + 1, second - bar - 1)),
-                                          row.value.substr(second + 1), row.version};
-                }
-            }
-            fleet.update(members, is_listed, sim.now);
-            if (!is_listed) {
-                sim.rows["vm/" + name] = {"", "vm/" + name,
-                                          std::to_string(fleet.get_self().incarnation),
-                                          ++sim.version, false};
+        std::vector<stored_row> read;
+        for (const auto& [key, row] : sim.rows) {
+            read.push_back(row);
+            read.back().key = key;
+        }
+        sim.at_vm(self, sim.now + sim.random_between(1, 40),
+                  [this, read, version = sim.version, requested_at] {
+                      rows.apply_read(read, version);
+                      rows_read_at = std::max(rows_read_at, requested_at);
+                      apply_rows(requested_at);
+                  });
+    });
+}
+
+void simulated_vm::poll_hub() {
+    const std::string hub = "vm" + std::to_string(sim.random_between(0, 4));
+    const std::int64_t sent_at = sim.now;
+    const fleet_member self = fleet.get_self();
+    if (hub == name) {
+        return;
+    }
+    sim.send(*this, hub, [sent_at, self](simulated_vm& other) {
+        if (other.rows_read_at < 0) {
+            return;
+        }
+        const std::int64_t age = other.sim.now - other.rows_read_at;
+        const table_update update = other.rows.get_update(0);
+        other.sim.send(other, self.vm, [update, age, sent_at, self](simulated_vm& requester) {
+            if (requester.fleet.get_self() != self) {
                 return;
             }
-            for (const std::string& vm : fleet.get_removable_members(sim.now)) {
-                const auto row = rows.find("vm/" + vm);
-                if (fleet.get_rank("members", sim.now) == 0 && row != rows.end()) {
-                    const stored_row seen = row->second;
-                    sim.at(sim.now + sim.random_between(1, 40), [&owner = sim, seen] {
-                        const auto present = owner.rows.find(seen.key);
-                        if (present != owner.rows.end() &&
-                            present->second.version == seen.version) {
-                            owner.rows.erase(present);
-                            ++owner.version;
-                        }
-                    });
-                }
-            }
-            store_read_at = std::max(store_read_at, requested_at);
-            if (record) {
-                lease.confirm(*record, requested_at);
-            }
-            step(coordination::input_changed{});
+            const bool ignores_age = requester.sim.injected == injected_fault::ignores_relayed_age;
+            const std::int64_t requested_at = ignores_age ? requester.sim.now : sent_at - age;
+            requester.rows.apply_update(update);
+            requester.rows_read_at = std::max(requester.rows_read_at, requested_at);
+            requester.apply_rows(requested_at);
         });
     });
 }
 
+void simulated_vm::apply_rows(std::int64_t requested_at) {
+    std::map<std::string, stored_row> known;
+    for (const stored_row& row : rows.get_rows()) {
+        known[row.key] = row;
+    }
+    std::vector<fleet_member> members;
+    std::optional<leadership_record> record;
+    bool is_listed = false;
+    for (const auto& [key, row] : known) {
+        if (key.starts_with("vm/")) {
+            const std::string vm = key.substr(3);
+            members.push_back({vm, std::stoll(row.value), {vm, 1}, {vm, 2}, "z"});
+            is_listed = is_listed || (vm == name && members.back() == fleet.get_self());
+        } else {
+            const std::size_t bar = row.value.find('|');
+            const std::size_t second = row.value.find('|', bar + 1);
+            record = leadership_record{row.value.substr(0, bar),
+                                       std::stoull(row.value.substr(bar + 1, second - bar - 1)),
+                                       row.value.substr(second + 1), row.version};
+        }
+    }
+    fleet.update(members, is_listed, sim.now);
+    if (!is_listed) {
+        sim.rows["vm/" + name] = {"", "vm/" + name, std::to_string(fleet.get_self().incarnation),
+                                  ++sim.version, false};
+        if (sim.reads_after_joining) {
+            sim.at_vm(sim.vms.at(name), sim.now + 20, [this] { poll(); });
+        }
+        return;
+    }
+    for (const std::string& vm : fleet.get_removable_members(sim.now)) {
+        const auto row = known.find("vm/" + vm);
+        if (fleet.get_rank("members", sim.now) == 0 && row != known.end()) {
+            const stored_row seen = row->second;
+            sim.at(sim.now + sim.random_between(1, 40), [&owner = sim, seen] {
+                const auto present = owner.rows.find(seen.key);
+                if (present != owner.rows.end() && present->second.version == seen.version) {
+                    owner.rows.erase(present);
+                    ++owner.version;
+                }
+            });
+        }
+    }
+    store_read_at = std::max(store_read_at, requested_at);
+    if (record) {
+        lease.confirm(*record, requested_at);
+    }
+    step(coordination::input_changed{});
+}
+
 void simulated_vm::ping() {
     const std::int64_t sequence = fleet.begin_ping_round(sim.now);
     for (const auto& [vm, member] : fleet.get_members()) {
@@ -425,8 +479,9 @@
 
 /** What happens in a simulation besides a loss of the primary. */
 enum class schedule {
-    mixed_faults,  ///< Faults start at random times and may overlap.
-    late_joiners,  ///< VMs join shortly before the primary is considered lost.
+    mixed_faults,   ///< Faults start at random times and may overlap.
+    late_joiners,   ///< VMs join shortly before the primary is considered lost.
+    relayed_reads,  ///< Mixed faults, and VMs take most rows from another VM's copy.
 };
 
 /** Starts VMs shortly before the primary is considered lost. */
@@ -455,6 +510,8 @@
                                            schedule events = schedule::mixed_faults) {
     auto result = std::make_unique<simulation>(seed, fault);
     simulation& sim = *result;
+    sim.relays_reads = events == schedule::relayed_reads;
+    sim.reads_after_joining = events == schedule::late_joiners;
     const auto vms = static_cast<int>(sim.random_between(2, 5));
     sim.targets["t0"].is_primary = true;
     sim.targets["t1"];
@@ -593,6 +650,19 @@
     EXPECT_GT(promotions, runs) << "too few promotions to test the rules";
 }
 
+// Guards against a lease that is renewed with rows which another VM read too long ago.
+TEST(leadership_exploration, rows_of_another_vm_count_from_the_read_of_the_store) {
+    const std::uint64_t seed = tests::get_seed();
+    constexpr int runs = 600;
+    for (int run = 0; run < runs; ++run) {
+        const auto result = run_simulation(seed + static_cast<std::uint64_t>(run),
+                                           injected_fault::none, schedule::relayed_reads);
+        ASSERT_EQ(result->violations, 0)
+            << "HORNBEAMHOOK_SEED=" << seed + static_cast<std::uint64_t>(run) << " "
+            << result->detail;
+    }
+}
+
 /// The rarest injected fault is detected in about one run in a thousand. Seeds are fixed, so that
 /// the result does not depend on chance.
 constexpr std::uint64_t max_fault_runs = 8000;
@@ -602,10 +672,11 @@
     for (const injected_fault fault :
          {injected_fault::skips_lease_wait, injected_fault::omits_promise_version,
           injected_fault::ignores_lease_expiry, injected_fault::ignores_removed_members,
-          injected_fault::uses_stale_members}) {
+          injected_fault::uses_stale_members, injected_fault::ignores_relayed_age}) {
         // A stale member list only matters while VMs join.
-        const schedule events = fault == injected_fault::uses_stale_members
-                                    ? schedule::late_joiners
+        const schedule events = fault == injected_fault::uses_stale_members ? schedule::late_joiners
+                                : fault == injected_fault::ignores_relayed_age
+                                    ? schedule::relayed_reads
                                     : schedule::mixed_faults;
         int violations = 0;
         for (std::uint64_t seed = 1; seed <= max_fault_runs && violations == 0; ++seed) {
--- a/tests/gateway/peer_message_test.cpp
+++ b/tests/gateway/peer_message_test.cpp
@@ -16,7 +16,17 @@
             revoke_answer{"vm1", "g", 12},
             reachability_request{"g", "t1"},
             reachability_answer{"vm2", "g", "t1", 1200, true},
-            record_notice{"g", 15}};
+            record_notice{"g", 15},
+            hub_request{"vm1", 17, 4, true},
+            hub_answer{"vm2",
+                       18,
+                       4,
+                       true,
+                       false,
+                       {1, 2, ~0ULL},
+                       250,
+                       {{"a", 20, {"vm3", "vm4"}, {"vm5"}}},
+                       {{"g", {2, 77}, 150}}}};
 }
 
 TEST(peer_message, round_trips) {
@@ -42,5 +52,11 @@
     EXPECT_FALSE(parse_peer_message("hello").has_value());
 }
 
+// Guards against a datagram of nested arrays that exhausts the stack of the parser.
+TEST(peer_message, rejects_deeply_nested_datagrams) {
+    constexpr char array_of_one = '\x91';
+    EXPECT_FALSE(parse_peer_message(std::string(65000, array_of_one)).has_value());
+}
+
 }  // namespace
 }  // namespace hornbeamhook::gateway
--- /dev/null
+++ b/tests/gateway/table_copy_test.cpp
@@ -0,0 +1,76 @@
+#include "gateway/table_copy.h"
+
+#include <gtest/gtest.h>
+
+namespace hornbeamhook::gateway {
+namespace {
+
+stored_row make_row(const std::string& key, row_version version) {
+    return {"t", key, "value of " + key, version, false};
+}
+
+TEST(table_copy, equal_copies_have_equal_digests) {
+    table_copy left;
+    table_copy right;
+    left.apply_read({make_row("a", 1), make_row("b", 2)}, 5);
+    right.apply({make_row("b", 2)});
+    EXPECT_NE(left.get_digest(), right.get_digest());
+    right.apply({make_row("a", 1)});
+    EXPECT_EQ(left.get_digest(), right.get_digest());
+    left.apply_read({make_row("a", 1)}, 7);
+    EXPECT_NE(left.get_digest(), right.get_digest());
+    right.apply_read({make_row("a", 1)}, 9);
+    EXPECT_EQ(left.get_digest(), right.get_digest());
+}
+
+// Guards against a VM or target that has left and is in use again because another VM's copy is
+// older.
+TEST(table_copy, an_older_copy_does_not_bring_back_a_removed_row) {
+    table_copy older;
+    older.apply_read({make_row("a", 1), make_row("b", 2)}, 5);
+    table_copy newer = older;
+    newer.apply_read({make_row("a", 1)}, 8);
+    EXPECT_TRUE(newer.apply_update(older.get_update(0)).empty());
+    EXPECT_EQ(newer.get_rows(), std::vector<stored_row>{make_row("a", 1)});
+    const auto removed = older.apply_update(newer.get_update(older.get_newest_version()));
+    ASSERT_EQ(removed.size(), 1U);
+    EXPECT_TRUE(removed[0].is_deleted);
+    EXPECT_EQ(older.get_digest(), newer.get_digest());
+}
+
+// Guards against a row that this VM knows and the other one does not yet: it is not removed.
+TEST(table_copy, an_older_copy_does_not_remove_a_newer_row) {
+    table_copy older;
+    older.apply_read({make_row("a", 1)}, 5);
+    table_copy newer = older;
+    newer.apply({make_row("b", 6)});
+    newer.apply_update(older.get_update(0));
+    EXPECT_EQ(newer.get_rows().size(), 2U);
+}
+
+TEST(table_copy, an_update_holds_only_newer_rows) {
+    table_copy hub;
+    hub.apply_read({make_row("a", 1), make_row("b", 7)}, 9);
+    const table_update update = hub.get_update(3);
+    ASSERT_EQ(update.rows.size(), 1U);
+    EXPECT_EQ(update.rows[0].key, "b");
+    EXPECT_EQ(update.versions.size(), 2U);
+    const auto parsed = parse_table_update(format_table_update(update));
+    ASSERT_TRUE(parsed.has_value());
+    EXPECT_EQ(parsed->versions, update.versions);
+    EXPECT_EQ(parsed->rows[0].value, "value of b");
+}
+
+// Guards against an answer of another VM that ends the process.
+TEST(table_copy, malformed_updates_are_rejected) {
+    for (const char* text : {"", "[]", "{}", R"({"read_version":"1","versions":{},"rows":[]})",
+                             R"({"read_version":1,"versions":{"a":"x"},"rows":[]})",
+                             R"({"read_version":1,"versions":{},"rows":[["a"]]})",
+                             R"({"read_version":1,"versions":{},"rows":[[1,2,3]]})",
+                             R"({"read_version":1,"versions":[],"rows":7})"}) {
+        EXPECT_FALSE(parse_table_update(text).has_value()) << text;
+    }
+}
+
+}  // namespace
+}  // namespace hornbeamhook::gateway
