--- a/src/gateway/caller_session.cpp
+++ b/src/gateway/caller_session.cpp
@@ -556,4 +556,15 @@
     }
 }
 
+void caller_session::answer_outstanding() {
+    if (pinned_statement_) {
+        // Leads to finish_pinned() with a lost answer.
+        const std::shared_ptr<target_link> link = link_;
+        link->close();
+    } else if (pending_) {
+        const pending_statement_ptr pending = pending_;  // The refusal clears pending_.
+        engine_.refuse_for_stop(pending);
+    }
+}
+
 }  // namespace hornbeamhook::gateway
--- a/src/gateway/caller_session.h
+++ b/src/gateway/caller_session.h
@@ -61,6 +61,9 @@
     /** Ends a transaction that is idle, or whose statement is unanswered, for too long. */
     void enforce_time_limit(std::int64_t now, std::int64_t transaction_idle_ms);
 
+    /** Answers the outstanding statement, if any, because this VM stops: not run, or in doubt. */
+    void answer_outstanding();
+
     bool is_closed() const { return is_closed_; }
     const session_values& get_values() const { return values_; }
     const prepared_statement* find_prepared(const std::string& name) const;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -73,7 +73,7 @@
                         return !fleet_.is_self_listed() ||
                                leadership_.is_read_due(hubs_.is_enabled());
                     }}),
-      messenger_(loop, settings_.peer_address,
+      messenger_(loop, settings_.peer_address, counters_,
                  [this](const transport::endpoint& from, const peer_message& message) {
                      handle_message(from, message);
                  }),
@@ -545,7 +545,7 @@
         return;
     }
     stop_timer_.stop();
-    engine_.close_all_sessions();
+    engine_.end_all_sessions();
     const row_change change{
         {product_table, member_key_prefix + settings_.vm, {}, 0, true}, 0, false};
     store_.change(platform_.format_change(change), [this](const transport::http_exchange_answer&) {
--- a/src/gateway/gateway_counters.cpp
+++ b/src/gateway/gateway_counters.cpp
@@ -37,6 +37,7 @@
       lost_answers(add_counter(*registry, "lost_answers_total", "Answers that never came")),
       opened_links(add_counter(*registry, "opened_links_total", "Connections to targets")),
       store_calls(add_counter(*registry, "store_calls_total", "Calls to the platform's store")),
+      peer_messages(add_counter(*registry, "peer_messages_total", "Datagrams sent to other VMs")),
       promotions(add_counter(*registry, "promotions_total", "Changes of primary by this VM")),
       statement_seconds(prometheus::BuildHistogram()
                             .Name("hornbeamhook_gateway_statement_seconds")
--- a/src/gateway/gateway_counters.h
+++ b/src/gateway/gateway_counters.h
@@ -26,6 +26,7 @@
     prometheus::Counter& lost_answers;
     prometheus::Counter& opened_links;
     prometheus::Counter& store_calls;
+    prometheus::Counter& peer_messages;
     prometheus::Counter& promotions;
     prometheus::Histogram& statement_seconds;
 
--- a/src/gateway/gateway_events.h
+++ b/src/gateway/gateway_events.h
@@ -40,5 +40,6 @@
 inline constexpr event_type event_link_ended{7034, "target_link_ended"};
 inline constexpr event_type event_bad_input{7035, "bad_input", event_severity::warning};
 inline constexpr event_type event_statement_failed{7036, "statement_failed"};
+inline constexpr event_type event_store_source{7037, "store_source_changed"};
 
 }  // namespace hornbeamhook::gateway
--- a/src/gateway/peer_messenger.h
+++ b/src/gateway/peer_messenger.h
@@ -7,6 +7,7 @@
 #include <string>
 #include <vector>
 
+#include "gateway/gateway_counters.h"
 #include "gateway/peer_message.h"
 #include "transport/datagram_socket.h"
 
@@ -30,13 +31,14 @@
 
     /** Throws std::runtime_error when the address cannot be bound. */
     peer_messenger(transport::event_loop& loop, const transport::endpoint& address,
-                   receiver received);
+                   gateway_counters& counters, receiver received);
 
     /** Sends a message, or drops it; delivery is not reported. */
     void send(const transport::endpoint& to, const peer_message& message);
 
 private:
     transport::datagram_socket socket_;
+    gateway_counters& counters_;
 };
 
 }  // namespace hornbeamhook::gateway
--- a/src/gateway/session_engine.cpp
+++ b/src/gateway/session_engine.cpp
@@ -241,6 +241,26 @@
     }
 }
 
+void session_engine::end_all_sessions() {
+    const auto sessions = sessions_;
+    for (const auto& [key, session] : sessions) {
+        session->answer_outstanding();
+    }
+    close_all_sessions();
+}
+
+void session_engine::refuse_for_stop(const pending_statement_ptr& pending) {
+    const bool is_safe_to_repeat =
+        pending->is_idempotent ||
+        (pending->begin && pending->statement.kind != statement_kind::commit);
+    const bool may_have_run = pending->in_flight > 0 || pending->is_in_doubt;
+    refuse(groups_[pending->target_route.group], pending,
+           !may_have_run       ? failure_code::busy
+           : is_safe_to_repeat ? failure_code::aborted
+                               : failure_code::in_doubt,
+           "this VM stops");
+}
+
 void session_engine::submit(const pending_statement_ptr& pending) {
     target_group& group = groups_[pending->target_route.group];
     group.name = pending->target_route.group;
--- a/src/gateway/session_engine.h
+++ b/src/gateway/session_engine.h
@@ -67,6 +67,8 @@
     /** Makes sessions close as soon as they are idle. */
     void set_stopping() { is_stopping_ = true; }
     void close_idle_sessions();
+    /** Answers all outstanding statements before the process ends, and closes all sessions. */
+    void end_all_sessions();
     void close_all_sessions();
 
     // For sessions.
@@ -85,6 +87,8 @@
     /** Unpins a link and rolls back its open transaction. */
     void release_pinned(const std::shared_ptr<target_link>& link);
     void remove_session(const caller_session& session);
+    /** Refuses a statement that this VM cannot finish because it stops. */
+    void refuse_for_stop(const pending_statement_ptr& pending);
     /** Term of the group's current record; 0 without one. */
     state::term_number get_term(const std::string& group) const;
     /** Whether a commit answered by `target` in `term` may be acknowledged to the caller. */
--- a/src/gateway/store_watcher.cpp
+++ b/src/gateway/store_watcher.cpp
@@ -41,6 +41,20 @@
 constexpr const char* rows_field = "rows";
 constexpr const char* rows_age_field = "rows_age_ms";
 
+std::string to_string(store_watcher::source value) {
+    switch (value) {
+        case store_watcher::source::store:
+            return "store";
+        case store_watcher::source::reader:
+            return "reader";
+        case store_watcher::source::other_hub:
+            return "other_hub";
+        case store_watcher::source::hub:
+            return "hub";
+    }
+    return "store";
+}
+
 }  // namespace
 
 store_watcher::store_watcher(transport::event_loop& loop, store_client& store,
@@ -100,6 +114,7 @@
     }
     const bool was_following = is_following();
     source_ = value;
+    log_.write(event_store_source, {{"source", to_string(value)}});
     if (was_following && !is_following()) {
         for (const platform_table table :
              {platform_table::configuration, platform_table::targets}) {
@@ -205,18 +220,16 @@
 
 std::string store_watcher::format_update_request(const table_digests& digests) const {
     const table_digests own = get_digests();
-    const auto get_after = [this](const table_copy& table) {
-        return requests_all_rows_ ? 0 : table.get_newest_version();
-    };
     nlohmann::json request = nlohmann::json::object();
     if (digests.configuration != own.configuration) {
-        request[configuration_field] = get_after(tables_.at(platform_table::configuration));
+        request[configuration_field] =
+            tables_.at(platform_table::configuration).get_newest_version();
     }
     if (digests.targets != own.targets) {
-        request[targets_field] = get_after(tables_.at(platform_table::targets));
+        request[targets_field] = tables_.at(platform_table::targets).get_newest_version();
     }
     if (digests.rows != own.rows) {
-        request[rows_field] = get_after(rows_);
+        request[rows_field] = rows_.get_newest_version();
     }
     return request.dump();
 }
@@ -275,11 +288,6 @@
         rows_confirmed_at_ = std::max(rows_confirmed_at_, requested_at);
         callbacks_.rows_read(rows_.get_rows(), requested_at);
     }
-    // Rows older than this VM's newest one are left out of an update; they are only missing here if
-    // an earlier update came from a hub that lacked them.
-    const table_digests reached = get_digests();
-    requests_all_rows_ = reached == updated_to_ && !requests_all_rows_;
-    updated_to_ = reached;
 }
 
 void store_watcher::apply(platform_table table, const std::vector<stored_row>& newer) {
@@ -330,8 +338,11 @@
     for (const auto& [table, copy] : tables_) {
         nlohmann::json& list = tables[std::to_string(static_cast<int>(table))];
         list = nlohmann::json::array();
-        for (const stored_row& row : copy.get_rows()) {
-            list.push_back({{"key", row.key}, {"value", row.value}, {"version", row.version}});
+        for (const stored_row& row : copy.get_all_rows()) {
+            list.push_back({{"key", row.key},
+                            {"value", row.value},
+                            {"version", row.version},
+                            {"deleted", row.is_deleted}});
         }
     }
     return tables.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
@@ -344,16 +355,18 @@
         std::vector<stored_row> rows;
         try {
             for (const nlohmann::json& entry : tables.at(name)) {
-                const bool is_deleted = entry.contains("deleted") && entry.at("deleted");
-                rows.push_back(
-                    {{}, entry.at("key"), entry.at("value"), entry.at("version"), is_deleted});
+                rows.push_back({{},
+                                entry.at("key"),
+                                entry.at("value"),
+                                entry.at("version"),
+                                entry.at("deleted")});
             }
         } catch (const nlohmann::json::exception& error) {
             log_.write(event_row_rejected, {{"reason", error.what()}});
             continue;
         }
         has_targets_ = has_targets_ || (table == platform_table::targets && !rows.empty());
-        apply(table, tables_[table].apply(rows));
+        apply(table, tables_[table].apply_copied(rows));
     }
 }
 
--- a/src/gateway/store_watcher.h
+++ b/src/gateway/store_watcher.h
@@ -114,8 +114,6 @@
     source source_ = source::store;
     std::set<platform_table> watched_;    ///< Tables with a read or watch in progress.
     std::int64_t rows_confirmed_at_ = 0;  ///< Send time of the newest read; 0 before the first.
-    bool requests_all_rows_ = false;      ///< The last update left a difference to the hub.
-    table_digests updated_to_;            ///< Digests after the last update.
     std::map<std::string, std::int64_t> missing_since_;  ///< Targets whose entry is missing.
     std::map<platform_table, std::unique_ptr<transport::loop_timer>> retry_timers_;
     std::int64_t configuration_version_ = 0;
--- a/src/gateway/table_copy.cpp
+++ b/src/gateway/table_copy.cpp
@@ -84,12 +84,19 @@
     return apply(rows);
 }
 
+std::vector<stored_row> table_copy::apply_copied(std::vector<stored_row> rows) {
+    std::erase_if(rows, [this](const stored_row& row) {
+        return !rows_.contains(row.key) && row.version <= read_version_;
+    });
+    return apply(rows);
+}
+
 std::vector<stored_row> table_copy::apply_update(const table_update& update) {
-    std::vector<stored_row> rows = update.rows;
-    const std::vector<stored_row> removed = remove_missing(update.versions, update.read_version);
-    rows.insert(rows.end(), removed.begin(), removed.end());
+    std::vector<stored_row> newer = apply(remove_missing(update.versions, update.read_version));
+    const std::vector<stored_row> copied = apply_copied(update.rows);
+    newer.insert(newer.end(), copied.begin(), copied.end());
     set_read_version(update.read_version);
-    return apply(rows);
+    return newer;
 }
 
 table_update table_copy::get_update(row_version after) const {
@@ -116,6 +123,14 @@
     return result;
 }
 
+std::vector<stored_row> table_copy::get_all_rows() const {
+    std::vector<stored_row> result;
+    for (const auto& [key, row] : rows_) {
+        result.push_back(row);
+    }
+    return result;
+}
+
 row_version table_copy::get_newest_version() const {
     row_version newest = 0;
     for (const auto& [key, row] : rows_) {
--- a/src/gateway/table_copy.h
+++ b/src/gateway/table_copy.h
@@ -39,6 +39,12 @@
      * rows, removed ones included. */
     std::vector<stored_row> apply_read(std::vector<stored_row> rows, row_version read_version);
 
+    /**
+     * Applies rows of another VM's copy, which may be older than this one. A row that this copy
+     * lacks although it reflects a later version of the store was removed. Returns the newer rows.
+     */
+    std::vector<stored_row> apply_copied(std::vector<stored_row> rows);
+
     /** Applies the difference to another VM's copy; returns the newer rows, removed ones included.
      */
     std::vector<stored_row> apply_update(const table_update& update);
@@ -49,6 +55,9 @@
     /** The rows, without removed ones. */
     std::vector<stored_row> get_rows() const;
 
+    /** All rows, removed ones included. */
+    std::vector<stored_row> get_all_rows() const;
+
     /** Digest of the keys and versions of all rows; equal copies have equal digests on all VMs. */
     std::uint64_t get_digest() const { return digest_; }
 
--- a/tests/gateway/relayed_session_test.cpp
+++ b/tests/gateway/relayed_session_test.cpp
@@ -61,6 +61,7 @@
         value.version = 1;
         value.routes["strict"] = {"strict", "g", read_policy::primary, 0, 800, 400, 1};
         value.routes["bounded"] = {"bounded", "g", read_policy::bounded, 1500, 800, 400, 1};
+        value.routes["unleased"] = {"unleased", "h", read_policy::primary, 0, 9000, 9000, 1};
         value.connection_limits["g"] = 4;
         for (const auto& vm : vms_) {
             vm->engine.set_configuration(value);
@@ -262,6 +263,60 @@
     }));
 }
 
+// Guards against running work that is given up because its home was silent for a while and is not a
+// home any more.
+TEST_F(relayed_session_test, an_answer_of_a_former_home_is_delivered) {
+    bool is_answering = false;
+    scripted_target& target = add_target("t1", true, [&](const std::string& line) {
+        return line.find("WRITE") != std::string::npos && !is_answering ? std::string()
+                                                                        : make_idle_target()(line);
+    });
+    give_lease_to_all("t1");
+    const auto caller = open_session("strict");
+    ask(*caller, "READ k1");
+    const std::string home =
+        get_entry().engine.get_groups()["g"].targets["t1"].links[0]->get_home();
+    caller->lines.clear();
+    caller->send("QUERY 900 WRITE k1 x");
+    run_until([&] { return target.lines.size() == 2; });
+    std::vector<fleet_member> live;
+    for (const auto& vm : vms_) {
+        if (vm->member.vm != home) {
+            live.push_back(vm->member);
+        }
+    }
+    get_entry().engine.set_fleet(live, static_cast<int>(vms_.size()));
+    target.write_to_all("COMPLETE proof\r\nREADY I 1.6\r\n");
+    run_until([&] { return caller->lines.size() >= 2; });
+    EXPECT_EQ(caller->lines[0], "COMPLETE proof");
+    EXPECT_EQ(target.lines.size(), 2U);
+}
+
+// Guards against a planned stop that cuts statements off without an answer.
+TEST_F(relayed_session_test, a_stop_answers_outstanding_statements) {
+    add_target("t1", true, [&](const std::string& line) {
+        return line.find("QUERY") != std::string::npos ? std::string() : make_idle_target()(line);
+    });
+    give_lease_to_all("t1");
+    const auto writer = open_session("strict");
+    const auto reader = open_session("strict");
+    const auto waiting = open_session("unleased");
+    writer->lines.clear();
+    reader->lines.clear();
+    writer->send("QUERY 901 WRITE k1 x");
+    reader->send("QUERY 902 READ k1");
+    run_until([&] { return get_entry().engine.get_groups()["g"].running.size() == 2; });
+    waiting->lines.clear();
+    waiting->send("QUERY 903 WRITE k1 x");
+    run_until([&] { return !get_entry().engine.get_groups()["h"].queue.empty(); });
+    get_entry().engine.end_all_sessions();
+    run_until([&] { return writer->is_ended && reader->is_ended && waiting->is_ended; });
+    ASSERT_FALSE(writer->lines.empty());
+    EXPECT_TRUE(contains(writer->lines, "ERROR INDOUBT"));
+    EXPECT_TRUE(contains(reader->lines, "ERROR ABORTED"));
+    EXPECT_TRUE(contains(waiting->lines, "ERROR BUSY"));
+}
+
 // Guards against callers that wait until their timeout when no connection becomes free.
 TEST_F(relayed_session_test, a_home_refuses_when_no_connection_becomes_free) {
     scripted_target& target = add_target("t1", true, make_idle_target());
--- a/tests/gateway/table_copy_test.cpp
+++ b/tests/gateway/table_copy_test.cpp
@@ -38,6 +38,18 @@
     EXPECT_EQ(older.get_digest(), newer.get_digest());
 }
 
+// Guards against a server that has left and is in use again after a restart: the process has read
+// the store and then gets the older copy of another VM.
+TEST(table_copy, an_older_copy_adds_no_row_that_the_store_no_longer_has) {
+    table_copy older;
+    older.apply_read({make_row("a", 1), make_row("b", 2)}, 5);
+    table_copy restarted;
+    restarted.apply_read({make_row("a", 1)}, 8);
+    EXPECT_TRUE(restarted.apply_copied(older.get_all_rows()).empty());
+    EXPECT_TRUE(restarted.apply_update(older.get_update(0)).empty());
+    EXPECT_EQ(restarted.apply_copied({make_row("c", 9)}).size(), 1U);
+}
+
 // Guards against a row that this VM knows and the other one does not yet: it is not removed.
 TEST(table_copy, an_older_copy_does_not_remove_a_newer_row) {
     table_copy older;
--- a/tests/support/scripted_target.h
+++ b/tests/support/scripted_target.h
@@ -25,12 +25,20 @@
               accept(stream);
           }) {}
 
+    /** Sends text on all open connections, for example a late answer. */
+    void write_to_all(const std::string& text) {
+        for (const auto& stream : streams_) {
+            stream->write(text);
+        }
+    }
+
     std::vector<std::string> lines;
     int connections = 0;
 
 private:
     void accept(const std::shared_ptr<transport::tcp_stream>& stream) {
         ++connections;
+        streams_.push_back(stream);
         const auto buffer = std::make_shared<transport::line_buffer>(1U << 20);
         stream->start({.connected = {},
                        .received =
@@ -48,6 +56,7 @@
     }
 
     script answer_;
+    std::vector<std::shared_ptr<transport::tcp_stream>> streams_;
     transport::tcp_listener listener_;
 };
 
