Keep no old primary after another target may have been promoted

Cause: a VM that takes over an unfinished change surveys the targets and keeps the old primary when that answers. The VM whose change it took over may have had a promotion accepted, and in a partition the new primary may be the target that does not answer. The record then names the old primary again while callers of other VMs use the new one. Change: after a promotion request, by this VM or by one whose change it took over, the old primary stays only if each listed target has reported that it knows no newer term, 2 s after the claim; otherwise a target is promoted.

--- a/src/coordination/promotion.cpp
+++ b/src/coordination/promotion.cpp
@@ -13,6 +13,8 @@
 constexpr std::int64_t survey_timeout_ms = 300;
 /// How long a change waits for a replica to catch up with an old primary that still reports.
 constexpr std::int64_t catch_up_timeout_ms = 600;
+/// A promotion requested before this change was claimed has taken effect after this time.
+constexpr std::int64_t promotion_effect_ms = 2000;
 /// Interval between reports of a target that discovery does not list as primary yet; each report
 /// takes a slot and is billed.
 constexpr std::int64_t unlisted_report_interval_ms = 250;
@@ -186,6 +188,7 @@
     reason_ = reason;
     old_ = *input.record;
     excluded_.clear();
+    may_be_promoted_ = old_.is_changing();
     ++write_;
     claim_id_ = input.changer + '/' + std::to_string(write_);
     claim_sent_at_ = now;
@@ -315,9 +318,10 @@
         }
     }
     const bool is_primary_usable =
-        current_primary && input.candidates.contains(current_primary->first);
-    if (is_primary_usable &&
-        (current_primary->second > old_.term || reason_ != change_reason::leaving)) {
+        current_primary && input.candidates.contains(current_primary->first) &&
+        (current_primary->second > old_.term ||
+         (reason_ != change_reason::leaving && may_keep_old_primary(input)));
+    if (is_primary_usable) {
         record(current_primary->first, current_primary->second, now, out);
         return;
     }
@@ -342,6 +346,19 @@
     send_promotion_request(*best, now, out);
 }
 
+bool promotion::may_keep_old_primary(const promotion_input& input) const {
+    if (!may_be_promoted_) {
+        return true;
+    }
+    const bool is_effect_visible = sent_at_ - claimed_at_ >= promotion_effect_ms;
+    return is_effect_visible &&
+           std::all_of(input.targets.begin(), input.targets.end(), [&](const std::string& target) {
+               const auto report = reports_.find(target);
+               return report != reports_.end() && report->second &&
+                      report->second->term <= old_.term;
+           });
+}
+
 std::optional<std::string> promotion::choose_candidate(const promotion_input& input) const {
     std::optional<std::string> best;
     for (const auto& [target, report] : reports_) {
@@ -362,6 +379,7 @@
     chosen_ = target;
     sent_at_ = now;
     is_request_outstanding_ = true;
+    may_be_promoted_ = true;
     out.emplace_back(request_promotion{target, claim_version_});
 }
 
--- a/src/coordination/promotion.h
+++ b/src/coordination/promotion.h
@@ -187,6 +187,12 @@
     void continue_revoking(const promotion_input& input, std::int64_t now, actions& out);
     void begin_survey(const promotion_input& input, std::int64_t now, actions& out);
     void continue_survey(const promotion_input& input, std::int64_t now, actions& out);
+    /**
+     * Whether the old primary may stay although it is reachable. After a promotion request, of this
+     * VM or of one whose change it took over, another target may be primary: then each target must
+     * have reported that it knows no newer term.
+     */
+    bool may_keep_old_primary(const promotion_input& input) const;
     std::optional<std::string> choose_candidate(const promotion_input& input) const;
     void send_promotion_request(const std::string& target, std::int64_t now, actions& out);
     void continue_awaiting(const promotion_input& input, std::int64_t now, actions& out);
@@ -219,6 +225,7 @@
     std::set<std::string> excluded_;  ///< Targets reported as not running by the platform.
     std::string chosen_;
     bool is_request_outstanding_ = false;
+    bool may_be_promoted_ = false;  ///< A promotion may have been requested since the old record.
     int write_attempts_ = 0;
     std::int64_t ended_version_ = 0;  ///< Of the last record that this VM wrote.
     int write_ = 0;   ///< Number of the last write; answers to earlier writes are ignored.
--- a/tests/coordination/promotion_test.cpp
+++ b/tests/coordination/promotion_test.cpp
@@ -141,6 +141,56 @@
     EXPECT_EQ(find<request_promotion>(actions)->target, "t3");
 }
 
+/** A promotion that has taken over the unfinished change of another VM, with claim version 21. */
+class taken_over_promotion {
+public:
+    taken_over_promotion() : input(make_input()) {
+        input.record = leadership_record{"t1", 3, "vm2/5/1", 11};
+        machine.step(input, input_changed{}, 1000);
+        machine.step(input, input_changed{}, 8000);
+        machine.step(input, record_written{1, 21}, 8020);
+        machine.step(input, lease_released{"vm1", 21}, 8030);
+        machine.step(input, lease_released{"vm2", 21}, 8040);
+        EXPECT_EQ(machine.get_phase(), promotion_phase::surveying);
+    }
+
+    promotion machine;
+    promotion_input input;
+};
+
+// Guards against two primaries: the VM whose change was taken over may have promoted a target that
+// this VM does not reach (STALE and ONE on scale-1 of nilehorn-pool-large).
+TEST(promotion, does_not_keep_the_old_primary_of_a_change_that_it_took_over) {
+    taken_over_promotion change;
+    change.machine.step(change.input, report_received{1, "t1", survey_report{true, 3, {3, 99}, 0}},
+                        8050);
+    change.machine.step(change.input, report_received{1, "t2", std::nullopt}, 8060);
+    change.machine.step(change.input, report_received{1, "t3", make_replica(99)}, 8070);
+    EXPECT_EQ(change.machine.get_phase(), promotion_phase::requesting_promotion);
+}
+
+// Guards against a group without a primary when no other target can be promoted.
+TEST(promotion, keeps_the_old_primary_when_no_target_knows_a_newer_term) {
+    taken_over_promotion change;
+    change.input.targets = {"t1"};
+    change.input.candidates = {"t1"};
+    const survey_report old{true, 3, {3, 99}, 0};
+    std::int64_t now = 8040;
+    for (int survey = 1; now < 8020 + 2000; now += 320, ++survey) {
+        change.machine.step(change.input, report_received{survey, "t2", std::nullopt}, now);
+        change.machine.step(change.input, report_received{survey, "t3", std::nullopt}, now);
+        change.machine.step(change.input, report_received{survey, "t1", old}, now);
+        EXPECT_EQ(change.machine.get_phase(), promotion_phase::surveying);
+        change.machine.step(change.input, input_changed{}, now + 310);
+    }
+    std::vector<promotion_action> actions;
+    for (int survey = 1; survey < 12 && find<write_record>(actions) == nullptr; ++survey) {
+        actions = change.machine.step(change.input, report_received{survey, "t1", old}, now);
+    }
+    ASSERT_NE(find<write_record>(actions), nullptr);
+    EXPECT_EQ(find<write_record>(actions)->record, (leadership_record{"t1", 3, {}, 0}));
+}
+
 // Guards against a planned change that loses commits of the leaving primary.
 TEST(promotion, a_planned_change_waits_until_a_replica_has_caught_up) {
     promotion machine;
--- a/tests/gateway/leadership_exploration_test.cpp
+++ b/tests/gateway/leadership_exploration_test.cpp
@@ -141,6 +141,8 @@
     std::mt19937_64 random;
     injected_fault injected;
     bool relays_reads = false;
+    /// Targets lose reports at random, and a replaced primary that was not told still answers.
+    bool loses_reports = false;
     bool reads_after_joining = false;  ///< VMs read the rows as soon as they are listed.
     std::int64_t now = 0;
     std::int64_t order = 0;
@@ -444,9 +446,10 @@
                     const simulated_target& model = sim.targets[target];
                     std::optional<coordination::survey_report> answer;
                     // The suspected primary does not answer, so that promotions happen.
-                    const bool is_silent =
+                    const bool is_suspected =
                         lease.get_record() && lease.get_record()->target == target &&
                         !(model.is_primary && model.term > lease.get_record()->term);
+                    const bool is_silent = sim.loses_reports ? sim.chance(0.5) : is_suspected;
                     if (model.is_up && !is_silent) {
                         answer = {model.is_primary, model.term, {model.term, model.position}, 0};
                     }
@@ -470,7 +473,8 @@
             });
         } else if (const auto* demotion = std::get_if<coordination::step_down>(&action)) {
             simulated_target& model = sim.targets[demotion->target];
-            if (model.term < demotion->term) {
+            const bool is_lost = sim.loses_reports && sim.chance(0.5);
+            if (!is_lost && model.term < demotion->term) {
                 model.is_primary = false;
             }
         }
@@ -479,9 +483,10 @@
 
 /** What happens in a simulation besides a loss of the primary. */
 enum class schedule {
-    mixed_faults,   ///< Faults start at random times and may overlap.
-    late_joiners,   ///< VMs join shortly before the primary is considered lost.
-    relayed_reads,  ///< Mixed faults, and VMs take most rows from another VM's copy.
+    mixed_faults,     ///< Faults start at random times and may overlap.
+    late_joiners,     ///< VMs join shortly before the primary is considered lost.
+    partial_reports,  ///< Mixed faults; targets are reached only now and then.
+    relayed_reads,    ///< Mixed faults, and VMs take most rows from another VM's copy.
 };
 
 /** Starts VMs shortly before the primary is considered lost. */
@@ -511,6 +516,7 @@
     auto result = std::make_unique<simulation>(seed, fault);
     simulation& sim = *result;
     sim.relays_reads = events == schedule::relayed_reads;
+    sim.loses_reports = events == schedule::partial_reports;
     sim.reads_after_joining = events == schedule::late_joiners;
     const auto vms = static_cast<int>(sim.random_between(2, 5));
     sim.targets["t0"].is_primary = true;
@@ -650,6 +656,20 @@
     EXPECT_GT(promotions, runs) << "too few promotions to test the rules";
 }
 
+// Guards against a VM that takes over a change, reaches only the old primary and keeps it, although
+// another target was promoted (STALE and ONE on scale-1 of nilehorn-pool-large).
+TEST(leadership_exploration, an_old_primary_is_not_kept_after_a_promotion_was_requested) {
+    const std::uint64_t seed = tests::get_seed();
+    constexpr int runs = 600;
+    for (int run = 0; run < runs; ++run) {
+        const auto result = run_simulation(seed + static_cast<std::uint64_t>(run),
+                                           injected_fault::none, schedule::partial_reports);
+        ASSERT_EQ(result->violations, 0)
+            << "HORNBEAMHOOK_SEED=" << seed + static_cast<std::uint64_t>(run) << " "
+            << result->detail;
+    }
+}
+
 // Guards against a lease that is renewed with rows which another VM read too long ago.
 TEST(leadership_exploration, rows_of_another_vm_count_from_the_read_of_the_store) {
     const std::uint64_t seed = tests::get_seed();
