Give an unlisted VM no lease from promises, and let a returning VM remove none

A VM that is not listed yet then reads a list of VMs that were cut off like itself; all of them promised the old record a moment before, so it extended its lease on the old primary and read there at 11.58 s. Change: promises do not count while a VM is not listed, and a VM removes others only after it has been listed for 3.5 s itself.

--- a/src/gateway/fleet_membership.cpp
+++ b/src/gateway/fleet_membership.cpp
@@ -188,6 +188,10 @@
 std::optional<std::int64_t> fleet_membership::get_promised_since(const std::string& group,
                                                                  std::int64_t version) const {
     std::optional<std::int64_t> since;
+    if (!listed_since_) {
+        // The list may hold only VMs that were removed like this one and know no newer record yet.
+        return std::nullopt;
+    }
     for (const auto& [vm, known] : peer_states_) {
         const auto promise = known.promises.find(group);
         if (promise == known.promises.end() || promise->second > version) {
@@ -235,7 +239,10 @@
 
 std::set<std::string> fleet_membership::get_removable_members(std::int64_t now) const {
     std::set<std::string> result;
-    if (get_responsive_members(now).size() < peer_states_.size() / min_heard_divisor) {
+    const bool is_listed_long_enough =
+        listed_since_ && now - *listed_since_ >= coordination::member_removal_timeout_ms;
+    if (!is_listed_long_enough ||
+        get_responsive_members(now).size() < peer_states_.size() / min_heard_divisor) {
         return result;
     }
     for (const auto& [vm, known] : peer_states_) {
--- a/src/gateway/fleet_membership.h
+++ b/src/gateway/fleet_membership.h
@@ -60,7 +60,8 @@
 
     /**
      * The latest time t such that every member, answering a ping sent at t or later, promised that
-     * it knows no record newer than `version`. Empty when some member did not. A member that knows
+     * it knows no record newer than `version`. Empty when some member did not, or while this VM is
+     * not listed: then promoters do not wait for it. A member that knows
      * an older record cannot change it, because its conditional write would fail.
      */
     std::optional<std::int64_t> get_promised_since(const std::string& group,
@@ -82,8 +83,11 @@
      */
     std::set<std::string> get_lease_holders(std::int64_t now) const;
 
-    /** Members that have not answered for longer than the removal timeout. Empty while this VM
-     * hears from few members, because then its own connection has failed. */
+    /**
+     * Members that have not answered for longer than the removal timeout. Empty while this VM hears
+     * from few members, or was itself removed a short while ago, because then its own connection
+     * has failed.
+     */
     std::set<std::string> get_removable_members(std::int64_t now) const;
 
     /** Control addresses of responsive members for which the store is available. */
--- a/tests/gateway/fleet_membership_test.cpp
+++ b/tests/gateway/fleet_membership_test.cpp
@@ -152,5 +152,24 @@
     EXPECT_EQ(fleet_.get_removable_members(9000).size(), 6U);
 }
 
+// Guards against a lease that is extended by VMs which were removed from the list together with
+// this one, while the others replace the primary (found by leadership_exploration).
+TEST_F(fleet_membership_test, promises_do_not_count_while_this_vm_is_not_listed) {
+    const std::int64_t ping = fleet_.begin_ping_round(2000);
+    fleet_.handle_pong(make_pong("vm2", ping, {{"g", 10}}), 2050);
+    fleet_.handle_pong(make_pong("vm3", ping, {{"g", 11}}), 2050);
+    fleet_.update({make_member("vm2")}, false, 2100);
+    EXPECT_FALSE(fleet_.get_promised_since("g", 10).has_value());
+}
+
+// Guards against a VM that returns from a partition and removes the VMs that it lost contact with.
+TEST_F(fleet_membership_test, a_vm_that_was_removed_does_not_remove_others) {
+    fleet_.handle_heard("vm2", false, 20000);
+    EXPECT_EQ(fleet_.get_removable_members(20100), std::set<std::string>{"vm3"});
+    fleet_.update({make_member("vm2"), make_member("vm3")}, false, 20200);
+    fleet_.update({make_member("vm1"), make_member("vm2"), make_member("vm3")}, true, 20300);
+    EXPECT_TRUE(fleet_.get_removable_members(20400).empty());
+}
+
 }  // namespace
 }  // namespace hornbeamhook::gateway
--- a/tests/gateway/leadership_exploration_test.cpp
+++ b/tests/gateway/leadership_exploration_test.cpp
@@ -49,6 +49,7 @@
     /** Compares the rows with another VM's copy instead of reading the store. */
     void poll_hub();
     void apply_rows(std::int64_t requested_at);
+    void extend_lease();
     void ping();
     void tick();
     void step(const coordination::promotion_event& event);
@@ -69,6 +70,7 @@
     std::int64_t suspended_until = 0;
     bool is_store_unreachable = false;
     bool is_partitioned = false;  ///< From all other VMs.
+    int side = 0;                 ///< VMs reach only those of their side.
     bool suspects_loss = false;
 };
 
@@ -108,7 +110,8 @@
               std::function<void(simulated_vm&)> action) {
         const auto target = vms.find(to);
         if (target == vms.end() ||
-            (to != from.name && (from.is_partitioned || target->second->is_partitioned)) ||
+            (to != from.name && (from.is_partitioned || target->second->is_partitioned ||
+                                 from.side != target->second->side)) ||
             (to != from.name && chance(0.05))) {
             return;
         }
@@ -314,7 +317,17 @@
     step(coordination::input_changed{});
 }
 
+void simulated_vm::extend_lease() {
+    const auto& record = lease.get_record();
+    if (record && !is_changing()) {
+        if (const auto since = fleet.get_promised_since(group_name, record->version)) {
+            lease.extend(*since);
+        }
+    }
+}
+
 void simulated_vm::ping() {
+    extend_lease();
     const std::int64_t sequence = fleet.begin_ping_round(sim.now);
     for (const auto& [vm, member] : fleet.get_members()) {
         const std::string requester_name = name;
@@ -337,14 +350,7 @@
                     return;
                 }
                 requester.fleet.handle_pong(pong, requester.sim.now);
-                const auto& record = requester.lease.get_record();
-                if (record && !requester.is_changing()) {
-                    const auto since =
-                        requester.fleet.get_promised_since(group_name, record->version);
-                    if (since) {
-                        requester.lease.extend(*since);
-                    }
-                }
+                requester.extend_lease();
             });
         });
     }
@@ -485,6 +491,7 @@
 enum class schedule {
     mixed_faults,     ///< Faults start at random times and may overlap.
     late_joiners,     ///< VMs join shortly before the primary is considered lost.
+    split_fleets,     ///< Several VMs lose the store and the others, but not each other.
     partial_reports,  ///< Mixed faults; targets are reached only now and then.
     relayed_reads,    ///< Mixed faults, and VMs take most rows from another VM's copy.
 };
@@ -510,6 +517,38 @@
     }
 }
 
+/** Cuts several VMs from the store and from the others for longer than it takes to remove them. */
+void add_splits(simulation& sim, int vms) {
+    for (const std::int64_t start : {6000, 18000, 29000}) {
+        const std::int64_t begin = start + sim.random_between(0, 2000);
+        const std::int64_t end = begin + sim.random_between(3000, 8000);
+        std::vector<std::string> cut;
+        for (int i = 0; i < vms; ++i) {
+            if (sim.chance(0.6)) {
+                cut.push_back("vm" + std::to_string(i));
+            }
+        }
+        const auto set_side = [&sim, cut](int side) {
+            for (const std::string& name : cut) {
+                sim.vms.at(name)->side = side;
+                sim.vms.at(name)->is_store_unreachable = side != 0;
+            }
+        };
+        sim.at(begin, [set_side] { set_side(1); });
+        sim.at(end, [set_side] { set_side(0); });
+        sim.at(begin + 700, [&sim] {
+            for (const auto& [name, each] : sim.vms) {
+                each->suspects_loss = each->side == 0;
+            }
+        });
+        sim.at(begin + 2500, [&sim] {
+            for (const auto& [name, each] : sim.vms) {
+                each->suspects_loss = false;
+            }
+        });
+    }
+}
+
 /** Runs one simulation. */
 std::unique_ptr<simulation> run_simulation(std::uint64_t seed, injected_fault fault,
                                            schedule events = schedule::mixed_faults) {
@@ -517,8 +556,10 @@
     simulation& sim = *result;
     sim.relays_reads = events == schedule::relayed_reads;
     sim.loses_reports = events == schedule::partial_reports;
-    sim.reads_after_joining = events == schedule::late_joiners;
-    const auto vms = static_cast<int>(sim.random_between(2, 5));
+    sim.reads_after_joining = events == schedule::late_joiners || events == schedule::split_fleets;
+    const bool is_split = events == schedule::split_fleets;
+    const auto vms =
+        static_cast<int>(is_split ? sim.random_between(6, 9) : sim.random_between(2, 5));
     sim.targets["t0"].is_primary = true;
     sim.targets["t1"];
     sim.targets["t2"];
@@ -548,6 +589,11 @@
         sim.run();
         return result;
     }
+    if (events == schedule::split_fleets) {
+        add_splits(sim, vms);
+        sim.run();
+        return result;
+    }
     const auto faults = static_cast<int>(sim.random_between(2, 9));
     for (int i = 0; i < faults; ++i) {
         const std::int64_t begin = sim.random_between(2000, run_duration_ms - 5000);
@@ -670,6 +716,24 @@
     }
 }
 
+// Guards against a VM that was removed from the list, sees only other removed VMs there when it
+// returns, and extends its lease by their promises (STALE and ONE on scale-1 of
+// nilehorn-pool-large).
+TEST(leadership_exploration, an_unlisted_vm_gets_no_lease_from_promises) {
+    const std::uint64_t seed = tests::get_seed();
+    constexpr int runs = 300;
+    int promotions = 0;
+    for (int run = 0; run < runs; ++run) {
+        const auto result = run_simulation(seed + static_cast<std::uint64_t>(run),
+                                           injected_fault::none, schedule::split_fleets);
+        promotions += result->promotions;
+        ASSERT_EQ(result->violations, 0)
+            << "HORNBEAMHOOK_SEED=" << seed + static_cast<std::uint64_t>(run) << " "
+            << result->detail;
+    }
+    EXPECT_GT(promotions, runs / 2) << "too few promotions to test the rules";
+}
+
 // Guards against a lease that is renewed with rows which another VM read too long ago.
 TEST(leadership_exploration, rows_of_another_vm_count_from_the_read_of_the_store) {
     const std::uint64_t seed = tests::get_seed();
