--- a/src/gateway/store_watcher.cpp
+++ b/src/gateway/store_watcher.cpp
@@ -282,7 +282,8 @@
     }
     const auto age = object.is_object() ? object.find(rows_age_field) : object.end();
     const auto rows = find_update(rows_field);
-    if (rows && age != object.end() && age->is_number_integer()) {
+    // A negative age would renew leases for longer than they last.
+    if (rows && age != object.end() && age->is_number_unsigned()) {
         rows_.apply_update(*rows);
         const std::int64_t requested_at = sent_at - age->get<std::int64_t>();
         rows_confirmed_at_ = std::max(rows_confirmed_at_, requested_at);
--- /dev/null
+++ b/tests/gateway/store_watcher_test.cpp
@@ -0,0 +1,102 @@
+#include "gateway/store_watcher.h"
+
+#include <gtest/gtest.h>
+
+#include <nlohmann/json.hpp>
+
+#include "gateway/leadership_manager.h"
+#include "platform/store_codec.h"
+
+namespace hornbeamhook::gateway {
+namespace {
+
+class store_watcher_test : public testing::Test {
+protected:
+    store_watcher_test()
+        : store_(loop_, {"127.0.0.1", 1}, log_, counters_),
+          watcher_(loop_, store_, codec_, log_,
+                   {.configuration_changed = [](const configuration&) {},
+                    .target_changed = [](const std::string&, const std::optional<target_entry>&) {},
+                    .rows_read =
+                        [this](const std::vector<stored_row>& rows, std::int64_t requested_at) {
+                            rows_read_ = rows;
+                            requested_at_ = requested_at;
+                        },
+                    .rows_confirmed =
+                        [this](std::int64_t requested_at) { requested_at_ = requested_at; },
+                    .is_read_due = [] { return false; }}) {}
+
+    /** An answer of a hub that holds one of the product's rows, read `age_ms` ago. */
+    static std::string make_updates(std::int64_t age_ms) {
+        const table_update update{9, {{"group/g", 7}}, {{{}, "group/g", "{}", 7, false}}};
+        return nlohmann::json{{"rows", format_table_update(update)}, {"rows_age_ms", age_ms}}
+            .dump();
+    }
+
+    transport::event_loop loop_;
+    bounded_log log_{"vm1"};
+    gateway_counters counters_;
+    platform::store_codec codec_;
+    store_client store_;
+    store_watcher watcher_;
+    std::vector<stored_row> rows_read_;
+    std::int64_t requested_at_ = 0;
+};
+
+// Guards against a lease that counts from the answer of a hub instead of the hub's read.
+TEST_F(store_watcher_test, rows_of_a_hub_count_from_its_read) {
+    watcher_.apply_updates(make_updates(300), 5000);
+    EXPECT_EQ(requested_at_, 4700);
+    ASSERT_EQ(rows_read_.size(), 1U);
+    EXPECT_EQ(rows_read_[0].version, 7);
+    watcher_.confirm_rows(4600);
+    EXPECT_EQ(requested_at_, 4700);
+    watcher_.confirm_rows(5100);
+    EXPECT_EQ(requested_at_, 5100);
+}
+
+// Guards against a lease that lasts longer than a promoter waits.
+TEST_F(store_watcher_test, rows_from_the_future_are_ignored) {
+    watcher_.apply_updates(make_updates(-4000), 5000);
+    EXPECT_EQ(requested_at_, 0);
+}
+
+TEST_F(store_watcher_test, an_update_request_names_the_tables_that_differ) {
+    watcher_.apply_updates(make_updates(0), 5000);
+    table_digests digests = watcher_.get_digests();
+    EXPECT_EQ(watcher_.format_update_request(digests), "{}");
+    digests.rows += 1;
+    EXPECT_EQ(watcher_.format_update_request(digests), R"({"rows":7})");
+}
+
+// Guards against an answer of another VM that ends the process.
+TEST_F(store_watcher_test, malformed_answers_of_other_vms_are_dropped) {
+    for (const char* text :
+         {"", "7", "[]", "{}", R"({"0":7,"1":{}})", R"({"0":[{"key":7}],"1":[[]]})",
+          R"({"0":[{"key":"a","value":1,"version":"x","deleted":2}]})"}) {
+        watcher_.merge_snapshot(text);
+    }
+    for (const char* text : {"", "7", "[]", R"({"rows":7,"rows_age_ms":"1"})",
+                             R"({"rows":"{}","rows_age_ms":1})", R"({"targets":[]})"}) {
+        watcher_.apply_updates(text, 5000);
+    }
+    for (const char* text : {"", "7", "[]", R"({"rows":"x","targets":null})"}) {
+        watcher_.format_updates(text);
+    }
+    EXPECT_EQ(requested_at_, 0);
+}
+
+// Guards against a stored record that ends each process that reads it.
+TEST(parse_record, malformed_records_are_rejected) {
+    for (const char* value :
+         {"", "7", "[]", "{}", R"({"target":1,"term":1})", R"({"target":"t1","term":"x"})",
+          R"({"target":"t1","term":1,"changer":7})"}) {
+        EXPECT_FALSE(parse_record({"t", "group/g", value, 3, false}).has_value()) << value;
+    }
+    const auto record = parse_record({"t", "group/g", R"({"target":"t1","term":1})", 3, false});
+    ASSERT_TRUE(record.has_value());
+    EXPECT_EQ(*record, (coordination::leadership_record{"t1", 1, {}, 3}));
+}
+
+}  // namespace
+}  // namespace hornbeamhook::gateway
