Limit promise rounds of a large fleet to one in 700 ms

Cause: with hubs the need for promises is checked every 350 ms, and while a member is silent no round extends a lease, so each VM would ask all members at each check: twice the messages of before, during an outage of the store. Change: a round starts at most every 700 ms, and only while the VM is listed.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -265,10 +265,10 @@
 }
 
 void gateway::send_pings() {
+    pinged_at_ = transport::get_boot_time();
     const std::vector<record_promise> promises = leadership_.get_promises();
     const peer_ping ping{settings_.vm, fleet_.get_self().incarnation,
-                         fleet_.begin_ping_round(transport::get_boot_time(), promises),
-                         get_digest(promises)};
+                         fleet_.begin_ping_round(pinged_at_, promises), get_digest(promises)};
     for (const auto& [vm, member] : fleet_.get_members()) {
         messenger_.send(member.peer_address, ping);
     }
@@ -295,7 +295,9 @@
             messenger_.send(member->second.peer_address, request);
         }
     }
-    if (leadership_.needs_promises()) {
+    // Each round takes a message to every member, and a silent member makes all rounds fail.
+    if (fleet_.is_self_listed() && leadership_.needs_promises() &&
+        now - pinged_at_ >= ping_interval_ms) {
         send_pings();
     }
     const bool may_follow = fleet_.is_self_listed() && hubs_.find_upstream(now).has_value();
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -96,6 +96,7 @@
     transport::loop_timer stop_timer_;
     std::vector<std::unique_ptr<transport::signal_watcher>> signal_watchers_;
     std::int64_t started_at_ = 0;
+    std::int64_t pinged_at_ = 0;       ///< Last round of pings to all members.
     std::int64_t stopping_since_ = 0;  ///< 0 while serving.
     std::int64_t last_registration_at_ = 0;
     std::int64_t snapshot_requested_at_ = 0;
