Let the first hub of each place watch the configuration itself

404 as of a version that was replaced 7 s before. The VM is the first hub of its place and learns of configurations from the reader alone. The configuration reaches the whole fleet through one watch of 12 s, and a lost answer delays it by that time; in a small fleet any VM's watch is enough. Change: the first hubs of all places keep a watch on the configuration, six calls in 12 s here.

--- a/src/gateway/store_watcher.cpp
+++ b/src/gateway/store_watcher.cpp
@@ -112,19 +112,20 @@
     if (value == source_) {
         return;
     }
-    const bool was_following = is_following();
     source_ = value;
     log_.write(event_store_source, {{"source", to_string(value)}});
-    if (was_following && !is_following()) {
-        for (const platform_table table :
-             {platform_table::configuration, platform_table::targets}) {
-            if (!watched_.contains(table)) {
-                watch_table(table, tables_[table].get_read_version());
-            }
+    for (const platform_table table : {platform_table::configuration, platform_table::targets}) {
+        if (is_watching(table) && !watched_.contains(table)) {
+            watch_table(table, tables_[table].get_read_version());
         }
     }
 }
 
+bool store_watcher::is_watching(platform_table table) const {
+    return !is_following() ||
+           (source_ == source::other_hub && table == platform_table::configuration);
+}
+
 void store_watcher::read_rows() {
     const std::int64_t requested_at = transport::get_boot_time();
     rows_requested_at_ = requested_at;
@@ -169,7 +170,7 @@
 }
 
 void store_watcher::watch_table(platform_table table, row_version after) {
-    if (is_following()) {
+    if (!is_watching(table)) {
         watched_.erase(table);
         return;
     }
--- a/src/gateway/store_watcher.h
+++ b/src/gateway/store_watcher.h
@@ -97,6 +97,10 @@
     void read_table(platform_table table);
     void handle_table_read(platform_table table, const store_answer& answer);
     void watch_table(platform_table table, row_version after);
+    /** Whether this VM watches the table itself. The first hubs of all places watch the
+     * configuration, because a lost answer to a single watch would delay it by the length of the
+     * watch. */
+    bool is_watching(platform_table table) const;
     void request_changes(platform_table table, row_version after);
     void retry_table(platform_table table);
     void apply(platform_table table, const std::vector<stored_row>& newer);
