Remove lost members also in a fleet that follows hubs

Cause: silent members were removed when a VM had read the rows. With hubs the VM whose turn it is usually follows a hub, which only confirms that the rows have not changed, so nobody removed anything. Found when reading the change: seven VMs killed for good were still listed ten seconds later. While the store was away no lease could then be extended. Change: a confirmation of the rows leads to the removal as a read does; the row is taken from this VM's copy and the rows are read after the write, as after the VM's other writes.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -66,6 +66,7 @@
                     [this](std::int64_t requested_at) {
                         if (fleet_.is_self_listed()) {
                             leadership_.confirm_records(requested_at);
+                            remove_lost_members(transport::get_boot_time());
                         }
                     },
                 .is_read_due =
@@ -203,7 +204,7 @@
     if (!joined.empty() && !hubs_.is_enabled()) {
         send_pings();
     }
-    remove_lost_members(rows, now);
+    remove_lost_members(now);
 }
 
 void gateway::update_homes(std::int64_t now) {
@@ -229,17 +230,16 @@
                   [this](const transport::http_exchange_answer&) { watcher_.read_rows(); });
 }
 
-void gateway::remove_lost_members(const std::vector<stored_row>& rows, std::int64_t now) {
+void gateway::remove_lost_members(std::int64_t now) {
     const std::set<std::string> removable = fleet_.get_removable_members(now);
     if (removable.empty() || fleet_.get_rank("members", now) != 0) {
         return;
     }
-    for (const stored_row& row : rows) {
-        const std::string_view prefix = member_key_prefix;
-        if (row.key.starts_with(prefix) && removable.contains(row.key.substr(prefix.size()))) {
-            const row_change change{{product_table, row.key, {}, 0, true}, row.version, true};
+    for (const std::string& vm : removable) {
+        if (const auto row = watcher_.find_row(member_key_prefix + vm)) {
+            const row_change change{{product_table, row->key, {}, 0, true}, row->version, true};
             store_.change(platform_.format_change(change),
-                          [](const transport::http_exchange_answer&) {});
+                          [this](const transport::http_exchange_answer&) { watcher_.read_rows(); });
         }
     }
 }
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -49,7 +49,8 @@
     /** Updates the VMs among which the engine divides the targets' connections. */
     void update_homes(std::int64_t now);
     void register_self();
-    void remove_lost_members(const std::vector<stored_row>& rows, std::int64_t now);
+    /** Removes silent members from the list. Call whenever the rows are known to be current. */
+    void remove_lost_members(std::int64_t now);
     /** Periodic work on the fleet that does not depend on its size. */
     void maintain_fleet();
     /** Asks all members for their promises. */
--- a/src/gateway/store_watcher.h
+++ b/src/gateway/store_watcher.h
@@ -62,6 +62,9 @@
     /** Reads the product's rows now. */
     void read_rows();
 
+    /** The product's row with this key in this VM's copy; empty without one. */
+    std::optional<stored_row> find_row(const std::string& key) const { return rows_.find(key); }
+
     /** Digests of this VM's copies, to compare with a hub's. */
     table_digests get_digests() const;
 
--- a/src/gateway/table_copy.cpp
+++ b/src/gateway/table_copy.cpp
@@ -113,6 +113,12 @@
     return update;
 }
 
+std::optional<stored_row> table_copy::find(const std::string& key) const {
+    const auto entry = rows_.find(key);
+    return entry == rows_.end() || entry->second.is_deleted ? std::nullopt
+                                                            : std::optional(entry->second);
+}
+
 std::vector<stored_row> table_copy::get_rows() const {
     std::vector<stored_row> result;
     for (const auto& [key, row] : rows_) {
--- a/src/gateway/table_copy.h
+++ b/src/gateway/table_copy.h
@@ -52,6 +52,9 @@
     /** The difference to a copy whose newest row has version `after`. */
     table_update get_update(row_version after) const;
 
+    /** The row with this key; empty if there is none or it was removed. */
+    std::optional<stored_row> find(const std::string& key) const;
+
     /** The rows, without removed ones. */
     std::vector<stored_row> get_rows() const;
 
--- a/tests/gateway/table_copy_test.cpp
+++ b/tests/gateway/table_copy_test.cpp
@@ -32,6 +32,8 @@
     newer.apply_read({make_row("a", 1)}, 8);
     EXPECT_TRUE(newer.apply_update(older.get_update(0)).empty());
     EXPECT_EQ(newer.get_rows(), std::vector<stored_row>{make_row("a", 1)});
+    EXPECT_EQ(newer.find("a"), make_row("a", 1));
+    EXPECT_FALSE(newer.find("b").has_value());
     const auto removed = older.apply_update(newer.get_update(older.get_newest_version()));
     ASSERT_EQ(removed.size(), 1U);
     EXPECT_TRUE(removed[0].is_deleted);
