--- a/src/gateway/fleet_membership.cpp
+++ b/src/gateway/fleet_membership.cpp
@@ -82,6 +82,13 @@
     return {joined, left};
 }
 
+const fleet_member* fleet_membership::find_member(const std::string& vm,
+                                                  std::int64_t incarnation) const {
+    const auto entry = members_.find(vm);
+    return entry == members_.end() || entry->second.incarnation != incarnation ? nullptr
+                                                                               : &entry->second;
+}
+
 std::int64_t fleet_membership::begin_ping_round(std::int64_t now,
                                                 const std::vector<record_promise>& promises) {
     ping_round& round = pings_[++sequence_];
--- a/src/gateway/fleet_membership.h
+++ b/src/gateway/fleet_membership.h
@@ -61,8 +61,8 @@
     /**
      * The latest time t such that every member, answering a ping sent at t or later, promised that
      * it knows no record newer than `version`. Empty when some member did not, or while this VM is
-     * not listed: then promoters do not wait for it. A member that knows
-     * an older record cannot change it, because its conditional write would fail.
+     * not listed: then promoters do not wait for it. A member that knows an older record cannot
+     * change it, because its conditional write would fail.
      */
     std::optional<std::int64_t> get_promised_since(const std::string& group,
                                                    std::int64_t version) const;
@@ -98,6 +98,8 @@
 
     const fleet_member& get_self() const { return self_; }
     const std::map<std::string, fleet_member>& get_members() const { return members_; }
+    /** The listed process of this VM; null if the VM is unlisted or listed with another process. */
+    const fleet_member* find_member(const std::string& vm, std::int64_t incarnation) const;
     bool is_self_listed() const { return listed_since_.has_value(); }
     /** When this VM was first seen in the member list; empty while it is not listed. */
     std::optional<std::int64_t> get_listed_since() const { return listed_since_; }
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -247,7 +247,6 @@
 void gateway::maintain_fleet() {
     const std::int64_t now = transport::get_boot_time();
     check_isolation();
-    update_homes(now);
     // Members that have not answered the last round may have answered the round before it.
     leadership_.extend_leases();
     if (!hubs_.is_enabled()) {
@@ -337,16 +336,13 @@
 
 void gateway::handle_hub_request(const transport::endpoint& from, const hub_request& request) {
     const std::int64_t now = transport::get_boot_time();
-    const auto sender = fleet_.get_members().find(request.vm);
-    if (sender == fleet_.get_members().end() || sender->second.incarnation != request.incarnation) {
-        if (hubs_.is_reader() && now - unknown_member_read_at_ >= registration_interval_ms) {
-            unknown_member_read_at_ = now;
-            watcher_.read_rows();
-        }
+    const fleet_member* sender = fleet_.find_member(request.vm, request.incarnation);
+    if (sender == nullptr) {
+        read_unknown_member();
         return;
     }
     fleet_.handle_heard(request.vm, request.is_stopping, now);
-    const bool is_same_place = sender->second.place == settings_.place;
+    const bool is_same_place = sender->place == settings_.place;
     hub_answer answer{settings_.vm,
                       fleet_.get_self().incarnation,
                       request.sequence,
@@ -373,10 +369,9 @@
 
 void gateway::handle_hub_answer(const hub_answer& answer) {
     const std::int64_t now = transport::get_boot_time();
-    const auto member = fleet_.get_members().find(answer.vm);
+    const fleet_member* member = fleet_.find_member(answer.vm, answer.incarnation);
     const std::optional<std::int64_t> sent_at = hubs_.get_request_time(answer.sequence);
-    if (member == fleet_.get_members().end() || member->second.incarnation != answer.incarnation ||
-        !sent_at) {
+    if (member == nullptr || !sent_at) {
         return;
     }
     hubs_.handle_answer(answer.vm, answer.is_store_available, now);
@@ -390,7 +385,7 @@
     }
     leadership_.apply_positions(answer.positions, *sent_at);
     if (!hubs_.is_reader() && hubs_.find_upstream(now) == answer.vm) {
-        compare_tables(member->second, answer, *sent_at);
+        compare_tables(*member, answer, *sent_at);
     }
 }
 
@@ -448,19 +443,21 @@
     }
 }
 
-void gateway::answer_ping(const transport::endpoint& from, const peer_ping& ping) {
-    const auto sender = fleet_.get_members().find(ping.vm);
-    const bool is_member =
-        sender != fleet_.get_members().end() && sender->second.incarnation == ping.incarnation;
+void gateway::read_unknown_member() {
     const std::int64_t now = transport::get_boot_time();
-    if (is_member) {
-        fleet_.handle_heard(ping.vm, false, now);
-    } else if (!watcher_.is_following() &&
-               now - unknown_member_read_at_ >= registration_interval_ms) {
-        // A VM unknown to this one has joined.
+    if (!watcher_.is_following() && now - unknown_member_read_at_ >= registration_interval_ms) {
         unknown_member_read_at_ = now;
         watcher_.read_rows();
     }
+}
+
+void gateway::answer_ping(const transport::endpoint& from, const peer_ping& ping) {
+    const bool is_member = fleet_.find_member(ping.vm, ping.incarnation) != nullptr;
+    if (is_member) {
+        fleet_.handle_heard(ping.vm, false, transport::get_boot_time());
+    } else {
+        read_unknown_member();
+    }
     std::vector<record_promise> promises =
         is_member ? leadership_.get_promises() : std::vector<record_promise>();
     // The promises of two VMs are usually equal; then the list need not be sent.
@@ -477,8 +474,8 @@
 
 void gateway::handle_pong(const peer_pong& pong) {
     const std::int64_t now = transport::get_boot_time();
-    const auto member = fleet_.get_members().find(pong.vm);
-    if (member == fleet_.get_members().end() || member->second.incarnation != pong.incarnation) {
+    const fleet_member* member = fleet_.find_member(pong.vm, pong.incarnation);
+    if (member == nullptr) {
         return;
     }
     fleet_.handle_pong(pong, now);
@@ -489,7 +486,7 @@
         leadership_.apply_positions(pong.positions, *ping_sent_at);
     }
     if (pong.configuration_version > watcher_.get_configuration_version()) {
-        fetch_snapshot(member->second.control_address);
+        fetch_snapshot(member->control_address);
     }
 }
 
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -55,6 +55,7 @@
     void maintain_fleet();
     /** Asks all members for their promises. */
     void send_pings();
+    /** Updates the hubs and homes, and asks the hubs for the fleet's state in a large fleet. */
     void send_hub_requests();
     /** VMs whose log positions this VM collects as a hub. */
     std::vector<std::string> get_position_sources() const;
@@ -65,6 +66,8 @@
     void compare_tables(const fleet_member& hub, const hub_answer& answer, std::int64_t sent_at);
     void fetch_updates(const fleet_member& hub, const table_digests& digests);
     void handle_message(const transport::endpoint& from, const peer_message& message);
+    /** Reads the rows because a VM unknown to this one has joined, unless a hub does it. */
+    void read_unknown_member();
     void answer_ping(const transport::endpoint& from, const peer_ping& ping);
     void handle_pong(const peer_pong& pong);
     void fetch_snapshot(const transport::endpoint& peer);
--- a/src/gateway/leadership_manager.cpp
+++ b/src/gateway/leadership_manager.cpp
@@ -161,18 +161,13 @@
 }
 
 std::vector<known_position> leadership_manager::get_positions() const {
-    const std::int64_t now = transport::get_boot_time();
-    std::vector<known_position> result;
-    for (const auto& [name, group] : engine_.get_groups()) {
-        const auto newest = group.history.get_newest();
-        const target_state* primary = group.find_primary();
+    std::vector<known_position> result = get_known_positions();
+    std::erase_if(result, [this](const known_position& position) {
+        const target_state* primary = engine_.get_groups().at(position.group).find_primary();
         // The primary's homes learn its position first; other VMs would only repeat it.
-        const bool is_source = primary == nullptr || primary->plan.homes.empty() ||
-                               primary->plan.is_home(fleet_.get_self().vm);
-        if (newest && is_source) {
-            result.push_back({name, *newest, now - group.history.get_newest_requested_at()});
-        }
-    }
+        return primary != nullptr && !primary->plan.homes.empty() &&
+               !primary->plan.is_home(fleet_.get_self().vm);
+    });
     return result;
 }
 
@@ -195,28 +190,28 @@
     });
 }
 
-bool leadership_manager::is_read_due(bool has_hubs) const {
+bool leadership_manager::is_any_lease_ending(std::int64_t reserve_ms) const {
     const std::int64_t now = transport::get_boot_time();
     const auto& groups = engine_.get_groups();
+    return std::any_of(groups.begin(), groups.end(), [&](const auto& entry) {
+        const coordination::primary_lease& lease = entry.second.lease;
+        return lease.get_record() && lease.get_end() - now < reserve_ms;
+    });
+}
+
+bool leadership_manager::is_read_due(bool has_hubs) const {
     if (has_hubs) {
-        return std::any_of(groups.begin(), groups.end(), [now](const auto& entry) {
-            return entry.second.lease.get_record() &&
-                   entry.second.lease.get_end() - now < hub_read_reserve_ms;
-        });
+        return is_any_lease_ending(hub_read_reserve_ms);
     }
-    return groups.empty() || std::any_of(groups.begin(), groups.end(), [now](const auto& entry) {
-               const target_group& group = entry.second;
-               return !group.lease.get_usable(now) || group.lease.get_end() - now < read_reserve_ms;
-           });
+    const std::int64_t now = transport::get_boot_time();
+    const auto& groups = engine_.get_groups();
+    return groups.empty() || is_any_lease_ending(read_reserve_ms) ||
+           std::any_of(groups.begin(), groups.end(),
+                       [now](const auto& entry) { return !entry.second.lease.get_usable(now); });
 }
 
 bool leadership_manager::needs_promises() const {
-    const std::int64_t now = transport::get_boot_time();
-    const auto& groups = engine_.get_groups();
-    return std::any_of(groups.begin(), groups.end(), [now](const auto& entry) {
-        return entry.second.lease.get_record() &&
-               entry.second.lease.get_end() - now < promise_reserve_ms;
-    });
+    return is_any_lease_ending(promise_reserve_ms);
 }
 
 void leadership_manager::tick() {
--- a/src/gateway/leadership_manager.h
+++ b/src/gateway/leadership_manager.h
@@ -95,6 +95,8 @@
         std::int64_t idle_version = 0;  ///< Version of the record if no action was due; else 0.
     };
 
+    /** Whether the lease of a group with a record ends within `reserve_ms`. */
+    bool is_any_lease_ending(std::int64_t reserve_ms) const;
     void tick();
     void send_notice(const std::string& group, std::int64_t version);
     /** The other VMs that have to confirm the loss of the primary: its responsive homes, or all
--- a/src/gateway/pending_statement.h
+++ b/src/gateway/pending_statement.h
@@ -42,6 +42,12 @@
 
     bool is_relayed() const { return target.has_value(); }
 
+    /** Whether it leaves no effect when its connection is lost. The first statement of a
+     * transaction leaves none unless it is the commit itself. */
+    bool is_safe_to_repeat() const {
+        return is_idempotent || (begin && statement.kind != statement_kind::commit);
+    }
+
     /** Orders by priority, then by arrival. */
     bool is_before(const pending_statement& other) const {
         return target_route.priority != other.target_route.priority
--- a/src/gateway/session_engine.cpp
+++ b/src/gateway/session_engine.cpp
@@ -250,14 +250,11 @@
 }
 
 void session_engine::refuse_for_stop(const pending_statement_ptr& pending) {
-    const bool is_safe_to_repeat =
-        pending->is_idempotent ||
-        (pending->begin && pending->statement.kind != statement_kind::commit);
     const bool may_have_run = pending->in_flight > 0 || pending->is_in_doubt;
     refuse(groups_[pending->target_route.group], pending,
-           !may_have_run       ? failure_code::busy
-           : is_safe_to_repeat ? failure_code::aborted
-                               : failure_code::in_doubt,
+           !may_have_run                  ? failure_code::busy
+           : pending->is_safe_to_repeat() ? failure_code::aborted
+                                          : failure_code::in_doubt,
            "this VM stops");
 }
 
@@ -769,12 +766,7 @@
     if (answer.failure && is_not_run(answer.failure->code)) {
         return true;
     }
-    // If its connection is lost, the first statement of a transaction has no effect unless it is
-    // the commit itself.
-    const bool is_safe_to_repeat =
-        pending.is_idempotent ||
-        (pending.begin && pending.statement.kind != statement_kind::commit);
-    return is_safe_to_repeat && !answer.failure;
+    return pending.is_safe_to_repeat() && !answer.failure;
 }
 
 void session_engine::handle_failure(target_state& target, const target_failure& failure) {
@@ -938,11 +930,8 @@
             continue;
         }
         if (!pending->is_settled) {
-            const bool is_safe_to_repeat =
-                pending->is_idempotent ||
-                (pending->begin && pending->statement.kind != statement_kind::commit);
             refuse(group, pending,
-                   is_safe_to_repeat ? failure_code::aborted : failure_code::in_doubt,
+                   pending->is_safe_to_repeat() ? failure_code::aborted : failure_code::in_doubt,
                    "no answer in time");
         }
         // Connections are scarce, and nobody waits for the answer any more.
--- a/src/gateway/store_watcher.cpp
+++ b/src/gateway/store_watcher.cpp
@@ -200,12 +200,8 @@
 }
 
 table_digests store_watcher::get_digests() const {
-    const auto get_digest = [this](platform_table table) {
-        const auto entry = tables_.find(table);
-        return entry == tables_.end() ? 0 : entry->second.get_digest();
-    };
-    return {get_digest(platform_table::configuration), get_digest(platform_table::targets),
-            rows_.get_digest()};
+    return {tables_.at(platform_table::configuration).get_digest(),
+            tables_.at(platform_table::targets).get_digest(), rows_.get_digest()};
 }
 
 std::optional<std::int64_t> store_watcher::get_rows_age(std::int64_t now) const {
--- a/src/gateway/store_watcher.h
+++ b/src/gateway/store_watcher.h
@@ -20,8 +20,8 @@
 /**
  * Keeps this VM's copy of the configuration, the listed targets and the product's rows. The first
  * two are watched. The rows are polled, because a read sent at t proves that no change had been
- * announced at t, whereas a watch without an answer does not. In a large fleet one VM of a place
- * does this for all, and the others compare their copies with that VM's. Loop thread only.
+ * announced at t, whereas a watch without an answer does not. In a large fleet one VM
+ * does this for all, and the others compare their copies with those of a hub. Loop thread only.
  */
 class store_watcher {
 public:
--- a/tests/gateway/relayed_session_test.cpp
+++ b/tests/gateway/relayed_session_test.cpp
@@ -317,6 +317,31 @@
     EXPECT_TRUE(contains(waiting->lines, "ERROR BUSY"));
 }
 
+// Guards against a read that fails because the home that runs it stops, although another home can
+// run it.
+TEST_F(relayed_session_test, a_stopping_home_leaves_its_reads_to_the_entry) {
+    bool is_answering = false;
+    add_target("t1", true, [&](const std::string& line) {
+        return line.find("QUERY") != std::string::npos && !is_answering ? std::string()
+                                                                        : make_idle_target()(line);
+    });
+    give_lease_to_all("t1");
+    const auto reader = open_session("strict");
+    reader->lines.clear();
+    reader->send("QUERY 902 READ k1");
+    run_until([&] { return targets_["t1"]->lines.size() == 1; });
+    is_answering = true;
+    const std::string home =
+        get_entry().engine.get_groups()["g"].targets["t1"].links[0]->get_home();
+    for (const auto& vm : vms_) {
+        if (vm->member.vm == home) {
+            vm->engine.end_all_sessions();
+        }
+    }
+    run_until([&] { return reader->lines.size() >= 2; });
+    EXPECT_TRUE(contains(reader->lines, "COMPLETE proof"));
+}
+
 // Guards against callers that wait until their timeout when no connection becomes free.
 TEST_F(relayed_session_test, a_home_refuses_when_no_connection_becomes_free) {
     scripted_target& target = add_target("t1", true, make_idle_target());
