Count only VMs that every lease holder knows in a promotion

Change: a member that releases its lease reports whether it is established (listed for at least max_store_outage_ms, so that every VM with a lease knows it). A promoter that is not established waits for such an answer, or for the answers of all members. Cost: in the first 15 s of a fleet, a silent VM delays a promotion, and lost members stay listed.

The planted fault counts_recent_members (answers of recent members count again) is found. Two fleet_membership tests moved to times after 15 s, because removal before them is now an error; a new one guards that.

--- a/src/coordination/primary_lease.h
+++ b/src/coordination/primary_lease.h
@@ -30,7 +30,8 @@
 /**
  * How long promises of the other VMs may extend a lease without a read of the store. A VM that
  * does not read the store may not know one that has been listed for less than this, so a VM listed
- * that recently replaces a primary only if another member answers it.
+ * that recently removes no member, and replaces a primary only if all members answer it, or one
+ * that has been listed for longer.
  */
 inline constexpr std::int64_t max_store_outage_ms = 15000;
 
--- a/src/coordination/promotion.cpp
+++ b/src/coordination/promotion.cpp
@@ -69,7 +69,9 @@
         if (released->version == claim_version_) {
             released_by_.insert(released->vm);
             waiting_.erase(released->vm);
-            last_released_at_ = now;
+            if (released->is_established) {
+                established_released_at_ = now;
+            }
         }
     } else if (const auto* report = std::get_if<report_received>(&event)) {
         handle_report(*report, now, out);
@@ -225,7 +227,7 @@
     phase_ = promotion_phase::revoking;
     claim_version_ = version;
     claimed_at_ = now;
-    last_released_at_ = now;
+    established_released_at_.reset();
     phase_since_ = now;
     sent_at_ = 0;
     waiting_ = input.members;
@@ -234,9 +236,11 @@
 }
 
 void promotion::continue_revoking(const promotion_input& input, std::int64_t now, actions& out) {
-    // A member that cannot read the store may not know a VM that joined recently. Its lease expires
-    // all the same, because members that released their lease no longer send it promises.
-    const std::int64_t waiting_since = input.is_established ? claimed_at_ : last_released_at_;
+    // A member that cannot read the store may not know VMs that joined recently, so their silence
+    // does not end its lease. It knows each established VM, and its lease expires after one of them
+    // has stopped sending it promises.
+    const std::int64_t waiting_since =
+        input.is_established ? claimed_at_ : established_released_at_.value_or(claimed_at_);
     // A VM may have joined shortly before the claim. One that joins later sees the claim in the
     // store read that lists it.
     const bool is_list_complete = input.members_requested_at >= claimed_at_;
@@ -250,11 +254,8 @@
         return;
     }
     if (now - waiting_since >= lease_duration_ms + clock_drift_margin_ms) {
-        // This VM always releases its own lease.
-        const bool is_unanswered =
-            input.members.size() > 1 && waiting_.size() + 1 >= input.members.size();
-        if (!input.is_established && is_unanswered) {
-            abandon("this VM joined recently and no other member answered", out);
+        if (!input.is_established && !established_released_at_) {
+            abandon("this VM joined recently and no established member answered", out);
             return;
         }
         begin_survey(input, now, out);
--- a/src/coordination/promotion.h
+++ b/src/coordination/promotion.h
@@ -73,6 +73,7 @@
 struct lease_released {
     std::string vm;
     std::int64_t version = 0;
+    bool is_established = false;  ///< It has been listed for at least max_store_outage_ms.
 };
 
 /** A target answered a survey; `report` is empty if the target could not be reached. */
@@ -217,8 +218,9 @@
     std::int64_t claim_version_ = 0;
     std::int64_t claimed_at_ = 0;  ///< When this VM learned that the claim was applied.
     std::int64_t phase_since_ = 0;
-    std::int64_t last_released_at_ = 0;  ///< When a member last released its lease.
-    std::int64_t sent_at_ = 0;           ///< When the last messages of the current phase were sent.
+    /// When an established member last released its lease for this claim; empty before the first.
+    std::optional<std::int64_t> established_released_at_;
+    std::int64_t sent_at_ = 0;  ///< When the last messages of the current phase were sent.
     std::set<std::string> waiting_;
     std::set<std::string> released_by_;  ///< Members that answered the current claim.
     std::map<std::string, std::optional<survey_report>> reports_;
--- a/src/gateway/fleet_membership.cpp
+++ b/src/gateway/fleet_membership.cpp
@@ -89,6 +89,10 @@
                                                                                : &entry->second;
 }
 
+bool fleet_membership::is_established(std::int64_t now) const {
+    return listed_since_ && now - *listed_since_ >= coordination::max_store_outage_ms;
+}
+
 std::int64_t fleet_membership::begin_ping_round(std::int64_t now,
                                                 const std::vector<record_promise>& promises) {
     ping_round& round = pings_[++sequence_];
@@ -246,9 +250,7 @@
 
 std::set<std::string> fleet_membership::get_removable_members(std::int64_t now) const {
     std::set<std::string> result;
-    const bool is_listed_long_enough =
-        listed_since_ && now - *listed_since_ >= coordination::member_removal_timeout_ms;
-    if (!is_listed_long_enough ||
+    if (!is_established(now) ||
         get_responsive_members(now).size() < peer_states_.size() / min_heard_divisor) {
         return result;
     }
--- a/src/gateway/fleet_membership.h
+++ b/src/gateway/fleet_membership.h
@@ -85,8 +85,8 @@
 
     /**
      * Members that have not answered for longer than the removal timeout. Empty while this VM hears
-     * from few members, or was itself removed a short while ago, because then its own connection
-     * has failed.
+     * from few members, because then its own connection has failed, and until it is established: a
+     * member that does not know it may extend its lease by promises of others.
      */
     std::set<std::string> get_removable_members(std::int64_t now) const;
 
@@ -101,6 +101,8 @@
     /** The listed process of this VM; null if the VM is unlisted or listed with another process. */
     const fleet_member* find_member(const std::string& vm, std::int64_t incarnation) const;
     bool is_self_listed() const { return listed_since_.has_value(); }
+    /** Whether this VM has been listed so long that every VM with a lease knows it. */
+    bool is_established(std::int64_t now) const;
     /** When this VM was first seen in the member list; empty while it is not listed. */
     std::optional<std::int64_t> get_listed_since() const { return listed_since_; }
 
--- a/src/gateway/leadership_manager.cpp
+++ b/src/gateway/leadership_manager.cpp
@@ -266,7 +266,8 @@
     }
     const auto [from, message] = *status.pending_revocation;
     status.pending_revocation.reset();
-    const revoke_answer answer{fleet_.get_self().vm, message.group, message.version};
+    const revoke_answer answer{fleet_.get_self().vm, message.group, message.version,
+                               fleet_.is_established(now)};
     if (from == fleet_.get_self().peer_address) {
         handle(answer);
     } else {
@@ -295,7 +296,8 @@
 }
 
 void leadership_manager::handle(const revoke_answer& message) {
-    step(message.group, coordination::lease_released{message.vm, message.version});
+    step(message.group,
+         coordination::lease_released{message.vm, message.version, message.is_established});
 }
 
 void leadership_manager::check_suspicion(target_group& group, group_status& status,
@@ -440,7 +442,7 @@
     input.may_claim =
         listed_since && now - *listed_since >=
                             coordination::lease_duration_ms + coordination::clock_drift_margin_ms;
-    input.is_established = listed_since && now - *listed_since >= coordination::max_store_outage_ms;
+    input.is_established = fleet_.is_established(now);
     input.is_loss_confirmed =
         status.suspect_since != 0 &&
         coordination::is_loss_confirmed(status.suspect_since, get_loss_voters(group, now),
--- a/src/gateway/peer_message.cpp
+++ b/src/gateway/peer_message.cpp
@@ -59,7 +59,7 @@
 }
 
 json to_array(const revoke_answer& m) {
-    return {message_kind::revoke_answer, m.vm, m.group, m.version};
+    return {message_kind::revoke_answer, m.vm, m.group, m.version, m.is_established};
 }
 
 json to_array(const reachability_request& m) {
@@ -146,7 +146,7 @@
         case message_kind::revoke_request:
             return revoke_request{fields.at(1), fields.at(2), fields.at(3)};
         case message_kind::revoke_answer:
-            return revoke_answer{fields.at(1), fields.at(2), fields.at(3)};
+            return revoke_answer{fields.at(1), fields.at(2), fields.at(3), fields.at(4)};
         case message_kind::reachability_request:
             return reachability_request{fields.at(1), fields.at(2)};
         case message_kind::reachability_answer:
--- a/src/gateway/peer_message.h
+++ b/src/gateway/peer_message.h
@@ -70,6 +70,7 @@
     std::string vm;
     std::string group;
     std::int64_t version = 0;
+    bool is_established = false;  ///< See fleet_membership::is_established().
 
     auto operator<=>(const revoke_answer&) const = default;
 };
--- a/tests/coordination/promotion_test.cpp
+++ b/tests/coordination/promotion_test.cpp
@@ -353,5 +353,28 @@
     EXPECT_NE(find<change_abandoned>(actions), nullptr);
 }
 
+// Guards against a promotion by VMs that all joined recently: a member that they cannot reach may
+// not know any of them and extend its lease by promises of others (found by leadership_exploration,
+// late_store, seed 3335917238).
+TEST(promotion, a_recently_joined_vm_waits_for_the_answer_of_an_established_member) {
+    promotion machine;
+    promotion_input input = make_input();
+    input.members.insert("vm3");
+    input.is_established = false;
+    input.is_loss_confirmed = true;
+    machine.step(input, input_changed{}, 1000);
+    machine.step(input, record_written{1, 11}, 1020);
+    machine.step(input, lease_released{"vm1", 11}, 1030);
+    machine.step(input, lease_released{"vm2", 11}, 1040);
+    promotion answered = machine;
+    const auto actions = machine.step(input, input_changed{}, 1200 + lease_duration_ms);
+    EXPECT_NE(find<change_abandoned>(actions), nullptr);
+    answered.step(input, lease_released{"vm2", 11, true}, 1300);
+    answered.step(input, input_changed{}, 1300 + lease_duration_ms);
+    EXPECT_EQ(answered.get_phase(), promotion_phase::revoking);
+    answered.step(input, input_changed{}, 1400 + lease_duration_ms);
+    EXPECT_EQ(answered.get_phase(), promotion_phase::surveying);
+}
+
 }  // namespace
 }  // namespace hornbeamhook::coordination
--- a/tests/gateway/fleet_membership_test.cpp
+++ b/tests/gateway/fleet_membership_test.cpp
@@ -85,11 +85,12 @@
 
 // Guards against removing a member that may still hold a lease.
 TEST_F(fleet_membership_test, member_is_removable_only_after_the_removal_timeout) {
-    const std::int64_t ping = fleet_.begin_ping_round(2000);
-    fleet_.handle_pong(make_pong("vm2", ping, {}), 2050);
+    fleet_.handle_heard("vm3", false, 20000);
+    const std::int64_t ping = fleet_.begin_ping_round(21000);
+    fleet_.handle_pong(make_pong("vm2", ping, {}), 21050);
     EXPECT_TRUE(
-        fleet_.get_removable_members(1000 + coordination::member_removal_timeout_ms).empty());
-    EXPECT_EQ(fleet_.get_removable_members(1001 + coordination::member_removal_timeout_ms),
+        fleet_.get_removable_members(20000 + coordination::member_removal_timeout_ms).empty());
+    EXPECT_EQ(fleet_.get_removable_members(20001 + coordination::member_removal_timeout_ms),
               std::set<std::string>{"vm3"});
     // Its lease has expired by then, because the VM that removes it has not answered its pings.
     EXPECT_GT(coordination::member_removal_timeout_ms,
@@ -146,10 +147,19 @@
         members.push_back(make_member("vm" + std::to_string(i)));
     }
     fleet_.update(members, true, 1000);
-    EXPECT_TRUE(fleet_.get_removable_members(9000).empty());
-    fleet_.handle_heard("vm2", false, 8900);
-    fleet_.handle_heard("vm3", false, 8900);
-    EXPECT_EQ(fleet_.get_removable_members(9000).size(), 6U);
+    EXPECT_TRUE(fleet_.get_removable_members(19000).empty());
+    fleet_.handle_heard("vm2", false, 18900);
+    fleet_.handle_heard("vm3", false, 18900);
+    EXPECT_EQ(fleet_.get_removable_members(19000).size(), 6U);
+}
+
+// Guards against a VM that joined recently and removes a member that does not know it: that member
+// may extend its lease by promises of others, and promotions no longer wait for it.
+TEST_F(fleet_membership_test, a_vm_that_joined_recently_removes_none) {
+    fleet_.handle_heard("vm2", false, 15900);
+    EXPECT_TRUE(fleet_.get_removable_members(999 + coordination::max_store_outage_ms).empty());
+    EXPECT_EQ(fleet_.get_removable_members(1000 + coordination::max_store_outage_ms),
+              std::set<std::string>{"vm3"});
 }
 
 // Guards against a lease that is extended by VMs which were removed from the list together with
--- a/tests/gateway/leadership_exploration_test.cpp
+++ b/tests/gateway/leadership_exploration_test.cpp
@@ -37,6 +37,7 @@
     ignores_removed_members,
     uses_stale_members,
     ignores_relayed_age,
+    counts_recent_members,
 };
 
 struct simulation;
@@ -379,8 +380,7 @@
     input.may_claim = fleet.get_listed_since() &&
                       sim.now - *fleet.get_listed_since() >=
                           coordination::lease_duration_ms + coordination::clock_drift_margin_ms;
-    input.is_established = fleet.get_listed_since() &&
-                           sim.now - *fleet.get_listed_since() >= coordination::max_store_outage_ms;
+    input.is_established = fleet.is_established(sim.now);
     input.rank = fleet.get_rank(group_name, sim.now);
     input.members = fleet.get_lease_holders(sim.now);
     input.members_requested_at =
@@ -442,10 +442,14 @@
                 const std::string requester_name = name;
                 sim.send(*this, member, [requester_name, version](simulated_vm& other) {
                     other.lease.revoke(version - 1);
-                    other.sim.send(other, requester_name,
-                                   [version, vm = other.name](simulated_vm& requester) {
-                                       requester.step(coordination::lease_released{vm, version});
-                                   });
+                    const bool is_established =
+                        other.fleet.is_established(other.sim.now) ||
+                        other.sim.injected == injected_fault::counts_recent_members;
+                    const coordination::lease_released released{other.name, version,
+                                                                is_established};
+                    other.sim.send(other, requester_name, [released](simulated_vm& requester) {
+                        requester.step(released);
+                    });
                 });
             }
             if (sim.injected == injected_fault::skips_lease_wait) {
@@ -663,10 +667,15 @@
 }
 
 // Guards against a VM that takes the row of its own unfinished claim for the confirmation of a
-// second claim and requests a promotion after another VM has taken over.
+// second claim and requests a promotion after another VM has taken over; and (late_store) against
+// VMs that all joined recently and replace a primary used by VMs that do not know them.
 TEST(leadership_exploration, seeds_that_failed_before) {
-    for (const std::uint64_t seed : {2808971969ULL, 4099628558ULL}) {
-        const auto result = run_simulation(seed, injected_fault::none);
+    const std::vector<std::pair<std::uint64_t, schedule>> seeds = {
+        {2808971969, schedule::mixed_faults},
+        {4099628558, schedule::mixed_faults},
+        {3335917238, schedule::late_store}};
+    for (const auto& [seed, events] : seeds) {
+        const auto result = run_simulation(seed, injected_fault::none, events);
         EXPECT_EQ(result->violations, 0) << "HORNBEAMHOOK_SEED=" << seed << " " << result->detail;
     }
 }
@@ -717,10 +726,11 @@
 constexpr std::uint64_t max_fault_runs = 8000;
 
 /** The schedule that shows the fault: a stale member list only matters while VMs join, and a
- * promise without a version only for a VM that does not read the newer record itself. */
+ * promise without a version or an answer of a recent member only for a VM without the store. */
 schedule get_schedule(injected_fault fault) {
     switch (fault) {
         case injected_fault::omits_promise_version:
+        case injected_fault::counts_recent_members:
             return schedule::late_store;
         case injected_fault::uses_stale_members:
             return schedule::late_joiners;
@@ -736,7 +746,8 @@
     for (const injected_fault fault :
          {injected_fault::skips_lease_wait, injected_fault::omits_promise_version,
           injected_fault::ignores_lease_expiry, injected_fault::ignores_removed_members,
-          injected_fault::uses_stale_members, injected_fault::ignores_relayed_age}) {
+          injected_fault::uses_stale_members, injected_fault::ignores_relayed_age,
+          injected_fault::counts_recent_members}) {
         int violations = 0;
         for (std::uint64_t seed = 1; seed <= max_fault_runs && violations == 0; ++seed) {
             violations = run_simulation(seed, fault, get_schedule(fault))->violations;
--- a/tests/gateway/peer_message_test.cpp
+++ b/tests/gateway/peer_message_test.cpp
@@ -13,7 +13,7 @@
     return {peer_ping{"vm1", 17, 3, ~0ULL},
             peer_pong{"vm2", 18, 3, 40, true, true, false, {{"g", 12}}, {{"g", {2, 77}, 150}}},
             revoke_request{"g", 12, true},
-            revoke_answer{"vm1", "g", 12},
+            revoke_answer{"vm1", "g", 12, true},
             reachability_request{"g", "t1"},
             reachability_answer{"vm2", "g", "t1", 1200, true},
             record_notice{"g", 15},
