Drop idle connections to an address after a call to it timed out

With the state printed at each wait, test_silent_connections_between_proxies was near its limit: 8.4 s of the 10 s that its load runs, in the whole file; 0.4 to 0.8 s when run alone (6 runs). All other waits took 2.7 s or less. The fault silences the open connections between proxies; new ones work. http_client keeps up to 64 idle connections for each address, so after a silence each of them cost another request its whole deadline of 4 s. After the tests before it, the pools hold more connections than there are clients.

Change: a timeout also closes the connections to the same address that have been idle since before the call.

Result: a new test (six idle connections, silence, one timeout, then an answer) fails on the old code and passes. Ruled out by measurement: the other tests of the file.

--- a/src/transport/http_client.cpp
+++ b/src/transport/http_client.cpp
@@ -3,6 +3,7 @@
 #include <curl/curl.h>
 
 #include <algorithm>
+#include <chrono>
 #include <cstring>
 #include <map>
 #include <mutex>
@@ -100,15 +101,22 @@
 }  // namespace
 
 struct http_client::implementation {
+    using clock = std::chrono::steady_clock;
+
+    struct idle_handle {
+        CURL* handle = nullptr;
+        clock::time_point since;
+    };
+
     std::mutex mutex;
-    std::map<std::string, std::vector<CURL*>> idle;
+    std::map<std::string, std::vector<idle_handle>> idle;  ///< By address, the newest last.
 
     CURL* take(const std::string& address) {
         {
             const std::scoped_lock lock(mutex);
-            std::vector<CURL*>& handles = idle[address];
+            std::vector<idle_handle>& handles = idle[address];
             if (!handles.empty()) {
-                CURL* handle = handles.back();
+                CURL* handle = handles.back().handle;
                 handles.pop_back();
                 return handle;
             }
@@ -120,14 +128,30 @@
         if (is_usable) {
             curl_easy_reset(handle);
             const std::scoped_lock lock(mutex);
-            std::vector<CURL*>& handles = idle[address];
+            std::vector<idle_handle>& handles = idle[address];
             if (handles.size() < max_idle_per_address) {
-                handles.push_back(handle);
+                handles.push_back({handle, clock::now()});
                 return;
             }
         }
         curl_easy_cleanup(handle);
     }
+
+    void discard_idle_since_before(const std::string& address, clock::time_point time) {
+        std::vector<idle_handle> discarded;
+        {
+            const std::scoped_lock lock(mutex);
+            std::vector<idle_handle>& handles = idle[address];
+            const auto kept =
+                std::find_if(handles.begin(), handles.end(),
+                             [time](const idle_handle& each) { return each.since >= time; });
+            discarded.assign(handles.begin(), kept);
+            handles.erase(handles.begin(), kept);
+        }
+        for (const idle_handle& each : discarded) {
+            curl_easy_cleanup(each.handle);
+        }
+    }
 };
 
 http_client::http_client() : implementation_(std::make_unique<implementation>()) {
@@ -137,13 +161,14 @@
 
 http_client::~http_client() {
     for (auto& [address, handles] : implementation_->idle) {
-        for (CURL* handle : handles) {
-            curl_easy_cleanup(handle);
+        for (const implementation::idle_handle& each : handles) {
+            curl_easy_cleanup(each.handle);
         }
     }
 }
 
 leaf::result<http_response> http_client::call(const http_call& request) {
+    const implementation::clock::time_point started_at = implementation::clock::now();
     CURL* handle = implementation_->take(request.address);
     if (handle == nullptr) {
         return leaf::new_error(
@@ -171,6 +196,9 @@
         const transport_error error = describe(handle, code, body);
         curl_slist_free_all(headers);
         implementation_->give_back(request.address, handle, false);
+        if (code == CURLE_OPERATION_TIMEDOUT) {
+            implementation_->discard_idle_since_before(request.address, started_at);
+        }
         return leaf::new_error(error);
     }
     long status = 0;
--- a/src/transport/http_client.h
+++ b/src/transport/http_client.h
@@ -11,7 +11,9 @@
 /**
  * Blocking HTTP client on libcurl that keeps idle connections per address.
  *
- * Never repeats a request by itself. A connection whose exchange failed is closed.
+ * Never repeats a request by itself. A connection whose exchange failed is closed. A timeout also
+ * closes the connections to the address that have been idle since before the call, because the
+ * link may have gone silent and each of them would cost another timeout.
  */
 class http_client {
 public:
--- a/tests/transport/http_connection_reuse_test.cpp
+++ b/tests/transport/http_connection_reuse_test.cpp
@@ -2,6 +2,9 @@
 
 #include <nlohmann/json.hpp>
 #include <string>
+#include <thread>
+#include <utility>
+#include <vector>
 
 #include "standin/fault/fault_relay.h"
 #include "support/free_port.h"
@@ -69,5 +72,50 @@
     EXPECT_EQ(requests, 2);
 }
 
+// Guards against a request lost on each idle connection after a link went silent: a proxy keeps up
+// to 64 of them for each other proxy.
+TEST(http_connection_reuse, one_timeout_discards_the_idle_connections_of_the_address) {
+    constexpr std::size_t parallel_calls = 6;
+    const std::string upstream = tests::get_free_address();
+    const std::string listen = tests::get_free_address();
+    standin::fault::fault_relay relay(
+        {.control_address = tests::get_free_address(), .links = {{"link", listen, upstream, {}}}});
+    std::size_t awaited = parallel_calls;  // All calls are outstanding before the first answer.
+    std::vector<http_responder> outstanding;
+    http_server server({.address = upstream, .threads = 1},
+                       [&](const http_request&, const http_responder& respond) {
+                           outstanding.push_back(respond);
+                           if (outstanding.size() < awaited) {
+                               return;
+                           }
+                           for (const http_responder& each : std::exchange(outstanding, {})) {
+                               each({200, "{}"});
+                           }
+                           awaited = 1;
+                       });
+    server.start();
+    relay.start();
+    http_client client;
+    {
+        std::vector<std::jthread> callers;
+        for (std::size_t i = 0; i < parallel_calls; ++i) {
+            callers.emplace_back([&] {
+                EXPECT_TRUE(
+                    client.call({.method = "POST", .address = listen, .target = "/", .body = "x"}));
+            });
+        }
+    }
+    relay.handle({.method = "POST",
+                  .path = "/control/links",
+                  .body = R"({"links":["link"],"action":"silence"})"});
+    const http_call call{.method = "POST",
+                         .address = listen,
+                         .target = "/",
+                         .body = "x",
+                         .timeout = std::chrono::milliseconds(300)};
+    EXPECT_FALSE(client.call(call));
+    EXPECT_TRUE(client.call(call));
+}
+
 }  // namespace
 }  // namespace hornbeamhook::transport
