Read all pages of a table in the store

Cause: a read took the first page of 500 rows and ignored HasMore. In a fleet of more than some 480 VMs, or with more than 500 targets, the rows after it counted as removed: members took themselves for unlisted and had no lease, and targets were dropped.

Change: store_watcher reads page after page and applies them together. The version of the first page counts, so that a row written between two pages is not taken for removed, and a lease counts from the request of the first.

No change below 500 rows. Not played on a deployment of that size.

--- a/src/gateway/platform_protocol.h
+++ b/src/gateway/platform_protocol.h
@@ -45,6 +45,7 @@
     store_outcome outcome = store_outcome::unknown;
     std::vector<stored_row> rows;
     row_version version = 0;  ///< The store's newest version.
+    bool has_more = false;    ///< More rows follow the last one of `rows`.
 };
 
 /** A change of one row, conditional unless stated otherwise. */
--- a/src/gateway/store_watcher.cpp
+++ b/src/gateway/store_watcher.cpp
@@ -129,10 +129,34 @@
 void store_watcher::read_rows() {
     const std::int64_t requested_at = transport::get_boot_time();
     rows_requested_at_ = requested_at;
-    store_.read(platform_.format_read(product_table, {}),
-                [this, requested_at](const transport::http_exchange_answer& answer) {
-                    handle_rows_read(platform_.parse_store_answer(answer), requested_at);
-                });
+    read_pages(
+        [this](const std::string& after) { return platform_.format_read(product_table, after); },
+        [this, requested_at](const store_answer& answer) {
+            handle_rows_read(answer, requested_at);
+        });
+}
+
+void store_watcher::read_pages(const page_request& request, const store_callback& done,
+                               const store_answer& earlier) {
+    const std::string after = earlier.rows.empty() ? "" : earlier.rows.back().key;
+    store_.read(request(after), [this, request, done,
+                                 earlier](const transport::http_exchange_answer& answer) {
+        store_answer page = platform_.parse_store_answer(answer);
+        if (page.outcome != store_outcome::done) {
+            done(page);
+            return;
+        }
+        const bool is_last = !page.has_more || page.rows.empty();
+        if (!earlier.rows.empty()) {
+            page.version = earlier.version;
+            page.rows.insert(page.rows.begin(), earlier.rows.begin(), earlier.rows.end());
+        }
+        if (is_last) {
+            done(page);
+        } else {
+            read_pages(request, done, page);
+        }
+    });
 }
 
 void store_watcher::handle_rows_read(const store_answer& answer, std::int64_t requested_at) {
@@ -146,10 +170,11 @@
 
 void store_watcher::read_table(platform_table table) {
     watched_.insert(table);
-    store_.read(platform_.format_platform_read(table, {}),
-                [this, table](const transport::http_exchange_answer& answer) {
-                    handle_table_read(table, platform_.parse_store_answer(answer));
-                });
+    read_pages(
+        [this, table](const std::string& after) {
+            return platform_.format_platform_read(table, after);
+        },
+        [this, table](const store_answer& answer) { handle_table_read(table, answer); });
 }
 
 void store_watcher::retry_table(platform_table table) {
--- a/src/gateway/store_watcher.h
+++ b/src/gateway/store_watcher.h
@@ -95,6 +95,14 @@
     std::int64_t get_configuration_version() const { return configuration_version_; }
 
 private:
+    using page_request =
+        std::function<transport::http_exchange_request(const std::string& after_key)>;
+
+    /** Reads all pages of a table and passes their rows to `done` with the version of the first
+     * page, so that no row that was written after it is taken for removed. Passes the answer
+     * that failed, if one does. `earlier` holds the pages that were read before. */
+    void read_pages(const page_request& request, const store_callback& done,
+                    const store_answer& earlier = {});
     void handle_rows_read(const store_answer& answer, std::int64_t requested_at);
     std::int64_t get_read_interval() const;
     void read_table(platform_table table);
--- a/tests/gateway/store_watcher_test.cpp
+++ b/tests/gateway/store_watcher_test.cpp
@@ -6,6 +6,8 @@
 
 #include "gateway/leadership_manager.h"
 #include "platform/store_codec.h"
+#include "support/free_port.h"
+#include "support/test_caller.h"
 
 namespace hornbeamhook::gateway {
 namespace {
@@ -86,6 +88,52 @@
     EXPECT_EQ(requested_at_, 0);
 }
 
+// Guards against rows that count as removed because they are not on the first page: a member would
+// take itself for unlisted.
+TEST(store_watcher, reads_all_pages_of_the_rows) {
+    const std::string address = tests::get_free_address();
+    const transport::endpoint store_address = *transport::parse_endpoint(address);
+    transport::event_loop loop;
+    std::vector<std::string> requests;
+    const transport::http_listener store(
+        loop, store_address,
+        [&](const transport::http_call& call, const transport::http_listener::responder& respond) {
+            if (!call.path.starts_with("/v1/rows-get?Table=" + std::string(product_table))) {
+                return;
+            }
+            requests.push_back(call.path);
+            const bool is_first = call.path.find("&From=") == std::string::npos;
+            respond({200, is_first ? R"({"rows":[{"Key":"vm/a","Value":"","RowVersion":3}],)"
+                                     R"("RowVersion":5,"HasMore":true})"
+                                   : R"({"rows":[{"Key":"vm/b","Value":"","RowVersion":6}],)"
+                                     R"("RowVersion":7,"HasMore":false})"});
+        });
+    bounded_log log("vm1");
+    gateway_counters counters;
+    const platform::store_codec codec;
+    store_client client(loop, store_address, log, counters);
+    std::vector<stored_row> rows_read;
+    int reads = 0;
+    store_watcher watcher(
+        loop, client, codec, log,
+        {.configuration_changed = [](const configuration&) {},
+         .target_changed = [](const std::string&, const std::optional<target_entry>&) {},
+         .rows_read =
+             [&](const std::vector<stored_row>& rows, std::int64_t) {
+                 rows_read = rows;
+                 ++reads;
+             },
+         .rows_confirmed = [](std::int64_t) {},
+         .is_read_due = [] { return false; }});
+    watcher.read_rows();
+    tests::run_until(loop, [&] { return reads == 1; });
+    ASSERT_EQ(rows_read.size(), 2U);
+    EXPECT_EQ(rows_read[0].key, "vm/a");
+    EXPECT_EQ(rows_read[1].key, "vm/b");
+    ASSERT_EQ(requests.size(), 2U);
+    EXPECT_TRUE(requests[1].ends_with("&From=vm/a%00"));
+}
+
 // Guards against a stored record that ends each process that reads it.
 TEST(parse_record, malformed_records_are_rejected) {
     for (const char* value :
--- a/tests/platform/store_codec_test.cpp
+++ b/tests/platform/store_codec_test.cpp
@@ -95,6 +95,8 @@
     EXPECT_EQ(done.version, 530);
     ASSERT_EQ(done.rows.size(), 1U);
     EXPECT_EQ(done.rows[0], (stored_row{"t", "k", "node-1", 412, false}));
+    EXPECT_FALSE(done.has_more);
+    EXPECT_TRUE(codec.parse_store_answer({200, R"({"rows":[],"HasMore":true})", {}}).has_more);
 }
 
 TEST(store_codec, formats_a_conditional_change) {
