End the process before the shutdown limit also without the store

A process whose sessions stay open ends them 600 ms before the limit and then waits for the store to remove its row. That call may take 1.2 s, or longer through another VM.

Change: the process exits 200 ms before the limit whether or not the store has answered; gateway_stopped says so.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -23,6 +23,8 @@
 constexpr std::int64_t balancer_detection_ms = 2300;
 constexpr std::int64_t shutdown_check_interval_ms = 50;
 constexpr std::int64_t shutdown_margin_ms = 600;  ///< Before the process is killed.
+/// Time to flush the log and exit before the process is killed.
+constexpr std::int64_t exit_margin_ms = 200;
 constexpr int status_ok = 200;
 constexpr int status_unavailable = 503;
 constexpr int status_not_found = 404;
@@ -543,15 +545,24 @@
     if (!is_empty && elapsed < settings_.shutdown_limit_ms - shutdown_margin_ms) {
         return;
     }
-    stop_timer_.stop();
     engine_.end_all_sessions();
+    // Without the store, its call may end after the process has been killed.
+    const std::int64_t remaining = settings_.shutdown_limit_ms - exit_margin_ms - elapsed;
+    stop_timer_.start(std::max(remaining, shutdown_check_interval_ms), 0,
+                      [this] { finish_shutdown(false); });
     const row_change change{
         {product_table, member_key_prefix + settings_.vm, {}, 0, true}, 0, false};
-    store_.change(platform_.format_change(change), [this](const transport::http_exchange_answer&) {
-        log_.write(event_stopped, {});
-        log_.flush();
-        loop_.stop();
-    });
+    store_.change(
+        platform_.format_change(change), [this](const transport::http_exchange_answer& answer) {
+            finish_shutdown(platform_.parse_store_answer(answer).outcome == store_outcome::done);
+        });
+}
+
+void gateway::finish_shutdown(bool is_unlisted) {
+    stop_timer_.stop();
+    log_.write(event_stopped, {{"unlisted", is_unlisted ? "yes" : "no"}});
+    log_.flush();
+    loop_.stop();
 }
 
 }  // namespace hornbeamhook::gateway
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -74,6 +74,7 @@
     void reload();
     void stop();
     void continue_shutdown();
+    void finish_shutdown(bool is_unlisted);
 
     transport::event_loop& loop_;
     gateway_settings settings_;
