Replace the settings files of test processes as a whole

The test starts two operators' tools at once. Starting the second one truncated and wrote the settings file again while the first was reading it, so the first ended with a usage error and no race took place.

Change: fleet.py writes a new file and renames it.

The check is unchanged.

--- a/scripts/fleet.py
+++ b/scripts/fleet.py
@@ -380,8 +380,10 @@
 
     def write_settings(self, name, content):
         path = os.path.join(self.directory, name.replace("/", "_") + ".json")
-        with open(path, "w") as file:
+        # Replaced as a whole, because a process started before may be reading the file.
+        with open(path + ".new", "w") as file:
             json.dump(content, file, indent=1)
+        os.replace(path + ".new", path)
         return path
 
     def make_target_settings(self, name):
