--- a/tests/process/fleet_case.py
+++ b/tests/process/fleet_case.py
@@ -92,6 +92,17 @@
         self.assertGreater(report["writes_acknowledged"], 0)
         return report
 
+    def run_with_fault(self, links, action, more=150, duration=4, **arguments):
+        """Runs a load through a fault of these links that lasts for `more` operations."""
+        load = self.start_load(duration)
+        self.wait_completed(load, 50)
+        self.fleet.fault(links, action, **arguments)
+        try:
+            self.wait_completed(load, more)
+        finally:
+            self.fleet.fault(links, "restore")
+        return self.finish_clean(load)
+
     def wait_settled(self, timeout=20):
         """Waits until every target runs and follows the primary of its pool."""
 
