--- a/src/gateway/fleet_membership.cpp
+++ b/src/gateway/fleet_membership.cpp
@@ -126,11 +126,9 @@
     if (entry == peer_states_.end() || member == members_.end() || !ping_sent_at) {
         return;
     }
+    handle_heard(pong.vm, pong.is_stopping, now);
     peer_state& known = entry->second;
-    known.last_pong_at = now;
-    known.heard_at = now;
     known.is_store_available = pong.is_store_available;
-    known.is_stopping = pong.is_stopping;
     if (*ping_sent_at < known.answered_ping_sent_at) {
         return;
     }
--- a/src/gateway/store_watcher.cpp
+++ b/src/gateway/store_watcher.cpp
@@ -281,8 +281,11 @@
 
 void store_watcher::apply_updates(const std::string& text, std::int64_t sent_at) {
     const nlohmann::json object = nlohmann::json::parse(text, nullptr, false);
+    const auto find_field = [&](const char* field) {
+        return object.is_object() ? object.find(field) : object.end();
+    };
     const auto find_update = [&](const char* field) {
-        const auto entry = object.is_object() ? object.find(field) : object.end();
+        const auto entry = find_field(field);
         return entry != object.end() && entry->is_string()
                    ? parse_table_update(entry->get<std::string>())
                    : std::nullopt;
@@ -291,7 +294,7 @@
         apply(platform_table::configuration,
               tables_[platform_table::configuration].apply_update(*update));
     }
-    const auto configuration = object.is_object() ? object.find(configuration_field) : object.end();
+    const auto configuration = find_field(configuration_field);
     if (configuration != object.end() && configuration->is_null() &&
         !watched_.contains(platform_table::configuration)) {
         // A watch waits long enough for a large answer on a slow link.
@@ -302,7 +305,7 @@
         apply(platform_table::targets, tables_[platform_table::targets].apply_update(*update));
         has_targets_ = true;
     }
-    const auto age = object.is_object() ? object.find(rows_age_field) : object.end();
+    const auto age = find_field(rows_age_field);
     const auto rows = find_update(rows_field);
     // A negative age would renew leases for longer than they last.
     if (rows && age != object.end() && age->is_number_unsigned()) {
--- a/tests/gateway/store_watcher_test.cpp
+++ b/tests/gateway/store_watcher_test.cpp
@@ -15,12 +15,13 @@
 class store_watcher_test : public testing::Test {
 protected:
     store_watcher_test()
-        : store_(loop_, {"127.0.0.1", 1}, log_, counters_),
+        : store_(loop_, store_address_, log_, counters_),
           watcher_(loop_, store_, codec_, log_,
                    {.configuration_changed = [](const configuration&) {},
                     .target_changed = [](const std::string&, const std::optional<target_entry>&) {},
                     .rows_read =
                         [this](const std::vector<stored_row>& rows, std::int64_t requested_at) {
+                            ++reads_;
                             rows_read_ = rows;
                             requested_at_ = requested_at;
                         },
@@ -36,6 +37,8 @@
     }
 
     transport::event_loop loop_;
+    /// Nothing listens here unless a test does.
+    transport::endpoint store_address_ = *transport::parse_endpoint(tests::get_free_address());
     bounded_log log_{"vm1"};
     gateway_counters counters_;
     platform::store_codec codec_;
@@ -43,6 +46,7 @@
     store_watcher watcher_;
     std::vector<stored_row> rows_read_;
     std::int64_t requested_at_ = 0;
+    int reads_ = 0;
 };
 
 // Guards against a lease that counts from the answer of a hub instead of the hub's read.
@@ -90,13 +94,10 @@
 
 // Guards against rows that count as removed because they are not on the first page: a member would
 // take itself for unlisted.
-TEST(store_watcher, reads_all_pages_of_the_rows) {
-    const std::string address = tests::get_free_address();
-    const transport::endpoint store_address = *transport::parse_endpoint(address);
-    transport::event_loop loop;
+TEST_F(store_watcher_test, reads_all_pages_of_the_rows) {
     std::vector<std::string> requests;
     const transport::http_listener store(
-        loop, store_address,
+        loop_, store_address_,
         [&](const transport::http_call& call, const transport::http_listener::responder& respond) {
             if (!call.path.starts_with("/v1/rows-get?Table=" + std::string(product_table))) {
                 return;
@@ -108,28 +109,11 @@
                                    : R"({"rows":[{"Key":"vm/b","Value":"","RowVersion":6}],)"
                                      R"("RowVersion":7,"HasMore":false})"});
         });
-    bounded_log log("vm1");
-    gateway_counters counters;
-    const platform::store_codec codec;
-    store_client client(loop, store_address, log, counters);
-    std::vector<stored_row> rows_read;
-    int reads = 0;
-    store_watcher watcher(
-        loop, client, codec, log,
-        {.configuration_changed = [](const configuration&) {},
-         .target_changed = [](const std::string&, const std::optional<target_entry>&) {},
-         .rows_read =
-             [&](const std::vector<stored_row>& rows, std::int64_t) {
-                 rows_read = rows;
-                 ++reads;
-             },
-         .rows_confirmed = [](std::int64_t) {},
-         .is_read_due = [] { return false; }});
-    watcher.read_rows();
-    tests::run_until(loop, [&] { return reads == 1; });
-    ASSERT_EQ(rows_read.size(), 2U);
-    EXPECT_EQ(rows_read[0].key, "vm/a");
-    EXPECT_EQ(rows_read[1].key, "vm/b");
+    watcher_.read_rows();
+    tests::run_until(loop_, [&] { return reads_ == 1; });
+    ASSERT_EQ(rows_read_.size(), 2U);
+    EXPECT_EQ(rows_read_[0].key, "vm/a");
+    EXPECT_EQ(rows_read_[1].key, "vm/b");
     ASSERT_EQ(requests.size(), 2U);
     EXPECT_TRUE(requests[1].ends_with("&From=vm/a%00"));
 }
