Report what an expired request waited for

A request whose deadline passed before its next step was answered "deadline", although it had waited for a primary. It depended on how late the thread ran that looks for a route again.

The retry state now keeps why the request waits, and the answer at the deadline names it. Test: retry_state.an_expired_request_reports_what_it_waited_for.

--- a/src/coordination/retry_state.cpp
+++ b/src/coordination/retry_state.cpp
@@ -123,6 +123,7 @@
         return {retry, give_up(retry, result.code)};
     }
     retry.refusals += is_refusal(result.code) ? 1 : 0;
+    retry.waits_for = result.code;
     if (now >= retry.deadline) {
         return {retry, give_up(retry, result.code)};
     }
@@ -133,11 +134,20 @@
     return {retry, decision};
 }
 
+retry_state record_no_route(retry_state retry) {
+    retry.waits_for = retry.is_write ? error_code::no_primary : error_code::unavailable;
+    return retry;
+}
+
 retry_decision decide_without_route(const retry_state& retry, state::time_point now) {
     if (now + route_pause >= retry.deadline) {
-        return give_up(retry, retry.is_write ? error_code::no_primary : error_code::unavailable);
+        return give_up(retry, record_no_route(retry).waits_for);
     }
     return send_after(route_pause, false);
 }
 
+retry_decision expire(const retry_state& retry) {
+    return give_up(retry, retry.waits_for);
+}
+
 }  // namespace hornbeamhook::coordination
--- a/src/coordination/retry_state.h
+++ b/src/coordination/retry_state.h
@@ -18,6 +18,8 @@
     int refusals = 0;             ///< Answers from homes that did not pass it to a target.
     bool may_have_run = false;    ///< An earlier send ended with `unknown`.
     bool reached_target = false;  ///< Statement bytes were sent to a target.
+    /// Why the request waits; reported when its deadline passes before the next step.
+    protocol::error_code waits_for = protocol::error_code::deadline;
 
     auto operator<=>(const retry_state&) const = default;
 };
@@ -64,12 +66,15 @@
                                                          const send_result& result,
                                                          state::time_point now, double jitter);
 
-/**
- * Decides the next step while no route exists (no primary is known or no home is live): look again
- * after a pause, or answer when the deadline has passed.
- */
+/** Returns the state after no route was found: no primary is known or no home is live. */
+retry_state record_no_route(retry_state retry);
+
+/** Decides the next step without a route: look again after a pause, or answer at the deadline. */
 retry_decision decide_without_route(const retry_state& retry, state::time_point now);
 
+/** The final answer to a request whose deadline has passed before its next step. */
+retry_decision expire(const retry_state& retry);
+
 /** The final answer when nothing is sent again; `code` is the reason. */
 retry_decision give_up(const retry_state& retry, protocol::error_code code);
 
--- a/src/proxy/entry_service.cpp
+++ b/src/proxy/entry_service.cpp
@@ -296,8 +296,7 @@
 
 void entry_service::run(const shared_request& request) {
     if (std::chrono::steady_clock::now() >= request->attempt.deadline) {
-        const retry_decision decision =
-            coordination::give_up(request->attempt, error_code::deadline);
+        const retry_decision decision = coordination::expire(request->attempt);
         finish(request, decision.outcome, decision.code);
         return;
     }
@@ -323,6 +322,7 @@
     wanted.tie_break_seed = next_exchange_++;
     const std::vector<route_candidate> route = coordination::plan_route(*view, wanted);
     if (route.empty()) {
+        request->attempt = coordination::record_no_route(request->attempt);
         apply(request, coordination::decide_without_route(request->attempt, now));
         return;
     }
--- a/tests/coordination/retry_state_test.cpp
+++ b/tests/coordination/retry_state_test.cpp
@@ -149,6 +149,24 @@
     }
 }
 
+// Guards against "deadline" as the reason for a request that waited for a primary until its
+// deadline, when the thread that looks again runs late (entry_service_test on a busy machine).
+TEST(retry_state, an_expired_request_reports_what_it_waited_for) {
+    const retry_state waiting = make_retry_state(true, true);
+    EXPECT_EQ(expire(waiting).code, error_code::deadline);
+    EXPECT_EQ(expire(record_no_route(waiting)).code, error_code::no_primary);
+    EXPECT_EQ(expire(record_no_route(make_retry_state(false, false))).code,
+              error_code::unavailable);
+    const auto [refused, decision] = decide_after_send(
+        waiting, {outcome::not_run, error_code::not_home, false, false}, start, 0.5);
+    EXPECT_EQ(decision.step, retry_step::send);
+    EXPECT_EQ(expire(refused).code, error_code::not_home);
+    const auto [lost, next] = decide_after_send(
+        refused, {outcome::unknown, error_code::outcome_unknown, true, false}, start, 0.5);
+    EXPECT_EQ(next.step, retry_step::send);
+    EXPECT_EQ(expire(lost).outcome, outcome::unknown);
+}
+
 // Guards against a wrong `not_run`, a lost `ok` and a repeated effect in random schedules, in which
 // lost sends may arrive at any later time.
 TEST(retry_state, random_schedules_report_the_true_outcome) {
