Promote a reported primary again while another may be newer

Cause (leadership_exploration, partial_reports): two changes in a row promote t2 and t1, and the store takes neither record. The VM that takes over reaches only t2, whose term is above the record's, and records it although t1 is the primary.

A primary that a survey finds is recorded only if each target that may have been promoted reports no newer term. Otherwise it is promoted again, which supersedes any other promotion; it counts as promoted when its term has risen or after the time in which a promotion takes effect.

Tests: promotion.promotes_a_found_primary_again_while_another_may_be_newer, promotion.records_a_found_primary_when_no_target_knows_a_newer_term, and the seed in leadership_exploration.seeds_that_failed_before.

--- a/src/coordination/promotion.cpp
+++ b/src/coordination/promotion.cpp
@@ -294,11 +294,29 @@
     if (phase_ != promotion_phase::awaiting_promotion || !event.report) {
         return;
     }
-    if (event.report->is_primary && event.report->term > old_.term) {
+    // The platform may change nothing if the chosen target is already the newest primary; its term
+    // then stays the same.
+    const bool has_taken_effect =
+        event.report->term > superseded_term_ || now - phase_since_ >= promotion_effect_ms;
+    if (event.report->is_primary && event.report->term > old_.term && has_taken_effect) {
         record(event.target, event.report->term, now, out);
     }
 }
 
+std::optional<std::pair<std::string, state::term_number>> promotion::find_reported_primary() const {
+    std::optional<std::pair<std::string, state::term_number>> result;
+    for (const auto& [target, report] : reports_) {
+        // A primary of an older term was superseded without having noticed it.
+        const bool is_current =
+            report && report->is_primary &&
+            (report->term > old_.term || (report->term == old_.term && target == old_.target));
+        if (is_current && (!result || report->term > result->second)) {
+            result = {target, report->term};
+        }
+    }
+    return result;
+}
+
 void promotion::continue_survey(const promotion_input& input, std::int64_t now, actions& out) {
     const bool is_complete = waiting_.empty() || now - sent_at_ >= survey_timeout_ms;
     if (!is_complete) {
@@ -308,25 +326,18 @@
         abandon("no target could be promoted before the deadline", out);
         return;
     }
-    std::optional<std::pair<std::string, state::term_number>> current_primary;
-    for (const auto& [target, report] : reports_) {
-        // A primary of an older term was superseded without having noticed it.
-        const bool is_current =
-            report && report->is_primary &&
-            (report->term > old_.term || (report->term == old_.term && target == old_.target));
-        if (is_current && (!current_primary || report->term > current_primary->second)) {
-            current_primary = {target, report->term};
-        }
-    }
-    const bool is_primary_usable =
-        current_primary && input.candidates.contains(current_primary->first) &&
-        (current_primary->second > old_.term ||
-         (reason_ != change_reason::leaving && may_keep_old_primary(input)));
-    if (is_primary_usable) {
-        record(current_primary->first, current_primary->second, now, out);
+    const auto primary = find_reported_primary();
+    const bool is_old = primary && primary->first == old_.target && primary->second == old_.term;
+    const bool is_usable = primary && input.candidates.contains(primary->first) &&
+                           !(is_old && reason_ == change_reason::leaving) &&
+                           is_newest_primary(input, primary->first, primary->second);
+    if (is_usable) {
+        record(primary->first, primary->second, now, out);
         return;
     }
-    const std::optional<std::string> best = choose_candidate(input);
+    // A promotion of the reported primary supersedes any other that may have been requested.
+    const std::optional<std::string> best =
+        primary && is_candidate(input, primary->first) ? primary->first : choose_candidate(input);
     if (!best) {
         begin_survey(input, now, out);
         return;
@@ -344,27 +355,36 @@
     }
     phase_ = promotion_phase::requesting_promotion;
     phase_since_ = now;
+    superseded_term_ = primary ? std::max(primary->second, old_.term) : old_.term;
     send_promotion_request(*best, now, out);
 }
 
-bool promotion::may_keep_old_primary(const promotion_input& input) const {
+bool promotion::is_newest_primary(const promotion_input& input, const std::string& target,
+                                  state::term_number term) const {
     if (!may_be_promoted_) {
         return true;
     }
     const bool is_effect_visible = sent_at_ - claimed_at_ >= promotion_effect_ms;
     return is_effect_visible &&
-           std::all_of(input.targets.begin(), input.targets.end(), [&](const std::string& target) {
-               const auto report = reports_.find(target);
-               return report != reports_.end() && report->second &&
-                      report->second->term <= old_.term;
+           std::all_of(input.targets.begin(), input.targets.end(), [&](const std::string& other) {
+               // No change of this record requests the promotion of its old primary.
+               if (other == old_.target && target != old_.target) {
+                   return true;
+               }
+               const auto report = reports_.find(other);
+               return report != reports_.end() && report->second && report->second->term <= term;
            });
 }
 
+bool promotion::is_candidate(const promotion_input& input, const std::string& target) const {
+    return input.candidates.contains(target) && !excluded_.contains(target) &&
+           target != old_.target;
+}
+
 std::optional<std::string> promotion::choose_candidate(const promotion_input& input) const {
     std::optional<std::string> best;
     for (const auto& [target, report] : reports_) {
-        const bool is_usable = report && input.candidates.contains(target) &&
-                               !excluded_.contains(target) && target != old_.target;
+        const bool is_usable = report && is_candidate(input, target);
         if (is_usable && (!best || report->received > reports_.at(*best)->received)) {
             best = target;
         }
--- a/src/coordination/promotion.h
+++ b/src/coordination/promotion.h
@@ -188,12 +188,16 @@
     void continue_revoking(const promotion_input& input, std::int64_t now, actions& out);
     void begin_survey(const promotion_input& input, std::int64_t now, actions& out);
     void continue_survey(const promotion_input& input, std::int64_t now, actions& out);
+    /** The reported primary with the highest term that is not older than the record's. */
+    std::optional<std::pair<std::string, state::term_number>> find_reported_primary() const;
     /**
-     * Whether the old primary may stay although it is reachable. After a promotion request, of this
-     * VM or of one whose change it took over, another target may be primary: then each target must
-     * have reported that it knows no newer term.
+     * Whether no target can be primary in a newer term than `target`, which reported itself primary
+     * in `term`. After a promotion request, of this VM or of one whose change it took over, each
+     * target that may have been promoted must have reported that it knows no newer term.
      */
-    bool may_keep_old_primary(const promotion_input& input) const;
+    bool is_newest_primary(const promotion_input& input, const std::string& target,
+                           state::term_number term) const;
+    bool is_candidate(const promotion_input& input, const std::string& target) const;
     std::optional<std::string> choose_candidate(const promotion_input& input) const;
     void send_promotion_request(const std::string& target, std::int64_t now, actions& out);
     void continue_awaiting(const promotion_input& input, std::int64_t now, actions& out);
@@ -226,6 +230,7 @@
     std::map<std::string, std::optional<survey_report>> reports_;
     std::set<std::string> excluded_;  ///< Targets reported as not running by the platform.
     std::string chosen_;
+    state::term_number superseded_term_ = 0;  ///< A new primary has a term above this one.
     bool is_request_outstanding_ = false;
     bool may_be_promoted_ = false;  ///< A promotion may have been requested since the old record.
     int write_attempts_ = 0;
--- a/tests/coordination/promotion_test.cpp
+++ b/tests/coordination/promotion_test.cpp
@@ -191,6 +191,59 @@
     EXPECT_EQ(find<write_record>(actions)->record, (leadership_record{"t1", 3, {}, 0}));
 }
 
+// Guards against two primaries: two earlier changes may each have promoted a target without
+// recording it, and this VM may reach only the first of them (found by leadership_exploration,
+// partial_reports, seed 2641931027).
+TEST(promotion, promotes_a_found_primary_again_while_another_may_be_newer) {
+    taken_over_promotion change;
+    const survey_report found{true, 4, {4, 1}, 0};
+    change.machine.step(change.input, report_received{1, "t1", std::nullopt}, 8050);
+    change.machine.step(change.input, report_received{1, "t2", found}, 8060);
+    auto actions = change.machine.step(change.input, report_received{1, "t3", std::nullopt}, 8070);
+    if (actions.empty()) {
+        actions = change.machine.step(change.input, input_changed{}, 8400);
+    }
+    ASSERT_NE(find<request_promotion>(actions), nullptr);
+    EXPECT_EQ(find<request_promotion>(actions)->target, "t2");
+    change.machine.step(change.input, promotion_answered{21, promotion_outcome::accepted}, 8500);
+    // The report may have been sent before the promotion takes effect.
+    promotion unchanged = change.machine;
+    actions = change.machine.step(change.input, report_received{1, "t2", found}, 8600);
+    EXPECT_EQ(find<write_record>(actions), nullptr);
+    actions = change.machine.step(
+        change.input, report_received{1, "t2", survey_report{true, 6, {6, 1}, 0}}, 9500);
+    ASSERT_NE(find<write_record>(actions), nullptr);
+    EXPECT_EQ(find<write_record>(actions)->record, (leadership_record{"t2", 6, {}, 0}));
+    // A target that was the newest primary all along keeps its term.
+    actions = unchanged.step(change.input, report_received{1, "t2", found}, 8500 + 2000);
+    ASSERT_NE(find<write_record>(actions), nullptr);
+    EXPECT_EQ(find<write_record>(actions)->record, (leadership_record{"t2", 4, {}, 0}));
+}
+
+// Guards against a second promotion of a primary that the other targets already follow.
+TEST(promotion, records_a_found_primary_when_no_target_knows_a_newer_term) {
+    taken_over_promotion change;
+    std::vector<promotion_action> actions;
+    for (const std::int64_t now : {8050, 8020 + 2000}) {
+        // Surveys last until a candidate is listed; the second one begins after the effect time.
+        change.input.candidates.clear();
+        change.machine.step(change.input, report_received{1, "t1", std::nullopt}, now);
+        change.machine.step(change.input, report_received{1, "t2", std::nullopt}, now);
+        change.machine.step(change.input, report_received{1, "t3", std::nullopt}, now);
+    }
+    ASSERT_EQ(change.machine.get_phase(), promotion_phase::surveying);
+    change.input.candidates = change.input.targets;
+    for (int survey = 1; survey <= 4 && find<write_record>(actions) == nullptr; ++survey) {
+        change.machine.step(change.input, report_received{survey, "t1", std::nullopt}, 10100);
+        change.machine.step(
+            change.input, report_received{survey, "t2", survey_report{true, 4, {4, 1}, 0}}, 10100);
+        actions = change.machine.step(
+            change.input, report_received{survey, "t3", survey_report{false, 4, {4, 1}, 0}}, 10100);
+    }
+    ASSERT_NE(find<write_record>(actions), nullptr);
+    EXPECT_EQ(find<write_record>(actions)->record, (leadership_record{"t2", 4, {}, 0}));
+}
+
 // Guards against a planned change that loses commits of the leaving primary.
 TEST(promotion, a_planned_change_waits_until_a_replica_has_caught_up) {
     promotion machine;
--- a/tests/gateway/leadership_exploration_test.cpp
+++ b/tests/gateway/leadership_exploration_test.cpp
@@ -184,7 +184,8 @@
 }
 
 void simulation::apply_promotion(const std::string& chosen) {
-    if (!targets[chosen].is_up) {
+    // The promotion of the present primary changes nothing, not even its term.
+    if (!targets[chosen].is_up || chosen == newest_primary) {
         return;
     }
     state::term_number newest = 0;
@@ -668,12 +669,14 @@
 
 // Guards against a VM that takes the row of its own unfinished claim for the confirmation of a
 // second claim and requests a promotion after another VM has taken over; and (late_store) against
-// VMs that all joined recently and replace a primary used by VMs that do not know them.
+// VMs that all joined recently and replace a primary used by VMs that do not know them; and
+// (partial_reports) against a VM that records the first of two promotions that were not recorded.
 TEST(leadership_exploration, seeds_that_failed_before) {
     const std::vector<std::pair<std::uint64_t, schedule>> seeds = {
         {2808971969, schedule::mixed_faults},
         {4099628558, schedule::mixed_faults},
-        {3335917238, schedule::late_store}};
+        {3335917238, schedule::late_store},
+        {2641931027, schedule::partial_reports}};
     for (const auto& [seed, events] : seeds) {
         const auto result = run_simulation(seed, injected_fault::none, events);
         EXPECT_EQ(result->violations, 0) << "HORNBEAMHOOK_SEED=" << seed << " " << result->detail;
