Keep leases without the store when a VM stops as planned

A process that stops gives up its leases and changes and sends every member a departure notice with the promises that stay valid; groups whose lease it released for a change are left out.

--- a/src/gateway/fleet_membership.cpp
+++ b/src/gateway/fleet_membership.cpp
@@ -69,8 +69,10 @@
     for (const auto& [vm, member] : members_) {
         if (!next.contains(vm)) {
             left.insert(vm);
+            if (!peer_states_.at(vm).has_ended) {
+                left_at_[vm] = now;
+            }
             peer_states_.erase(vm);
-            left_at_[vm] = now;
         }
     }
     members_ = std::move(next);
@@ -115,7 +117,8 @@
     const auto round = pings_.find(sequence_);
     return round != pings_.end() &&
            std::all_of(peer_states_.begin(), peer_states_.end(), [&](const auto& entry) {
-               return entry.second.answered_ping_sent_at >= round->second.sent_at;
+               return entry.second.has_ended ||
+                      entry.second.answered_ping_sent_at >= round->second.sent_at;
            });
 }
 
@@ -129,7 +132,7 @@
     handle_heard(pong.vm, pong.is_stopping, now);
     peer_state& known = entry->second;
     known.is_store_available = pong.is_store_available;
-    if (*ping_sent_at < known.answered_ping_sent_at) {
+    if (*ping_sent_at < known.answered_ping_sent_at || known.has_ended) {
         return;
     }
     known.answered_ping_sent_at = *ping_sent_at;
@@ -148,7 +151,20 @@
     if (entry != peer_states_.end()) {
         entry->second.last_pong_at = now;
         entry->second.heard_at = now;
-        entry->second.is_stopping = is_stopping;
+        entry->second.is_stopping = is_stopping || entry->second.has_ended;
+    }
+}
+
+void fleet_membership::handle_departure(const departure_notice& notice) {
+    if (find_member(notice.vm, notice.incarnation) == nullptr) {
+        return;
+    }
+    peer_state& known = peer_states_.at(notice.vm);
+    known.has_ended = true;
+    known.is_stopping = true;
+    known.promises.clear();
+    for (const record_promise& promise : notice.promises) {
+        known.promises[promise.group] = promise.version;
     }
 }
 
@@ -167,7 +183,7 @@
         if (members_.at(vm).place != report.place || known.heard_at >= as_of) {
             continue;
         }
-        known.is_stopping = stopping.contains(vm);
+        known.is_stopping = known.has_ended || stopping.contains(vm);
         if (silent.contains(vm)) {
             known.last_pong_at = std::min(known.last_pong_at, as_of - responsive_timeout_ms);
         } else {
@@ -206,6 +222,9 @@
         if (promise == known.promises.end() || promise->second > version) {
             return std::nullopt;
         }
+        if (known.has_ended) {
+            continue;
+        }
         since = std::min(since.value_or(known.answered_ping_sent_at), known.answered_ping_sent_at);
     }
     return since;
@@ -214,7 +233,8 @@
 std::set<std::string> fleet_membership::get_responsive_members(std::int64_t now) const {
     std::set<std::string> result;
     for (const auto& [vm, known] : peer_states_) {
-        if (known.last_pong_at != 0 && now - known.last_pong_at < responsive_timeout_ms) {
+        if (known.last_pong_at != 0 && !known.has_ended &&
+            now - known.last_pong_at < responsive_timeout_ms) {
             result.insert(vm);
         }
     }
@@ -234,8 +254,10 @@
 
 std::set<std::string> fleet_membership::get_lease_holders(std::int64_t now) const {
     std::set<std::string> result{self_.vm};
-    for (const auto& [vm, member] : members_) {
-        result.insert(vm);
+    for (const auto& [vm, known] : peer_states_) {
+        if (!known.has_ended) {
+            result.insert(vm);
+        }
     }
     for (const auto& [vm, left_at] : left_at_) {
         if (now - left_at <=
--- a/src/gateway/fleet_membership.h
+++ b/src/gateway/fleet_membership.h
@@ -45,6 +45,9 @@
     /** Records a message from the member itself. */
     void handle_heard(const std::string& vm, bool is_stopping, std::int64_t now);
 
+    /** Records that the member's process has ended as planned. */
+    void handle_departure(const departure_notice& notice);
+
     /** Records whether the store serves the member. */
     void set_store_available(const std::string& vm, bool is_available);
 
@@ -60,9 +63,10 @@
 
     /**
      * The latest time t such that every member, answering a ping sent at t or later, promised that
-     * it knows no record newer than `version`. Empty when some member did not, or while this VM is
-     * not listed: then promoters do not wait for it. A member that knows an older record cannot
-     * change it, because its conditional write would fail.
+     * it knows no record newer than `version`; the promises of members that ended as planned stay
+     * valid. Empty when some member did not promise or all have ended, or while this VM is not
+     * listed: then promoters do not wait for it. A member that knows an older record cannot change
+     * it, because its conditional write would fail.
      */
     std::optional<std::int64_t> get_promised_since(const std::string& group,
                                                    std::int64_t version) const;
@@ -70,7 +74,7 @@
     /** When the ping with this sequence number was sent; empty for pings no longer kept. */
     std::optional<std::int64_t> get_ping_time(std::int64_t sequence) const;
 
-    /** Members that answered a ping recently. */
+    /** Members that answered a ping recently and have not ended. */
     std::set<std::string> get_responsive_members(std::int64_t now) const;
 
     /** VMs that answered recently or have just joined and are not stopping, including this one. */
@@ -78,8 +82,9 @@
 
     /**
      * VMs that may hold a lease: this one, the listed ones, and those removed from the list so
-     * recently that their lease may not have expired. This VM makes no promises to a removed VM,
-     * and a removed VM learns that it is unlisted when it next reads the store.
+     * recently that their lease may not have expired; not those that ended as planned. This VM
+     * makes no promises to a removed VM, and a removed VM learns that it is unlisted when it next
+     * reads the store.
      */
     std::set<std::string> get_lease_holders(std::int64_t now) const;
 
@@ -115,6 +120,7 @@
         std::int64_t joined_at = 0;
         bool is_store_available = false;
         bool is_stopping = false;
+        bool has_ended = false;  ///< Its promises stay valid; it answers no more pings.
     };
 
     struct ping_round {
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -25,6 +25,7 @@
 constexpr std::int64_t shutdown_margin_ms = 600;  ///< Before the process is killed.
 /// Time to flush the log and exit before the process is killed.
 constexpr std::int64_t exit_margin_ms = 200;
+constexpr int departure_copies = 2;  ///< One datagram may be lost.
 constexpr int status_ok = 200;
 constexpr int status_unavailable = 503;
 constexpr int status_not_found = 404;
@@ -442,6 +443,8 @@
         handle_hub_request(from, *request);
     } else if (const auto* answer = std::get_if<hub_answer>(&message)) {
         handle_hub_answer(*answer);
+    } else if (const auto* departure = std::get_if<departure_notice>(&message)) {
+        fleet_.handle_departure(*departure);
     }
 }
 
@@ -546,6 +549,7 @@
         return;
     }
     engine_.end_all_sessions();
+    leadership_.retire();
     // Without the store, its call may end after the process has been killed.
     const std::int64_t remaining = settings_.shutdown_limit_ms - exit_margin_ms - elapsed;
     stop_timer_.start(std::max(remaining, shutdown_check_interval_ms), 0,
@@ -558,8 +562,21 @@
         });
 }
 
+void gateway::send_departure() {
+    const departure_notice notice{settings_.vm, fleet_.get_self().incarnation,
+                                  leadership_.get_promises()};
+    for (const auto& [vm, member] : fleet_.get_members()) {
+        messenger_.send(member.peer_address, notice);
+    }
+}
+
 void gateway::finish_shutdown(bool is_unlisted) {
     stop_timer_.stop();
+    // Leases that are extended without the store need a promise of each VM in the last rows read,
+    // which may list this one although it has removed itself since.
+    for (int i = 0; i < departure_copies; ++i) {
+        send_departure();
+    }
     log_.write(event_stopped, {{"unlisted", is_unlisted ? "yes" : "no"}});
     log_.flush();
     loop_.stop();
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -74,6 +74,8 @@
     void reload();
     void stop();
     void continue_shutdown();
+    /** Tells all members that this process holds no lease and begins no change any more. */
+    void send_departure();
     void finish_shutdown(bool is_unlisted);
 
     transport::event_loop& loop_;
--- a/src/gateway/leadership_manager.cpp
+++ b/src/gateway/leadership_manager.cpp
@@ -76,6 +76,9 @@
 
 void leadership_manager::apply_records(const std::vector<stored_row>& rows,
                                        std::int64_t requested_at) {
+    if (final_promises_) {
+        return;
+    }
     const std::int64_t now = transport::get_boot_time();
     store_read_at_ = std::max(store_read_at_, requested_at);
     const std::string_view prefix = group_key_prefix;
@@ -109,6 +112,9 @@
 }
 
 void leadership_manager::confirm_records(std::int64_t requested_at) {
+    if (final_promises_) {
+        return;
+    }
     store_read_at_ = std::max(store_read_at_, requested_at);
     for (auto& [name, group] : engine_.get_groups()) {
         if (const auto record = group.lease.get_record()) {
@@ -118,6 +124,9 @@
 }
 
 void leadership_manager::extend_leases() {
+    if (final_promises_) {
+        return;
+    }
     for (auto& [name, group] : engine_.get_groups()) {
         const auto status = group_statuses_.find(name);
         const bool is_changing =
@@ -131,7 +140,21 @@
     }
 }
 
+void leadership_manager::retire() {
+    final_promises_ = get_promises();
+    timer_.stop();
+    for (auto& [name, group] : engine_.get_groups()) {
+        if (const auto record = group.lease.get_record()) {
+            group.lease.revoke(record->version);
+            engine_.close_target_links(name, record->target);
+        }
+    }
+}
+
 std::vector<record_promise> leadership_manager::get_promises() const {
+    if (final_promises_) {
+        return *final_promises_;
+    }
     std::vector<record_promise> result;
     for (const auto& [name, group] : engine_.get_groups()) {
         const auto status = group_statuses_.find(name);
@@ -276,6 +299,10 @@
 }
 
 void leadership_manager::handle(const transport::endpoint& from, const revoke_request& message) {
+    if (final_promises_) {
+        // A promoter that counted this answer would contradict the promises that stay valid.
+        return;
+    }
     target_group& group = engine_.get_groups()[message.group];
     group.name = message.group;
     group_status& status = group_statuses_[message.group];
@@ -484,7 +511,7 @@
 void leadership_manager::step(const std::string& name, const coordination::promotion_event& event) {
     const std::int64_t now = transport::get_boot_time();
     const auto group = engine_.get_groups().find(name);
-    if (group == engine_.get_groups().end()) {
+    if (final_promises_ || group == engine_.get_groups().end()) {
         return;
     }
     group_status& status = group_statuses_[name];
--- a/src/gateway/leadership_manager.h
+++ b/src/gateway/leadership_manager.h
@@ -66,6 +66,12 @@
     /** Promises for all groups in which this VM knows of no change of the primary under way. */
     std::vector<record_promise> get_promises() const;
 
+    /**
+     * Gives up all leases and stops all changes for good, because this process ends. The promises
+     * of this moment stay valid.
+     */
+    void retire();
+
     /** Whether this VM may use the primary of any group. */
     bool has_any_lease() const;
 
@@ -134,6 +140,7 @@
     std::function<void()> read_rows_;
     std::map<std::string, group_status> group_statuses_;
     std::int64_t store_read_at_ = 0;
+    std::optional<std::vector<record_promise>> final_promises_;  ///< Set by retire().
     transport::loop_timer timer_;
 };
 
--- a/src/gateway/peer_message.cpp
+++ b/src/gateway/peer_message.cpp
@@ -20,7 +20,8 @@
     reachability_answer,
     record_notice,
     hub_request,
-    hub_answer
+    hub_answer,
+    departure_notice
 };
 
 json format_positions(const std::vector<known_position>& list) {
@@ -40,18 +41,31 @@
     return positions;
 }
 
+json format_promises(const std::vector<record_promise>& list) {
+    json promises = json::array();
+    for (const record_promise& entry : list) {
+        promises.push_back(json::array({entry.group, entry.version}));
+    }
+    return promises;
+}
+
+std::vector<record_promise> read_promises(const json& list) {
+    std::vector<record_promise> promises;
+    for (const json& entry : list) {
+        promises.push_back({entry.at(0), entry.at(1)});
+    }
+    return promises;
+}
+
 json to_array(const peer_ping& m) {
     return {message_kind::ping, m.vm, m.incarnation, m.sequence, m.digest};
 }
 
 json to_array(const peer_pong& m) {
-    json promises = json::array();
-    for (const record_promise& entry : m.promises) {
-        promises.push_back(json::array({entry.group, entry.version}));
-    }
     return json::array({message_kind::pong, m.vm, m.incarnation, m.sequence,
                         m.configuration_version, m.is_store_available, m.is_stopping,
-                        m.is_digest_match, promises, format_positions(m.positions)});
+                        m.is_digest_match, format_promises(m.promises),
+                        format_positions(m.positions)});
 }
 
 json to_array(const revoke_request& m) {
@@ -78,9 +92,7 @@
     peer_pong pong{fields.at(1), fields.at(2), fields.at(3),
                    fields.at(4), fields.at(5), fields.at(6),
                    fields.at(7), {},           {}};
-    for (const json& entry : fields.at(8)) {
-        pong.promises.push_back({entry.at(0), entry.at(1)});
-    }
+    pong.promises = read_promises(fields.at(8));
     pong.positions = read_positions(fields.at(9));
     return pong;
 }
@@ -100,6 +112,11 @@
                         format_positions(m.positions)});
 }
 
+json to_array(const departure_notice& m) {
+    return json::array(
+        {message_kind::departure_notice, m.vm, m.incarnation, format_promises(m.promises)});
+}
+
 hub_answer read_hub_answer(const json& fields) {
     hub_answer answer{fields.at(1), fields.at(2), fields.at(3),
                       fields.at(4), fields.at(5), {},
@@ -158,6 +175,8 @@
             return hub_request{fields.at(1), fields.at(2), fields.at(3), fields.at(4)};
         case message_kind::hub_answer:
             return read_hub_answer(fields);
+        case message_kind::departure_notice:
+            return departure_notice{fields.at(1), fields.at(2), read_promises(fields.at(3))};
     }
     throw json::other_error::create(0, "unknown message kind", nullptr);
 }
--- a/src/gateway/peer_message.h
+++ b/src/gateway/peer_message.h
@@ -102,6 +102,18 @@
     auto operator<=>(const record_notice&) const = default;
 };
 
+/**
+ * Sent by a process that ends as planned: it holds no lease and begins no change any more. The
+ * promises stay valid; groups whose lease it released for a change are left out.
+ */
+struct departure_notice {
+    std::string vm;
+    std::int64_t incarnation = 0;
+    std::vector<record_promise> promises;
+
+    bool operator==(const departure_notice&) const = default;
+};
+
 /** Digests of a VM's copies of the stored tables. */
 struct table_digests {
     std::uint64_t configuration = 0;
@@ -148,7 +160,7 @@
 
 using peer_message =
     std::variant<peer_ping, peer_pong, revoke_request, revoke_answer, reachability_request,
-                 reachability_answer, record_notice, hub_request, hub_answer>;
+                 reachability_answer, record_notice, hub_request, hub_answer, departure_notice>;
 
 /** Digest of promises; the same on every VM. Thread safe. */
 std::uint64_t get_digest(const std::vector<record_promise>& promises);
--- a/tests/gateway/fleet_membership_test.cpp
+++ b/tests/gateway/fleet_membership_test.cpp
@@ -71,6 +71,36 @@
     EXPECT_FALSE(fleet_.get_promised_since("g", 10).has_value());
 }
 
+// Guards against leases that end while the store is away because a VM has stopped as planned
+// (incidents kelaniya-skim-0d62 and kelaniya-skim-grown-e48b).
+TEST_F(fleet_membership_test, promises_of_a_departed_member_stay_valid) {
+    fleet_.handle_departure({"vm3", 1, {{"g", 10}}});
+    const std::int64_t ping = fleet_.begin_ping_round(9000);
+    fleet_.handle_pong(make_pong("vm2", ping, {{"g", 10}, {"h", 4}}), 9050);
+    EXPECT_TRUE(fleet_.is_round_complete());
+    EXPECT_EQ(fleet_.get_promised_since("g", 10), 9000);
+    EXPECT_FALSE(fleet_.get_promised_since("g", 9).has_value());
+    EXPECT_FALSE(fleet_.get_promised_since("h", 4).has_value()) << "it had released this lease";
+    EXPECT_EQ(fleet_.get_lease_holders(9100), (std::set<std::string>{"vm1", "vm2"}));
+    EXPECT_EQ(fleet_.get_responsive_members(9100), std::set<std::string>{"vm2"});
+    // A delayed answer of the process changes nothing.
+    fleet_.handle_pong(make_pong("vm3", ping, {{"h", 4}}), 9100);
+    EXPECT_FALSE(fleet_.get_promised_since("h", 4).has_value());
+    fleet_.update({make_member("vm1"), make_member("vm2")}, true, 9200);
+    EXPECT_EQ(fleet_.get_lease_holders(9300), (std::set<std::string>{"vm1", "vm2"}));
+}
+
+// Guards against a notice of an earlier process that is taken for the end of the present one.
+TEST_F(fleet_membership_test, a_departure_counts_for_one_incarnation) {
+    fleet_.handle_departure({"vm3", 1, {{"g", 10}}});
+    fleet_.update({make_member("vm1"), make_member("vm2"), make_member("vm3", 2)}, true, 9000);
+    fleet_.handle_departure({"vm3", 1, {{"g", 10}}});
+    const std::int64_t ping = fleet_.begin_ping_round(9100);
+    fleet_.handle_pong(make_pong("vm2", ping, {{"g", 10}}), 9150);
+    EXPECT_FALSE(fleet_.get_promised_since("g", 10).has_value());
+    EXPECT_TRUE(fleet_.get_lease_holders(9200).contains("vm3"));
+}
+
 // Guards against promises of an earlier incarnation that still count after a restart.
 TEST_F(fleet_membership_test, restart_discards_promises) {
     const std::int64_t ping = fleet_.begin_ping_round(2000);
--- a/tests/gateway/leadership_exploration_test.cpp
+++ b/tests/gateway/leadership_exploration_test.cpp
@@ -38,6 +38,7 @@
     uses_stale_members,
     ignores_relayed_age,
     counts_recent_members,
+    departs_with_all_promises,
 };
 
 struct simulation;
@@ -53,6 +54,8 @@
     void extend_lease();
     void ping();
     void tick();
+    /** Ends the process as planned until another one starts at `restart_at`. */
+    void depart(std::int64_t restart_at);
     void step(const coordination::promotion_event& event);
     bool is_changing() const { return promotion.get_phase() != promotion_phase::watching; }
     /** The target that this VM would use as the primary; empty when it has no lease. */
@@ -72,7 +75,9 @@
     bool is_store_unreachable = false;
     bool is_partitioned = false;  ///< From all other VMs.
     int side = 0;                 ///< VMs reach only those of their side.
+    bool reaches_all_sides = false;
     bool suspects_loss = false;
+    bool has_departed = false;
 };
 
 struct simulated_target {
@@ -112,7 +117,7 @@
         const auto target = vms.find(to);
         if (target == vms.end() ||
             (to != from.name && (from.is_partitioned || target->second->is_partitioned ||
-                                 from.side != target->second->side)) ||
+                                 (from.side != target->second->side && !from.reaches_all_sides))) ||
             (to != from.name && chance(0.05))) {
             return;
         }
@@ -210,6 +215,9 @@
       fleet({name, incarnation, {name, 1}, {name, 2}, "z"}) {}
 
 std::string simulated_vm::get_used_primary(std::int64_t now) const {
+    if (has_departed) {
+        return "";
+    }
     const bool ignores_expiry = sim.injected == injected_fault::ignores_lease_expiry;
     const auto& record = lease.get_record();
     if (ignores_expiry && record && !record->is_changing() && !lease.is_revoked()) {
@@ -228,6 +236,23 @@
     return {{group_name, hides_version ? 0 : record->version}};
 }
 
+void simulated_vm::depart(std::int64_t restart_at) {
+    departure_notice notice{name, fleet.get_self().incarnation, get_promises()};
+    if (sim.injected == injected_fault::departs_with_all_promises && lease.get_record()) {
+        notice.promises = {{group_name, lease.get_record()->version}};
+    }
+    for (const auto& [vm, member] : fleet.get_members()) {
+        sim.send(*this, vm,
+                 [notice](simulated_vm& other) { other.fleet.handle_departure(notice); });
+    }
+    if (!is_store_unreachable && sim.now >= sim.store_down_until) {
+        sim.rows.erase("vm/" + name);
+        ++sim.version;
+    }
+    has_departed = true;
+    suspended_until = restart_at + 1;  // Until the next process has replaced it.
+}
+
 void simulated_vm::poll() {
     if (sim.relays_reads && sim.chance(0.6)) {
         poll_hub();
@@ -508,6 +533,7 @@
     late_joiners,     ///< VMs join shortly before the primary is considered lost.
     split_fleets,     ///< Several VMs lose the store and the others, but not each other.
     late_store,       ///< The same, for a shorter time, and the store returns after the others.
+    departures,       ///< Late joiners and split fleets, and VMs that stop as planned.
     partial_reports,  ///< Mixed faults; targets are reached only now and then.
     relayed_reads,    ///< Mixed faults, and VMs take most rows from another VM's copy.
 };
@@ -552,6 +578,67 @@
     }
 }
 
+/**
+ * Stops VMs as planned, most of them while a change of the primary is likely; each starts again
+ * after a while. The last messages of some reach VMs that nobody else on their side reaches.
+ */
+void add_departures(simulation& sim, const std::function<void(int, std::int64_t)>& start) {
+    constexpr int departures = 12;
+    for (int i = 0; i < departures; ++i) {
+        const std::int64_t begin = sim.random_between(12000, run_duration_ms - 4000);
+        const std::int64_t end = begin + sim.random_between(300, 6000);
+        sim.at(begin, [&sim, start, end] {
+            std::vector<std::shared_ptr<simulated_vm>> running;
+            for (const auto& [name, vm] : sim.vms) {
+                if (!vm->has_departed && vm->suspended_until <= sim.now && vm->side == 0) {
+                    running.push_back(vm);
+                }
+            }
+            if (running.empty()) {
+                return;
+            }
+            const auto last = static_cast<std::int64_t>(running.size()) - 1;
+            const auto vm = running[static_cast<std::size_t>(sim.random_between(0, last))];
+            const int number = std::stoi(vm->name.substr(2));
+            sim.at(end, [&sim, start, number] { start(number, sim.now + 1); });
+            vm->reaches_all_sides = sim.chance(0.5);
+            vm->depart(end);
+        });
+    }
+}
+
+/**
+ * Cuts all VMs but one from the store and from that one. A VM joins on the side of the store and
+ * considers the primary lost, and the one that was listed for long stops as planned; its last
+ * message may still reach the others.
+ */
+void add_departure_during_change(simulation& sim,
+                                 const std::function<void(int, std::int64_t)>& start, int vms) {
+    const std::int64_t cut_at = 17000 + sim.random_between(0, 1000);
+    const std::int64_t joined_at = cut_at + sim.random_between(0, 1000);
+    const std::int64_t lost_at = joined_at + sim.random_between(2000, 4000);
+    const std::int64_t stopped_at = lost_at + sim.random_between(0, 1500);
+    const std::int64_t healed_at = cut_at + sim.random_between(7000, 13000);
+    const auto set_cut = [&sim, vms](int side) {
+        for (int i = 1; i < vms; ++i) {
+            sim.vms.at("vm" + std::to_string(i))->side = side;
+            sim.vms.at("vm" + std::to_string(i))->is_store_unreachable = side != 0;
+        }
+    };
+    sim.at(cut_at, [set_cut] { set_cut(1); });
+    sim.at(joined_at, [&sim, start, vms] { start(vms, sim.now + 1); });
+    sim.at(lost_at, [&sim, vms] { sim.vms.at("vm" + std::to_string(vms))->suspects_loss = true; });
+    sim.at(stopped_at, [&sim] {
+        const auto vm = sim.vms.at("vm0");
+        vm->reaches_all_sides = sim.chance(0.5);
+        vm->depart(run_duration_ms);
+    });
+    sim.at(healed_at, [&sim, set_cut] {
+        set_cut(0);
+        sim.set_all_suspect(false);
+    });
+}
+
 /** Runs one simulation. */
 std::unique_ptr<simulation> run_simulation(std::uint64_t seed, injected_fault fault,
                                            schedule events = schedule::mixed_faults) {
@@ -559,7 +646,8 @@
     simulation& sim = *result;
     sim.relays_reads = events == schedule::relayed_reads;
     sim.loses_reports = events == schedule::partial_reports;
-    const bool is_split = events == schedule::split_fleets || events == schedule::late_store;
+    const bool is_split = events == schedule::split_fleets || events == schedule::late_store ||
+                          events == schedule::departures;
     sim.reads_after_joining = events == schedule::late_joiners || is_split;
     const auto vms =
         static_cast<int>(is_split ? sim.random_between(6, 9) : sim.random_between(2, 5));
@@ -592,8 +680,17 @@
         sim.run();
         return result;
     }
+    if (events == schedule::departures && sim.chance(0.5)) {
+        add_departure_during_change(sim, start, vms);
+        sim.run();
+        return result;
+    }
+    if (events == schedule::departures) {
+        add_departures(sim, start);
+        add_late_joiners(sim, start, vms);
+    }
     if (is_split) {
-        add_splits(sim, vms, events == schedule::late_store);
+        add_splits(sim, vms, events != schedule::split_fleets);
         sim.run();
         return result;
     }
@@ -718,6 +815,15 @@
     EXPECT_GT(promotions, runs / 2) << "too few promotions to test the rules";
 }
 
+// Guards against a VM that stops after it released its lease for a change, and whose promise then
+// extends the lease of a VM which the promoter does not reach.
+TEST(leadership_exploration, promises_of_departed_vms_extend_no_lease_past_a_change) {
+    constexpr int runs = 300;
+    int promotions = 0;
+    ASSERT_NO_FATAL_FAILURE(explore(schedule::departures, runs, promotions));
+    EXPECT_GT(promotions, runs) << "too few promotions to test the rules";
+}
+
 // Guards against a lease that is renewed with rows which another VM read too long ago.
 TEST(leadership_exploration, rows_of_another_vm_count_from_the_read_of_the_store) {
     int promotions = 0;
@@ -735,6 +841,8 @@
         case injected_fault::omits_promise_version:
         case injected_fault::counts_recent_members:
             return schedule::late_store;
+        case injected_fault::departs_with_all_promises:
+            return schedule::departures;
         case injected_fault::uses_stale_members:
             return schedule::late_joiners;
         case injected_fault::ignores_relayed_age:
@@ -750,7 +858,7 @@
          {injected_fault::skips_lease_wait, injected_fault::omits_promise_version,
           injected_fault::ignores_lease_expiry, injected_fault::ignores_removed_members,
           injected_fault::uses_stale_members, injected_fault::ignores_relayed_age,
-          injected_fault::counts_recent_members}) {
+          injected_fault::counts_recent_members, injected_fault::departs_with_all_promises}) {
         int violations = 0;
         for (std::uint64_t seed = 1; seed <= max_fault_runs && violations == 0; ++seed) {
             violations = run_simulation(seed, fault, get_schedule(fault))->violations;
--- a/tests/gateway/peer_message_test.cpp
+++ b/tests/gateway/peer_message_test.cpp
@@ -12,6 +12,7 @@
 std::vector<peer_message> make_samples() {
     return {peer_ping{"vm1", 17, 3, ~0ULL},
             peer_pong{"vm2", 18, 3, 40, true, true, false, {{"g", 12}}, {{"g", {2, 77}, 150}}},
+            departure_notice{"vm2", 18, {{"g", 12}, {"h", 9}}},
             revoke_request{"g", 12, true},
             revoke_answer{"vm1", "g", 12, true},
             reachability_request{"g", "t1"},
