Count a malformed relayed store answer as an unknown outcome

Cause: an answer of a relaying VM that said "not sent" but lacked a valid status or body was treated as a call that the store had not executed, so a change of the store was sent a second time, directly. Promotions are claimed by such changes.

The fields are taken only if all are valid; otherwise the outcome is unknown and nothing is sent again.

Test: store_client_test, for relayed changes, lost answers and malformed calls of other VMs, of which none was tested before.

--- a/src/gateway/store_client.cpp
+++ b/src/gateway/store_client.cpp
@@ -29,17 +29,20 @@
            (answer.status == 0 && !answer.error.was_sent);
 }
 
-/** The store's answer as another VM passed it on; a malformed one counts as no answer. */
+/**
+ * The store's answer as another VM passed it on. A malformed one counts as no answer to a call that
+ * may have been executed.
+ */
 http_exchange_answer parse_relayed_answer(const std::string& text) {
     const nlohmann::json reply = nlohmann::json::parse(text, nullptr, false);
     http_exchange_answer answer;
-    answer.error.was_sent = true;
     try {
-        answer.error.was_sent = reply.at("was_sent");
-        answer.body = reply.at("body");
         answer.status = reply.at("status");
+        answer.body = reply.at("body");
+        answer.error.was_sent = reply.at("was_sent");
     } catch (const nlohmann::json::exception& error) {
-        answer.error.message = error.what();
+        answer.status = 0;
+        answer.error = {transport::transport_failure::invalid, true, error.what()};
     }
     return answer;
 }
