Send no departure notice to a member that is being removed

Cause (leadership_exploration, departures): a VM asks the store to remove a member that is cut off, and then stops as planned before it has read its own removal. The member keeps the last promises of the stopped VM for up to 15 s, while a VM that joined recently is alone in the list and replaces the primary without waiting for it.

A VM remembers the members whose removal it has asked for and sends them no notice. Every other holder of promises of the stopped VM stays listed until a VM that it knows, and whose promises it needs, removes it.

Tried and not kept: a promoter that no longer waits for a VM that has stopped while its answer was outstanding. Not tried again after the fix.

--- a/src/gateway/fleet_membership.cpp
+++ b/src/gateway/fleet_membership.cpp
@@ -175,6 +175,23 @@
     }
 }
 
+void fleet_membership::handle_removal_request(const std::string& vm) {
+    const auto entry = peer_states_.find(vm);
+    if (entry != peer_states_.end()) {
+        entry->second.is_removal_requested = true;
+    }
+}
+
+std::vector<fleet_member> fleet_membership::get_departure_receivers() const {
+    std::vector<fleet_member> result;
+    for (const auto& [vm, known] : peer_states_) {
+        if (!known.is_removal_requested) {
+            result.push_back(members_.at(vm));
+        }
+    }
+    return result;
+}
+
 void fleet_membership::apply_report(const place_report& report, std::int64_t as_of) {
     const std::set<std::string> silent(report.silent.begin(), report.silent.end());
     const std::set<std::string> stopping(report.stopping.begin(), report.stopping.end());
--- a/src/gateway/fleet_membership.h
+++ b/src/gateway/fleet_membership.h
@@ -48,6 +48,15 @@
     /** Records that the member's process has ended as planned. */
     void handle_departure(const departure_notice& notice);
 
+    /** Records that this VM asks the store to remove the member from the list. */
+    void handle_removal_request(const std::string& vm);
+
+    /**
+     * Members that may keep this VM's promises after it has ended: those that it does not remove. A
+     * removed member could otherwise extend its leases although no promoter waits for it any more.
+     */
+    std::vector<fleet_member> get_departure_receivers() const;
+
     /** Records whether the store serves the member. */
     void set_store_available(const std::string& vm, bool is_available);
 
@@ -120,7 +129,8 @@
         std::int64_t joined_at = 0;
         bool is_store_available = false;
         bool is_stopping = false;
-        bool has_ended = false;  ///< Its promises stay valid; it answers no more pings.
+        bool has_ended = false;             ///< Its promises stay valid; it answers no more pings.
+        bool is_removal_requested = false;  ///< By this VM.
     };
 
     struct ping_round {
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -241,6 +241,7 @@
     for (const std::string& vm : removable) {
         if (const auto row = watcher_.find_row(member_key_prefix + vm)) {
             const row_change change{{product_table, row->key, {}, 0, true}, row->version, true};
+            fleet_.handle_removal_request(vm);
             store_.change(platform_.format_change(change),
                           [this](const transport::http_exchange_answer&) { watcher_.read_rows(); });
         }
@@ -565,7 +566,7 @@
 void gateway::send_departure() {
     const departure_notice notice{settings_.vm, fleet_.get_self().incarnation,
                                   leadership_.get_promises()};
-    for (const auto& [vm, member] : fleet_.get_members()) {
+    for (const fleet_member& member : fleet_.get_departure_receivers()) {
         messenger_.send(member.peer_address, notice);
     }
 }
--- a/tests/gateway/fleet_membership_test.cpp
+++ b/tests/gateway/fleet_membership_test.cpp
@@ -90,6 +90,19 @@
     EXPECT_EQ(fleet_.get_lease_holders(9300), (std::set<std::string>{"vm1", "vm2"}));
 }
 
+// Guards against two primaries: a member that this VM removes could extend its leases by the last
+// promises of this VM, while no promoter waits for it (leadership_exploration, seed 1572311469).
+TEST_F(fleet_membership_test, a_member_that_is_being_removed_gets_no_departure_notice) {
+    EXPECT_EQ(fleet_.get_departure_receivers().size(), 2U);
+    fleet_.handle_removal_request("vm3");
+    const std::vector<fleet_member> receivers = fleet_.get_departure_receivers();
+    ASSERT_EQ(receivers.size(), 1U);
+    EXPECT_EQ(receivers[0].vm, "vm2");
+    // The removal concerns one process of the VM.
+    fleet_.update({make_member("vm1"), make_member("vm2"), make_member("vm3", 2)}, true, 9000);
+    EXPECT_EQ(fleet_.get_departure_receivers().size(), 2U);
+}
+
 // Guards against a notice of an earlier process that is taken for the end of the present one.
 TEST_F(fleet_membership_test, a_departure_counts_for_one_incarnation) {
     fleet_.handle_departure({"vm3", 1, {{"g", 10}}});
--- a/tests/gateway/leadership_exploration_test.cpp
+++ b/tests/gateway/leadership_exploration_test.cpp
@@ -39,6 +39,7 @@
     ignores_relayed_age,
     counts_recent_members,
     departs_with_all_promises,
+    departs_to_removed_members,
 };
 
 struct simulation;
@@ -241,8 +242,8 @@
     if (sim.injected == injected_fault::departs_with_all_promises && lease.get_record()) {
         notice.promises = {{group_name, lease.get_record()->version}};
     }
-    for (const auto& [vm, member] : fleet.get_members()) {
-        sim.send(*this, vm,
+    for (const fleet_member& member : fleet.get_departure_receivers()) {
+        sim.send(*this, member.vm,
                  [notice](simulated_vm& other) { other.fleet.handle_departure(notice); });
     }
     if (!is_store_unreachable && sim.now >= sim.store_down_until) {
@@ -338,6 +339,9 @@
         const auto row = known.find("vm/" + vm);
         if (fleet.get_rank("members", sim.now) == 0 && row != known.end()) {
             const stored_row seen = row->second;
+            if (sim.injected != injected_fault::departs_to_removed_members) {
+                fleet.handle_removal_request(vm);
+            }
             sim.at(sim.now + sim.random_between(1, 40), [&owner = sim, seen] {
                 const auto present = owner.rows.find(seen.key);
                 if (present != owner.rows.end() && present->second.version == seen.version) {
@@ -617,7 +621,7 @@
     const std::int64_t cut_at = 17000 + sim.random_between(0, 1000);
     const std::int64_t joined_at = cut_at + sim.random_between(0, 1000);
     const std::int64_t lost_at = joined_at + sim.random_between(2000, 4000);
-    const std::int64_t stopped_at = lost_at + sim.random_between(0, 1500);
+    const std::int64_t stopped_at = lost_at + sim.random_between(-3000, 1500);
     const std::int64_t healed_at = cut_at + sim.random_between(7000, 13000);
     const auto set_cut = [&sim, vms](int side) {
         for (int i = 1; i < vms; ++i) {
@@ -767,13 +771,15 @@
 // Guards against a VM that takes the row of its own unfinished claim for the confirmation of a
 // second claim and requests a promotion after another VM has taken over; and (late_store) against
 // VMs that all joined recently and replace a primary used by VMs that do not know them; and
-// (partial_reports) against a VM that records the first of two promotions that were not recorded.
+// (partial_reports) against a VM that records the first of two promotions that were not recorded;
+// and (departures) against leases extended by a VM that stopped after it had removed their holder.
 TEST(leadership_exploration, seeds_that_failed_before) {
     const std::vector<std::pair<std::uint64_t, schedule>> seeds = {
         {2808971969, schedule::mixed_faults},
         {4099628558, schedule::mixed_faults},
         {3335917238, schedule::late_store},
-        {2641931027, schedule::partial_reports}};
+        {2641931027, schedule::partial_reports},
+        {1572311469, schedule::departures}};
     for (const auto& [seed, events] : seeds) {
         const auto result = run_simulation(seed, injected_fault::none, events);
         EXPECT_EQ(result->violations, 0) << "HORNBEAMHOOK_SEED=" << seed << " " << result->detail;
@@ -842,6 +848,7 @@
         case injected_fault::counts_recent_members:
             return schedule::late_store;
         case injected_fault::departs_with_all_promises:
+        case injected_fault::departs_to_removed_members:
             return schedule::departures;
         case injected_fault::uses_stale_members:
             return schedule::late_joiners;
@@ -858,7 +865,8 @@
          {injected_fault::skips_lease_wait, injected_fault::omits_promise_version,
           injected_fault::ignores_lease_expiry, injected_fault::ignores_removed_members,
           injected_fault::uses_stale_members, injected_fault::ignores_relayed_age,
-          injected_fault::counts_recent_members, injected_fault::departs_with_all_promises}) {
+          injected_fault::counts_recent_members, injected_fault::departs_with_all_promises,
+          injected_fault::departs_to_removed_members}) {
         int violations = 0;
         for (std::uint64_t seed = 1; seed <= max_fault_runs && violations == 0; ++seed) {
             violations = run_simulation(seed, fault, get_schedule(fault))->violations;
