Close idle connections to targets so that restarted VMs find room

Cause: a target counts the connections of a VM that lost power for 3 s. A VM kept every connection that a burst had opened, up to its quota, and the quotas of all VMs fill the limit.

Change: within the quota a VM keeps two idle connections to a target and closes others after 3 s (gateway::get_idle_timeout_ms). Of several suitable connections the first is used, so that the others become idle.

Test: home_plan.a_fleet_that_restarts_finds_room_for_its_connections, a model of a target that counts lost connections.

--- a/src/gateway/home_plan.cpp
+++ b/src/gateway/home_plan.cpp
@@ -18,6 +18,10 @@
 /// Connections kept free for reports and control statements while the primary is changed.
 constexpr int reserved_links = 2;
 constexpr int surplus_links = 1;  ///< Above the quota, while the target accepts them.
+constexpr int kept_links = 2;     ///< Kept open when idle, for a transaction and a statement.
+/// For links within the quota. Opening one again takes a slot of the target for 12 ms.
+constexpr std::int64_t idle_timeout_ms = 3000;
+constexpr std::int64_t surplus_idle_timeout_ms = 1500;
 
 std::string get_region(const home_plan_input& input, const std::string& place) {
     const auto entry = input.place_regions.find(place);
@@ -42,6 +46,13 @@
     return std::find(homes.begin(), homes.end(), vm) != homes.end();
 }
 
+std::optional<std::int64_t> get_idle_timeout_ms(const home_plan& plan, int index) {
+    if (index >= plan.quota) {
+        return surplus_idle_timeout_ms;
+    }
+    return index >= kept_links ? std::optional(idle_timeout_ms) : std::nullopt;
+}
+
 home_plan plan_homes(const target_entry& target, int connection_limit,
                      const home_plan_input& input) {
     return home_planner(input).plan(target, connection_limit);
--- a/src/gateway/home_plan.h
+++ b/src/gateway/home_plan.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <compare>
+#include <cstdint>
 #include <map>
 #include <optional>
 #include <string>
@@ -24,6 +25,13 @@
     bool is_home(const std::string& vm) const;
 };
 
+/**
+ * How long the connection at `index`, counted from the one that is used first, may be idle before
+ * it is closed; empty if it is kept. A target counts the connections of a VM without power for 3 s,
+ * so the VM that restarts needs as many again below the limit. Pure, thread safe.
+ */
+std::optional<std::int64_t> get_idle_timeout_ms(const home_plan& plan, int index);
+
 /** Input of plan_homes() that is the same for all targets. */
 struct home_plan_input {
     std::vector<fleet_member> live;  ///< VMs that answer and are not stopping, including this one.
--- a/src/gateway/session_engine.cpp
+++ b/src/gateway/session_engine.cpp
@@ -33,8 +33,8 @@
 /// Between attempts to connect to a failing target.
 constexpr std::int64_t reconnect_delay_ms = 150;
 constexpr std::int64_t connect_timeout_ms = 700;  ///< Connecting takes 12 ms and two round trips.
-/// Links above the quota are closed after being idle for this long.
-constexpr std::int64_t surplus_idle_timeout_ms = 1500;
+/// For links to homes above kept_relayed_links, and direct links of a VM that is not a home.
+constexpr std::int64_t fallback_idle_timeout_ms = 1500;
 /// Connections opened concurrently to one target; each takes one of its 2 or 3 slots for 12 ms.
 constexpr int max_opening_links = 2;
 /// Direct connections of a VM that is not a home: for statements of VMs that still treat it as one,
@@ -88,8 +88,11 @@
         }
         ++result.count;
         result.opening += link->is_open() ? 0 : 1;
-        // A link that already holds the session's values needs no setup statements.
-        const bool is_better = !result.best || link->values == pending.session->get_values();
+        // A link that already holds the session's values needs no setup statements. Among equal
+        // ones the first is used, so that the last ones become idle and are closed.
+        const session_values& values = pending.session->get_values();
+        const bool is_better =
+            !result.best || (result.best->values != values && link->values == values);
         if (link->is_idle() && !link->is_pinned() && is_better && may_use(*link)) {
             result.best = link;
         }
@@ -997,7 +1000,6 @@
 
 void session_engine::trim_links(target_group& group, std::int64_t now) {
     for (auto& [id, target] : group.targets) {
-        const int quota = is_direct(target) ? target.plan.quota : 0;
         int direct = 0;
         int relayed = 0;
         const std::vector<std::shared_ptr<target_link>> links = target.links;
@@ -1005,10 +1007,9 @@
             if (link->is_ended()) {
                 continue;
             }
-            const bool is_above_quota = link->is_relayed()
-                                            ? ++relayed > kept_relayed_links || is_direct(target) ||
-                                                  !target.plan.is_home(link->get_home())
-                                            : ++direct > quota;
+            const int index = link->is_relayed() ? relayed++ : direct++;
+            const std::optional<std::int64_t> idle_timeout_ms =
+                get_idle_timeout_ms(target, *link, index);
             const std::int64_t unanswered_since = link->get_oldest_sent_at();
             const bool is_opening_timed_out =
                 !link->is_open() && now - link->get_opened_at() > connect_timeout_ms;
@@ -1017,9 +1018,10 @@
             const bool is_unresponsive = link->is_open() && !link->is_pinned() &&
                                          unanswered_since != 0 &&
                                          now - unanswered_since > default_timeout_ms / 2;
-            const bool is_surplus = is_above_quota && link->is_idle() && !link->is_pinned() &&
-                                    now - link->get_idle_since() > surplus_idle_timeout_ms;
-            if (is_opening_timed_out || is_unresponsive || is_surplus) {
+            const bool is_idle_too_long = idle_timeout_ms && link->is_idle() &&
+                                          !link->is_pinned() &&
+                                          now - link->get_idle_since() > *idle_timeout_ms;
+            if (is_opening_timed_out || is_unresponsive || is_idle_too_long) {
                 link->close();
             }
         }
@@ -1027,6 +1029,19 @@
     }
 }
 
+std::optional<std::int64_t> session_engine::get_idle_timeout_ms(const target_state& target,
+                                                                const target_link& link,
+                                                                int index) const {
+    if (link.is_relayed()) {
+        const bool is_kept = index < kept_relayed_links && !is_direct(target) &&
+                             target.plan.is_home(link.get_home());
+        return is_kept ? std::nullopt : std::optional(fallback_idle_timeout_ms);
+    }
+    // A VM that is not a home keeps no direct link.
+    return is_direct(target) ? gateway::get_idle_timeout_ms(target.plan, index)
+                             : std::optional(fallback_idle_timeout_ms);
+}
+
 void session_engine::log_bad_input(const std::string& caller, const std::string& reason) {
     log_.write(event_bad_input, {{"caller", caller}, {"reason", reason}});
 }
--- a/src/gateway/session_engine.h
+++ b/src/gateway/session_engine.h
@@ -106,6 +106,10 @@
     void expire(target_group& group, std::int64_t now);
     void hedge(target_group& group, std::int64_t now);
     void trim_links(target_group& group, std::int64_t now);
+    /** How long the link may be idle before it is closed; empty if it is kept. `index` counts the
+     * target's direct or relayed links. */
+    std::optional<std::int64_t> get_idle_timeout_ms(const target_state& target,
+                                                    const target_link& link, int index) const;
     assignment assign(target_group& group, const pending_statement_ptr& pending);
     assignment assign_to_primary(target_group& group, const pending_statement_ptr& pending);
     assignment assign_read(target_group& group, const pending_statement_ptr& pending);
--- a/tests/gateway/home_plan_test.cpp
+++ b/tests/gateway/home_plan_test.cpp
@@ -97,6 +97,42 @@
     EXPECT_GE(homes.size(), 15U);
 }
 
+/** A target that counts the connections of VMs that lost power until they time out. */
+struct counting_target {
+    int limit = 0;
+    int lost = 0;  ///< Of VMs without power.
+
+    int get_room() const { return limit - lost; }
+};
+
+/** Connections that a VM still holds when `busy` of them are in use and the others were idle for
+ * `idle_ms`. */
+int count_kept(const home_plan& plan, int busy, std::int64_t idle_ms) {
+    int kept = busy;
+    for (int index = busy; index < plan.quota + plan.max_surplus; ++index) {
+        const auto timeout_ms = get_idle_timeout_ms(plan, index);
+        kept += !timeout_ms || idle_ms <= *timeout_ms ? 1 : 0;
+    }
+    return kept;
+}
+
+// Load: all VMs lose power and start again while their targets still count the old connections.
+// Guards against refused connections for 3 s after that, because a burst some time before had left
+// connections open up to the limit.
+TEST(home_plan, a_fleet_that_restarts_finds_room_for_its_connections) {
+    constexpr std::int64_t since_burst_ms = 5000;
+    constexpr int busy = 2;
+    for (const int per_place : {6, 20, 65}) {
+        counting_target target{88};
+        const home_plan plan =
+            plan_homes(make_target("t1", "a1"), target.limit, make_fleet(per_place));
+        const int holders =
+            plan.homes.empty() ? 3 * per_place : static_cast<int>(plan.homes.size());
+        target.lost = holders * count_kept(plan, busy, since_burst_ms);
+        EXPECT_GE(target.get_room(), holders * busy) << per_place;
+    }
+}
+
 // Load: 240 VMs start one after another, some leave, and 60 targets have homes among them.
 // Guards against plans that depend on the order of the changes, so that VMs disagree on the homes.
 TEST(home_planner, updated_plans_equal_new_ones) {
