Send statements over open connections after another connection ended

Cause: when a connection to a target ended, no statement was sent to that target for 150 ms, whoever had ended it. A refused connection (CONNLIMIT) and a probe had the same effect.

Change: an end by this VM says nothing about the target. A refused connection and a probe only delay the next connection. After an end by the target, and after a connection that could not be opened, it still gets no statement for 150 ms.

--- a/src/gateway/session_engine.cpp
+++ b/src/gateway/session_engine.cpp
@@ -190,6 +190,7 @@
     if (is_restarted) {
         close_target_links(entry->group, id);
         target.reconnect_at = 0;
+        target.unreachable_until = 0;
     }
     if (!is_known || is_restarted || is_changed) {
         log_.write(event_target_listed, {{"target", id},
@@ -337,7 +338,7 @@
     const std::int64_t now = transport::get_boot_time();
     const auto record = group.lease.get_usable(now);
     target_state* target = record ? find_target(group.name, record->target) : nullptr;
-    if (target == nullptr || now < target->reconnect_at) {
+    if (target == nullptr || now < target->unreachable_until) {
         return assignment::must_wait;
     }
     const std::shared_ptr<target_link> link = find_link(*target, *pending);
@@ -364,7 +365,7 @@
     for (auto& [id, target] : group.targets) {
         const bool is_primary = record && record->target == id;
         const bool is_eligible = is_primary || required.has_value();
-        const bool is_excluded = now < target.reconnect_at || now < target.avoided_until ||
+        const bool is_excluded = now < target.unreachable_until || now < target.avoided_until ||
                                  (!is_primary && now < target.lagging_until) ||
                                  pending->avoided_targets.contains(id);
         if (is_eligible && target.is_usable() && !is_excluded) {
@@ -405,7 +406,7 @@
         return assignment::refused;
     }
     const std::shared_ptr<target_link> link =
-        now < target->reconnect_at ? nullptr : find_direct_link(*target, *pending);
+        now < target->unreachable_until ? nullptr : find_direct_link(*target, *pending);
     if (!link) {
         return assignment::must_wait;
     }
@@ -463,8 +464,9 @@
                                                               const pending_statement& pending) {
     const link_search found =
         search_links(target, pending, false, [](const target_link&) { return true; });
-    if (!found.best && found.opening < max_opening_links &&
-        found.count < get_direct_link_limit(target, transport::get_boot_time())) {
+    const std::int64_t now = transport::get_boot_time();
+    if (!found.best && found.opening < max_opening_links && now >= target.reconnect_at &&
+        found.count < get_direct_link_limit(target, now)) {
         open_link(target);
     }
     return found.best;
@@ -559,8 +561,8 @@
     const bool is_opening =
         std::any_of(target.links.begin(), target.links.end(),
                     [](const auto& link) { return !link->is_open() && !link->is_ended(); });
-    if (!is_opening && now >= target.reconnect_at) {
-        target.reconnect_at = now + reconnect_delay_ms;
+    if (!is_opening && now >= target.reconnect_at && now >= target.next_probe_at) {
+        target.next_probe_at = now + reconnect_delay_ms;
         open_link(target);
     }
 }
@@ -601,11 +603,17 @@
                 {"refused", end.is_refused ? "yes" : "no"},
                 {"limited", is_limited ? "yes" : "no"},
                 {"reason", failure ? failure->raw_code + " " + failure->text : "closed"}});
+    if (end.is_local) {
+        return;  // Says nothing about the target.
+    }
+    target->reconnect_at = now + reconnect_delay_ms;
     if (is_limited) {
+        // Statements go on over the connections that it has accepted.
         target->connection_limited_until = now + connection_limit_backoff_ms;
         target->last_answer_at = now;
+    } else {
+        target->unreachable_until = target->reconnect_at;
     }
-    target->reconnect_at = now + reconnect_delay_ms;
     if (end.is_refused && target->refused_since == 0) {
         target->refused_since = now;
     }
@@ -1024,6 +1032,10 @@
             if (is_opening_timed_out || is_unresponsive || is_idle_too_long) {
                 link->close();
             }
+            if (is_opening_timed_out && !link->is_relayed()) {
+                target.reconnect_at = now + reconnect_delay_ms;
+                target.unreachable_until = target.reconnect_at;
+            }
         }
         std::erase_if(target.links, [](const auto& link) { return link->is_ended(); });
     }
--- a/src/gateway/target_group.h
+++ b/src/gateway/target_group.h
@@ -26,7 +26,9 @@
     std::int64_t lag_backoff_ms = 0;  ///< Doubled while its log stays too short.
     /// Set when it refused a connection because it has too many.
     std::int64_t connection_limited_until = 0;
-    std::int64_t reconnect_at = 0;  ///< No connection is opened before this.
+    std::int64_t reconnect_at = 0;       ///< No connection is opened before this.
+    std::int64_t unreachable_until = 0;  ///< Set when it ended a connection; gets no statement.
+    std::int64_t next_probe_at = 0;
     std::int64_t last_answer_at = 0;
     std::int64_t refused_since = 0;  ///< First of consecutive refused connections.
     std::int64_t read_only_at = 0;   ///< When it last rejected a write as not the primary.
--- a/tests/gateway/session_engine_test.cpp
+++ b/tests/gateway/session_engine_test.cpp
@@ -191,6 +191,38 @@
     EXPECT_TRUE(target.lines.empty());
 }
 
+// Load: a home with several connections to a primary closes one that it does not need, or is
+// refused one more. Guards against statements that wait 150 ms although a connection is free.
+TEST_F(session_engine_test, a_closed_or_refused_connection_delays_no_statement) {
+    int connections = 0;
+    scripted_target& target = add_target("t1", true, [&connections](const std::string& line) {
+        if (!line.starts_with("STARTUP")) {
+            return std::string("DATAROW row\r\nCOMPLETE proof\r\nREADY I 1.5\r\n");
+        }
+        return std::string(++connections > 1 ? "ERROR CONNLIMIT t1\r\n" : "READY I 1.5\r\n");
+    });
+    give_lease("t1");
+    const auto caller = open_session("strict");
+    ask(*caller, "READ k1");
+    target_state& state = engine_.get_groups()["g"].targets.at("t1");
+    engine_.probe(state);
+    run_until([&] { return connections == 2 && state.connection_limited_until != 0; });
+    const std::int64_t asked_at = transport::get_boot_time();
+    ask(*caller, "READ k2");
+    EXPECT_LT(transport::get_boot_time() - asked_at, 100);
+
+    connections = 0;
+    state.next_probe_at = 0;
+    state.reconnect_at = 0;
+    engine_.probe(state);
+    run_until([&] { return !state.links.empty() && state.links.back()->is_open(); });
+    state.links.back()->close();
+    const std::int64_t asked_again_at = transport::get_boot_time();
+    ask(*caller, "READ k3");
+    EXPECT_LT(transport::get_boot_time() - asked_again_at, 100);
+    EXPECT_TRUE(contains(target.lines, "READ k3"));
+}
+
 // Guards against a read that is not sent again after each target was busy once.
 TEST_F(session_engine_test, retries_targets_that_were_busy) {
     int busy = 2;
