--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -4,6 +4,7 @@
 #include <csignal>
 #include <utility>
 
+#include "coordination/home_assignment.h"
 #include "gateway/gateway_events.h"
 
 namespace hornbeamhook::gateway {
@@ -112,6 +113,7 @@
 
 void gateway::start() {
     started_at_ = transport::get_boot_time();
+    next_seed_ = coordination::get_rendezvous_weight("seed", settings_.vm);
     log_.write(event_started, {{"place", settings_.place},
                                {"incarnation", std::to_string(fleet_.get_self().incarnation)},
                                {"version", HORNBEAMHOOK_VERSION}});
@@ -257,12 +259,21 @@
         send_pings();
     }
     store_.set_relays(fleet_.get_store_relays(now));
-    // A VM that starts while the store is unavailable asks the seeds for a snapshot.
     if (!is_ready() && stopping_since_ == 0 && now - started_at_ > snapshot_request_interval_ms) {
-        for (const transport::endpoint& seed : settings_.seeds) {
-            if (seed != settings_.control_address) {
-                fetch_snapshot(seed);
-            }
+        fetch_snapshot_from_seed();
+    }
+}
+
+void gateway::fetch_snapshot_from_seed() {
+    // The seeds are the same few VMs for a whole fleet, and a snapshot holds all targets.
+    if (store_.is_store_available() || settings_.seeds.empty()) {
+        return;
+    }
+    for (std::size_t i = 0; i < settings_.seeds.size(); ++i) {
+        const transport::endpoint& seed = settings_.seeds[next_seed_++ % settings_.seeds.size()];
+        if (seed != settings_.control_address) {
+            fetch_snapshot(seed);
+            return;
         }
     }
 }
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -71,6 +71,8 @@
     void answer_ping(const transport::endpoint& from, const peer_ping& ping);
     void handle_pong(const peer_pong& pong);
     void fetch_snapshot(const transport::endpoint& peer);
+    /** For a VM that starts while the store is unavailable: asks one seed after the other. */
+    void fetch_snapshot_from_seed();
     void reload();
     void stop();
     void continue_shutdown();
@@ -107,6 +109,7 @@
     std::int64_t stopping_since_ = 0;  ///< 0 while serving.
     std::int64_t last_registration_at_ = 0;
     std::int64_t snapshot_requested_at_ = 0;
+    std::uint64_t next_seed_ = 0;  ///< Counts from another number on each VM.
     std::int64_t updates_requested_at_ = 0;
     std::int64_t isolated_since_ = 0;  ///< 0 while the store is available or a lease is held.
     std::int64_t unknown_member_read_at_ = 0;  ///< Last store read because of an unknown VM.
--- a/src/gateway/store_watcher.cpp
+++ b/src/gateway/store_watcher.cpp
@@ -40,6 +40,9 @@
 constexpr const char* targets_field = "targets";
 constexpr const char* rows_field = "rows";
 constexpr const char* rows_age_field = "rows_age_ms";
+/// In a request, the versions of the store that the copies reflect; in an answer, the changes
+/// since.
+constexpr const char* changes_field = "changes";
 
 std::string to_string(store_watcher::source value) {
     switch (value) {
@@ -55,6 +58,25 @@
     return "store";
 }
 
+/** Null unless `object` has an object of that name. */
+nlohmann::json get_object_field(const nlohmann::json& object, const char* field) {
+    const auto entry = object.is_object() ? object.find(field) : object.end();
+    return entry != object.end() && entry->is_object() ? *entry : nlohmann::json();
+}
+
+std::optional<std::string> get_text_field(const nlohmann::json& object, const char* field) {
+    const auto entry = object.is_object() ? object.find(field) : object.end();
+    return entry != object.end() && entry->is_string() ? std::optional(entry->get<std::string>())
+                                                       : std::nullopt;
+}
+
+std::optional<row_version> get_version_field(const nlohmann::json& object, const char* field) {
+    const auto entry = object.is_object() ? object.find(field) : object.end();
+    return entry != object.end() && entry->is_number_integer()
+               ? std::optional(entry->get<row_version>())
+               : std::nullopt;
+}
+
 }  // namespace
 
 store_watcher::store_watcher(transport::event_loop& loop, store_client& store,
@@ -243,77 +265,123 @@
 std::string store_watcher::format_update_request(const table_digests& digests) const {
     const table_digests own = get_digests();
     nlohmann::json request = nlohmann::json::object();
+    const auto add = [&](const char* field, const table_copy& table) {
+        // VMs of an earlier release read only this version and send the list of all rows.
+        request[field] = table.get_newest_version();
+        if (table.get_read_version() > 0 && !incomplete_tables_.contains(field)) {
+            request[changes_field][field] = table.get_read_version();
+        }
+    };
     if (digests.configuration != own.configuration) {
-        request[configuration_field] =
-            tables_.at(platform_table::configuration).get_newest_version();
+        add(configuration_field, tables_.at(platform_table::configuration));
     }
     if (digests.targets != own.targets) {
-        request[targets_field] = tables_.at(platform_table::targets).get_newest_version();
+        add(targets_field, tables_.at(platform_table::targets));
     }
     if (digests.rows != own.rows) {
-        request[rows_field] = rows_.get_newest_version();
+        add(rows_field, rows_);
     }
     return request.dump();
 }
 
 std::string store_watcher::format_updates(const std::string& request) const {
     const nlohmann::json wanted = nlohmann::json::parse(request, nullptr, false);
+    const nlohmann::json changes_since = get_object_field(wanted, changes_field);
     nlohmann::json result = nlohmann::json::object();
-    const auto add = [&](const char* field, const table_copy& table) {
-        const auto after = wanted.is_object() ? wanted.find(field) : wanted.end();
-        if (after != wanted.end() && after->is_number_integer()) {
-            result[field] = format_table_update(table.get_update(after->get<row_version>()));
+    const auto add = [&](const char* field, const table_copy& table, std::size_t max_bytes) {
+        std::string text;
+        nlohmann::json* place = nullptr;
+        if (const auto since = get_version_field(changes_since, field)) {
+            text = format_table_changes(table.get_changes(*since));
+            place = &result[changes_field][field];
+        } else if (const auto after = get_version_field(wanted, field)) {
+            text = format_table_update(table.get_update(*after));
+            place = &result[field];
+        } else {
+            return;
         }
+        if (text.size() > max_bytes) {
+            result[field] = nullptr;
+            return;
+        }
+        *place = std::move(text);
     };
-    add(configuration_field, tables_.at(platform_table::configuration));
-    if (result.contains(configuration_field) &&
-        result[configuration_field].get_ref<const std::string&>().size() >
-            max_relayed_configuration_bytes) {
-        result[configuration_field] = nullptr;
-    }
-    add(targets_field, tables_.at(platform_table::targets));
+    constexpr std::size_t no_limit = std::numeric_limits<std::size_t>::max();
+    add(configuration_field, tables_.at(platform_table::configuration),
+        max_relayed_configuration_bytes);
+    add(targets_field, tables_.at(platform_table::targets), no_limit);
     if (const auto age = get_rows_age(transport::get_boot_time())) {
-        add(rows_field, rows_);
+        add(rows_field, rows_, no_limit);
         result[rows_age_field] = *age;
     }
     return result.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
 }
 
+std::vector<stored_row> store_watcher::apply_changes(const std::string& field, table_copy& table,
+                                                     const table_changes& changes) {
+    std::vector<stored_row> newer = table.apply_changes(changes);
+    if (table.get_digest() == changes.digest) {
+        incomplete_tables_.erase(field);
+    } else {
+        incomplete_tables_.insert(field);
+    }
+    return newer;
+}
+
 void store_watcher::apply_updates(const std::string& text, std::int64_t sent_at) {
     const nlohmann::json object = nlohmann::json::parse(text, nullptr, false);
-    const auto find_field = [&](const char* field) {
-        return object.is_object() ? object.find(field) : object.end();
-    };
+    const nlohmann::json all_changes = get_object_field(object, changes_field);
     const auto find_update = [&](const char* field) {
-        const auto entry = find_field(field);
-        return entry != object.end() && entry->is_string()
-                   ? parse_table_update(entry->get<std::string>())
-                   : std::nullopt;
+        const auto entry = get_text_field(object, field);
+        return entry ? parse_table_update(*entry) : std::nullopt;
     };
-    if (const auto update = find_update(configuration_field)) {
-        apply(platform_table::configuration,
-              tables_[platform_table::configuration].apply_update(*update));
-    }
-    const auto configuration = find_field(configuration_field);
+    const auto find_changes = [&](const char* field) {
+        const auto entry = get_text_field(all_changes, field);
+        return entry ? parse_table_changes(*entry) : std::nullopt;
+    };
+    const auto apply_table = [&](platform_table table, const char* field) {
+        if (const auto update = find_update(field)) {
+            apply(table, tables_[table].apply_update(*update));
+            incomplete_tables_.erase(field);
+            return true;
+        }
+        if (const auto changes = find_changes(field)) {
+            apply(table, apply_changes(field, tables_[table], *changes));
+            return true;
+        }
+        return false;
+    };
+    apply_table(platform_table::configuration, configuration_field);
+    const auto configuration = object.is_object() ? object.find(configuration_field) : object.end();
     if (configuration != object.end() && configuration->is_null() &&
         !watched_.contains(platform_table::configuration)) {
         // A watch waits long enough for a large answer on a slow link.
         request_changes(platform_table::configuration,
                         tables_[platform_table::configuration].get_read_version());
     }
-    if (const auto update = find_update(targets_field)) {
-        apply(platform_table::targets, tables_[platform_table::targets].apply_update(*update));
+    if (apply_table(platform_table::targets, targets_field)) {
         has_targets_ = true;
     }
-    const auto age = find_field(rows_age_field);
-    const auto rows = find_update(rows_field);
+    const auto age = object.is_object() ? object.find(rows_age_field) : object.end();
     // A negative age would renew leases for longer than they last.
-    if (rows && age != object.end() && age->is_number_unsigned()) {
-        rows_.apply_update(*rows);
-        const std::int64_t requested_at = sent_at - age->get<std::int64_t>();
-        rows_confirmed_at_ = std::max(rows_confirmed_at_, requested_at);
-        callbacks_.rows_read(rows_.get_rows(), requested_at);
+    if (age == object.end() || !age->is_number_unsigned()) {
+        return;
+    }
+    if (const auto update = find_update(rows_field)) {
+        rows_.apply_update(*update);
+        incomplete_tables_.erase(rows_field);
+    } else if (const auto changes = find_changes(rows_field)) {
+        apply_changes(rows_field, rows_, *changes);
+        if (incomplete_tables_.contains(rows_field)) {
+            // The copy may still list a VM that was removed, for example this one.
+            return;
+        }
+    } else {
+        return;
     }
+    const std::int64_t requested_at = sent_at - age->get<std::int64_t>();
+    rows_confirmed_at_ = std::max(rows_confirmed_at_, requested_at);
+    callbacks_.rows_read(rows_.get_rows(), requested_at);
 }
 
 void store_watcher::apply(platform_table table, const std::vector<stored_row>& newer) {
--- a/src/gateway/store_watcher.h
+++ b/src/gateway/store_watcher.h
@@ -75,7 +75,8 @@
     /** A hub holds the same rows, from a read that was sent at `requested_at` or later. */
     void confirm_rows(std::int64_t requested_at);
 
-    /** What another VM lacks: `request` holds the newest version that it has of each table. */
+    /** What another VM lacks: `request` holds the newest version that it has of each table, and the
+     * version of the store that its copy reflects unless it needs the whole list of rows. */
     std::string format_updates(const std::string& request) const;
 
     /** Body for a request of updates from a hub with these digests. */
@@ -115,6 +116,10 @@
     void request_changes(platform_table table, row_version after);
     void retry_table(platform_table table);
     void apply(platform_table table, const std::vector<stored_row>& newer);
+    /** Applies a hub's changes of the table that an update answer names `field`; returns the newer
+     * rows. */
+    std::vector<stored_row> apply_changes(const std::string& field, table_copy& table,
+                                          const table_changes& changes);
     void apply_target(const std::string& id, const std::optional<target_entry>& entry);
     void remove_expired_targets();
 
@@ -126,6 +131,9 @@
     transport::loop_timer removal_timer_;
     std::map<platform_table, table_copy> tables_;
     table_copy rows_;  ///< The product's rows.
+    /// Tables, by the name in update requests, whose copy differed from the hub's after its
+    /// changes.
+    std::set<std::string> incomplete_tables_;
     source source_ = source::store;
     std::set<platform_table> watched_;    ///< Tables with a read or watch in progress.
     std::int64_t rows_confirmed_at_ = 0;  ///< Send time of the newest read; 0 before the first.
--- a/src/gateway/table_copy.cpp
+++ b/src/gateway/table_copy.cpp
@@ -46,6 +46,30 @@
     }
 }
 
+std::string format_table_changes(const table_changes& changes) {
+    json rows = json::array();
+    for (const stored_row& row : changes.rows) {
+        rows.push_back(json::array({row.key, row.value, row.version, row.is_deleted}));
+    }
+    return json{{"read_version", changes.read_version}, {"digest", changes.digest}, {"rows", rows}}
+        .dump(-1, ' ', false, json::error_handler_t::replace);
+}
+
+std::optional<table_changes> parse_table_changes(const std::string& text) {
+    const json object = json::parse(text, nullptr, false);
+    try {
+        table_changes changes;
+        object.at("read_version").get_to(changes.read_version);
+        object.at("digest").get_to(changes.digest);
+        for (const json& row : object.at("rows")) {
+            changes.rows.push_back({{}, row.at(0), row.at(1), row.at(2), row.at(3)});
+        }
+        return changes;
+    } catch (const json::exception&) {
+        return std::nullopt;
+    }
+}
+
 std::vector<stored_row> table_copy::apply(const std::vector<stored_row>& rows) {
     std::vector<stored_row> newer;
     for (const stored_row& row : rows) {
@@ -113,6 +137,24 @@
     return update;
 }
 
+table_changes table_copy::get_changes(row_version since) const {
+    table_changes changes{read_version_, digest_, {}};
+    for (const auto& [key, row] : rows_) {
+        if (row.version > since) {
+            changes.rows.push_back(row);
+        }
+    }
+    return changes;
+}
+
+std::vector<stored_row> table_copy::apply_changes(const table_changes& changes) {
+    const std::vector<stored_row> newer = apply_copied(changes.rows);
+    if (digest_ == changes.digest) {
+        set_read_version(changes.read_version);
+    }
+    return newer;
+}
+
 std::optional<stored_row> table_copy::find(const std::string& key) const {
     const auto entry = rows_.find(key);
     return entry == rows_.end() || entry->second.is_deleted ? std::nullopt
--- a/src/gateway/table_copy.h
+++ b/src/gateway/table_copy.h
@@ -19,12 +19,27 @@
     bool operator==(const table_update&) const = default;
 };
 
+/** What changed in a copy of a table since an earlier version of the store. */
+struct table_changes {
+    row_version read_version = 0;  ///< The store's version that the copy reflects.
+    std::uint64_t digest = 0;      ///< Of the copy.
+    std::vector<stored_row> rows;  ///< Removed ones included.
+
+    bool operator==(const table_changes&) const = default;
+};
+
 /** Formats an update as JSON. Bytes that are not valid UTF-8 are replaced. Thread safe. */
 std::string format_table_update(const table_update& update);
 
 /** Empty when the text is not a valid update. Thread safe. */
 std::optional<table_update> parse_table_update(const std::string& text);
 
+/** As format_table_update(). Thread safe. */
+std::string format_table_changes(const table_changes& changes);
+
+/** Empty when the text is not valid. Thread safe. */
+std::optional<table_changes> parse_table_changes(const std::string& text);
+
 /**
  * A VM's copy of one table of the store. Rows that were removed are remembered with the version at
  * which they were missing, so that an older copy of another VM does not bring them back. Not thread
@@ -52,6 +67,16 @@
     /** The difference to a copy whose newest row has version `after`. */
     table_update get_update(row_version after) const;
 
+    /** The changes since the store's version `since`, for a copy that reflects it. */
+    table_changes get_changes(row_version since) const;
+
+    /**
+     * Applies the changes to another VM's copy; returns the newer rows, removed ones included. If
+     * the digest differs from theirs afterwards, this copy lacks a change and keeps its read
+     * version; only get_update() then brings it up to date.
+     */
+    std::vector<stored_row> apply_changes(const table_changes& changes);
+
     /** The row with this key; empty if there is none or it was removed. */
     std::optional<stored_row> find(const std::string& key) const;
 
--- a/tests/gateway/table_copy_test.cpp
+++ b/tests/gateway/table_copy_test.cpp
@@ -86,5 +86,32 @@
     }
 }
 
+TEST(table_copy, changes_since_its_read_make_a_copy_equal) {
+    table_copy older;
+    older.apply_read({make_row("a", 1), make_row("b", 2)}, 5);
+    table_copy newer = older;
+    newer.apply_read({make_row("a", 6), make_row("c", 7)}, 8);
+    table_changes changes = newer.get_changes(older.get_read_version());
+    for (stored_row& row : changes.rows) {
+        row.table.clear();  // Both VMs know the table.
+    }
+    EXPECT_EQ(parse_table_changes(format_table_changes(changes)), changes);
+    EXPECT_EQ(changes.rows.size(), 3U);
+    EXPECT_EQ(older.apply_changes(changes).size(), 3U);
+    EXPECT_EQ(older.get_digest(), newer.get_digest());
+    EXPECT_EQ(older.get_read_version(), 8);
+}
+
+// Guards against a copy that counts as up to date although a change was missing.
+TEST(table_copy, changes_that_leave_a_difference_do_not_raise_the_read_version) {
+    table_copy older;
+    older.apply_read({make_row("a", 1), make_row("b", 2)}, 5);
+    table_copy newer;
+    newer.apply_read({make_row("a", 6)}, 8);
+    older.apply_changes(newer.get_changes(5));
+    EXPECT_NE(older.get_digest(), newer.get_digest());
+    EXPECT_EQ(older.get_read_version(), 5);
+}
+
 }  // namespace
 }  // namespace hornbeamhook::gateway
