Let statements wait for the first record on a VM that has just started

Cause: after all VMs lose power, callers reach VMs that accept connections and know the configuration, but read their first leadership records 50 to 100 ms later. They refused after a tenth of the objective (50 ms), as a VM does that lost the primary; homes refused at once.

Change: in its first second a VM that knows no primary of a group holds its statements for up to half of the objective (coordination:: get_not_runnable_wait_ms); a home does the same with relayed statements. A VM that knew a primary and lost its lease still refuses after a tenth.

Two tests of VMs without a lease now set up a VM that knew the primary, because a VM that has just started does something else; what they check is unchanged.

--- a/src/coordination/queue_wait.h
+++ b/src/coordination/queue_wait.h
@@ -19,4 +19,13 @@
  */
 std::int64_t get_expected_wait_ms(int ahead, int connections, double answer_ms);
 
+/**
+ * How long a statement waits while this VM knows of no target that may run it, in ms. A VM that
+ * lost a primary or its lease refuses it early, because another VM may still serve it. A VM that
+ * has started `since_start_ms` ago and knows no primary yet usually learns of it within 100 ms, and
+ * when the whole fleet restarts all other VMs are in the same state. Pure, thread safe.
+ */
+std::int64_t get_not_runnable_wait_ms(std::int64_t objective_ms, bool is_primary_known,
+                                      std::int64_t since_start_ms);
+
 }  // namespace hornbeamhook::coordination
--- a/src/gateway/session_engine.cpp
+++ b/src/gateway/session_engine.cpp
@@ -12,9 +12,6 @@
 namespace {
 
 constexpr std::int64_t tick_ms = 50;  ///< Resolution of time limits; each tick costs a wake-up.
-/// Part of the objective that a statement waits while no target may run it. After that, the caller
-/// does better by repeating the operation at another VM.
-constexpr double not_runnable_wait_fraction = 0.1;
 /// Part of the objective after which a read is also sent to another target.
 constexpr double hedge_delay_fraction = 0.5;
 constexpr std::int64_t default_objective_ms = 500;  ///< For routes without one.
@@ -400,6 +397,11 @@
     const auto record = group.lease.get_usable(now);
     const bool is_lease_missing =
         pending->needs_primary && (!record || record->target != *pending->target);
+    if (target != nullptr && is_lease_missing &&
+        now - pending->arrived_at < get_not_runnable_wait(group, pending->wait_ms, now) &&
+        !group.lease.get_record()) {
+        return assignment::must_wait;  // This VM has just started.
+    }
     if (target == nullptr || target->removed_at != 0 || is_lease_missing) {
         refuse(group, pending, failure_code::busy,
                is_lease_missing ? "no right to this primary" : "no such target");
@@ -922,7 +924,7 @@
         const bool is_not_runnable =
             !pending->is_relayed() && pending->attempts == 0 && !is_runnable(group, *pending, now);
         const std::int64_t limit = is_not_runnable
-                                       ? scale(get_objective(*pending), not_runnable_wait_fraction)
+                                       ? get_not_runnable_wait(group, get_objective(*pending), now)
                                        : get_wait_limit(group, *pending, now);
         if (now - pending->arrived_at >= limit) {
             refuse(group, pending,
@@ -955,6 +957,13 @@
     }
 }
 
+std::int64_t session_engine::get_not_runnable_wait(const target_group& group,
+                                                   std::int64_t objective_ms,
+                                                   std::int64_t now) const {
+    return coordination::get_not_runnable_wait_ms(
+        objective_ms, group.lease.get_record().has_value(), now - started_at_);
+}
+
 bool session_engine::is_runnable(const target_group& group, const pending_statement& pending,
                                  std::int64_t now) {
     const bool has_position =
--- a/src/gateway/session_engine.h
+++ b/src/gateway/session_engine.h
@@ -136,6 +136,9 @@
     /** Whether the statement has failed at each usable target. */
     static bool is_every_target_avoided(const target_group& group,
                                         const pending_statement& pending);
+    /** How long a statement waits that no target may run now. */
+    std::int64_t get_not_runnable_wait(const target_group& group, std::int64_t objective_ms,
+                                       std::int64_t now) const;
     /** Whether the lease or a known log position allows a target to run the statement. */
     static bool is_runnable(const target_group& group, const pending_statement& pending,
                             std::int64_t now);
@@ -172,6 +175,7 @@
     std::map<const caller_session*, std::shared_ptr<caller_session>> sessions_;
     target_control control_;
     transport::loop_timer timer_;
+    std::int64_t started_at_ = transport::get_boot_time();
     bool is_stopping_ = false;
 };
 
--- a/tests/coordination/queue_wait_test.cpp
+++ b/tests/coordination/queue_wait_test.cpp
@@ -30,6 +30,61 @@
     EXPECT_EQ(get_max_wait_ms(0, 10), 0);
 }
 
+// Load: all VMs lose power and start again within half a second. Callers arrive from the first
+// moment; each may send its operation to two further VMs. Guards against operations that are
+// refused three times, by VMs that would have known the primary 50 ms later.
+TEST(queue_wait, callers_of_a_fleet_that_starts_are_not_refused) {
+    constexpr std::int64_t objective_ms = 500;
+    constexpr std::int64_t start_spread_ms = 500;
+    constexpr std::int64_t round_trip_ms = 3;
+    constexpr int vms = 100;
+    constexpr int operations = 2000;
+    constexpr int attempts = 3;
+    const std::uint64_t seed = tests::get_seed();
+    std::mt19937_64 random(seed);
+    std::uniform_int_distribution<std::int64_t> start(0, start_spread_ms);
+    std::uniform_int_distribution<std::int64_t> learning(50, 150);
+    std::uniform_int_distribution<std::size_t> choice(0, vms - 1);
+    struct vm {
+        std::int64_t started_at = 0;
+        std::int64_t knows_primary_at = 0;
+    };
+    std::vector<vm> fleet(vms);
+    for (vm& each : fleet) {
+        each.started_at = start(random);
+        each.knows_primary_at = each.started_at + learning(random);
+    }
+    int refused = 0;
+    for (int i = 0; i < operations; ++i) {
+        std::int64_t now = start(random);
+        int attempt = 0;
+        while (attempt < attempts) {
+            const vm& each = fleet[choice(random)];
+            if (now < each.started_at) {
+                now +=
+                    round_trip_ms;  // No process accepts the connection, so another one is tried.
+                continue;
+            }
+            const std::int64_t wait_ms =
+                get_not_runnable_wait_ms(objective_ms, false, now - each.started_at);
+            if (now + wait_ms >= each.knows_primary_at) {
+                break;
+            }
+            now += wait_ms + round_trip_ms;
+            ++attempt;
+        }
+        refused += attempt == attempts ? 1 : 0;
+    }
+    EXPECT_EQ(refused, 0) << "seed " << seed;
+}
+
+// Guards against callers that wait for a VM that lost the store, while another could serve them.
+TEST(queue_wait, a_vm_without_lease_refuses_early) {
+    EXPECT_EQ(get_not_runnable_wait_ms(500, true, 200), 50);
+    EXPECT_EQ(get_not_runnable_wait_ms(500, true, 60'000), 50);
+    EXPECT_EQ(get_not_runnable_wait_ms(500, false, 60'000), 50);
+}
+
 /** Counts of the statements of an overload. */
 struct overload_result {
     int submitted = 0;
--- a/tests/gateway/session_engine_test.cpp
+++ b/tests/gateway/session_engine_test.cpp
@@ -48,6 +48,14 @@
         engine_.get_groups()["g"].lease.confirm({target, term, {}, next_version_++}, now);
     }
 
+    /** Makes the target the known primary, on which this VM has no lease any more. */
+    void give_expired_lease(const std::string& target) {
+        engine_.get_groups()["g"].name = "g";
+        engine_.get_groups()["g"].lease.confirm(
+            {target, 1, {}, next_version_++},
+            transport::get_boot_time() - 2 * coordination::lease_duration_ms);
+    }
+
     void run_until(const std::function<bool()>& condition) { tests::run_until(loop_, condition); }
 
     std::unique_ptr<test_caller> open_session(const std::string& database) {
@@ -172,6 +180,7 @@
 // run.
 TEST_F(session_engine_test, refuses_a_write_without_a_lease_and_sends_nothing) {
     scripted_target& target = add_target("t1", true, make_idle_target());
+    give_expired_lease("t1");
     const auto caller = open_session("strict");
     const auto answer = ask(*caller, "WRITE k1 x");
     ASSERT_EQ(answer.size(), 1U);
@@ -179,10 +188,26 @@
     EXPECT_TRUE(target.lines.empty());
 }
 
+// Load: the whole fleet starts. Guards against a refusal by a VM that learns of the primary 100 ms
+// after it has started.
+TEST_F(session_engine_test, a_vm_that_has_just_started_waits_for_the_first_record) {
+    constexpr std::int64_t learning_ms = 100;
+    scripted_target& target = add_target("t1", true, make_idle_target());
+    const auto caller = open_session("strict");
+    const std::int64_t asked_at = transport::get_boot_time();
+    caller->send("QUERY 1 READ k1");
+    run_until([&] { return transport::get_boot_time() - asked_at >= learning_ms; });
+    give_lease("t1");
+    engine_.dispatch("g");
+    run_until([&] { return contains(caller->lines, "COMPLETE"); });
+    EXPECT_TRUE(contains(target.lines, "READ k1"));
+}
+
 // Guards against callers that wait most of their objective for a read that this VM cannot prove to
 // be fresh, instead of trying another VM.
 TEST_F(session_engine_test, refuses_a_read_without_lease_and_position_early) {
     scripted_target& target = add_target("t2", false, make_idle_target());
+    give_expired_lease("t1");
     const auto caller = open_session("bounded");
     const std::int64_t asked_at = transport::get_boot_time();
     const auto answer = ask(*caller, "READ k1");
