Open half of the connections in the first seconds of a process

Change: a process opens at most half of its quota to a target, at least one, in its first 3 s (gateway::get_link_limit).

Test: home_plan.a_fleet_that_restarts_finds_room_for_its_connections now also asks that the wanted connections fit; with the whole quota it does not hold.

--- a/src/gateway/home_plan.cpp
+++ b/src/gateway/home_plan.cpp
@@ -22,6 +22,8 @@
 /// For links within the quota. Opening one again takes a slot of the target for 12 ms.
 constexpr std::int64_t idle_timeout_ms = 3000;
 constexpr std::int64_t surplus_idle_timeout_ms = 1500;
+/// Targets drop the connections of an unreachable VM after 3 s.
+constexpr std::int64_t start_duration_ms = 3000;
 
 std::string get_region(const home_plan_input& input, const std::string& place) {
     const auto entry = input.place_regions.find(place);
@@ -53,6 +55,13 @@
     return index >= kept_links ? std::optional(idle_timeout_ms) : std::nullopt;
 }
 
+int get_link_limit(const home_plan& plan, std::int64_t since_start_ms, bool may_exceed_quota) {
+    if (since_start_ms < start_duration_ms) {
+        return std::max(1, plan.quota / 2);
+    }
+    return plan.quota + (may_exceed_quota ? plan.max_surplus : 0);
+}
+
 home_plan plan_homes(const target_entry& target, int connection_limit,
                      const home_plan_input& input) {
     return home_planner(input).plan(target, connection_limit);
--- a/src/gateway/home_plan.h
+++ b/src/gateway/home_plan.h
@@ -32,6 +32,12 @@
  */
 std::optional<std::int64_t> get_idle_timeout_ms(const home_plan& plan, int index);
 
+/**
+ * Connections that a VM may hold `since_start_ms` after its process started. In the first seconds
+ * the target may still count those of the process before it, which lost power. Pure, thread safe.
+ */
+int get_link_limit(const home_plan& plan, std::int64_t since_start_ms, bool may_exceed_quota);
+
 /** Input of plan_homes() that is the same for all targets. */
 struct home_plan_input {
     std::vector<fleet_member> live;  ///< VMs that answer and are not stopping, including this one.
--- a/src/gateway/session_engine.cpp
+++ b/src/gateway/session_engine.cpp
@@ -443,8 +443,7 @@
         // For VMs that still treat this one as a home, and when all homes fail.
         return now < target.connection_limited_until ? 0 : fallback_links;
     }
-    return target.plan.quota +
-           (now < target.connection_limited_until ? 0 : target.plan.max_surplus);
+    return get_link_limit(target.plan, now - started_at_, now >= target.connection_limited_until);
 }
 
 std::shared_ptr<target_link> session_engine::find_link(target_state& target,
--- a/tests/gateway/home_plan_test.cpp
+++ b/tests/gateway/home_plan_test.cpp
@@ -116,11 +116,13 @@
     return kept;
 }
 
-// Load: all VMs lose power and start again while their targets still count the old connections.
-// Guards against refused connections for 3 s after that, because a burst some time before had left
-// connections open up to the limit.
+// Load: all VMs lose power and start again while their targets still count the old connections, and
+// the callers of the last second return at once. Guards against refused connections for 3 s after
+// that, because a burst some time before had left connections open up to the limit, or because the
+// new processes open as many as they may hold later.
 TEST(home_plan, a_fleet_that_restarts_finds_room_for_its_connections) {
     constexpr std::int64_t since_burst_ms = 5000;
+    constexpr std::int64_t since_start_ms = 500;
     constexpr int busy = 2;
     for (const int per_place : {6, 20, 65}) {
         counting_target target{88};
@@ -129,10 +131,18 @@
         const int holders =
             plan.homes.empty() ? 3 * per_place : static_cast<int>(plan.homes.size());
         target.lost = holders * count_kept(plan, busy, since_burst_ms);
-        EXPECT_GE(target.get_room(), holders * busy) << per_place;
+        const int wanted = holders * get_link_limit(plan, since_start_ms, true);
+        EXPECT_GE(wanted, holders * busy) << per_place;
+        EXPECT_LE(wanted, target.get_room()) << per_place;
     }
 }
 
+TEST(home_plan, a_vm_with_a_single_connection_keeps_it_while_it_starts) {
+    EXPECT_EQ(get_link_limit({{}, 1, 1}, 0, true), 1);
+    EXPECT_EQ(get_link_limit({{}, 4, 1}, 10'000, true), 5);
+    EXPECT_EQ(get_link_limit({{}, 4, 1}, 10'000, false), 4);
+}
+
 // Load: 240 VMs start one after another, some leave, and 60 targets have homes among them.
 // Guards against plans that depend on the order of the changes, so that VMs disagree on the homes.
 TEST(home_planner, updated_plans_equal_new_ones) {
