--- a/src/gateway/table_copy.cpp
+++ b/src/gateway/table_copy.cpp
@@ -148,7 +148,7 @@
 }
 
 std::vector<stored_row> table_copy::apply_changes(const table_changes& changes) {
-    const std::vector<stored_row> newer = apply_copied(changes.rows);
+    std::vector<stored_row> newer = apply_copied(changes.rows);
     if (digest_ == changes.digest) {
         set_read_version(changes.read_version);
     }
