--- a/src/gateway/session_engine.h
+++ b/src/gateway/session_engine.h
@@ -12,6 +12,7 @@
 #include "gateway/caller_session.h"
 #include "gateway/configuration.h"
 #include "gateway/gateway_counters.h"
+#include "gateway/home_planner.h"
 #include "gateway/home_selector.h"
 #include "gateway/pending_statement.h"
 #include "gateway/session_protocol.h"
--- a/tests/gateway/home_plan_test.cpp
+++ b/tests/gateway/home_planner_test.cpp
@@ -1,4 +1,4 @@
-#include "gateway/home_plan.h"
+#include "gateway/home_planner.h"
 
 #include <gtest/gtest.h>
 
@@ -28,6 +28,11 @@
     return {id, "g", {"10.0.1.1", 8227}, place, 1, 3, false, false};
 }
 
+home_plan plan_homes(const target_entry& target, int connection_limit,
+                     const home_plan_input& input) {
+    return home_planner(input).plan(target, connection_limit);
+}
+
 std::set<std::string> get_places(const home_plan& plan) {
     std::set<std::string> result;
     for (const std::string& vm : plan.homes) {
@@ -36,7 +41,7 @@
     return result;
 }
 
-TEST(home_plan, small_fleet_connects_directly) {
+TEST(home_planner, small_fleet_connects_directly) {
     const home_plan plan = plan_homes(make_target("t1", "a1"), 23, make_fleet(2));
     EXPECT_TRUE(plan.homes.empty());
     EXPECT_EQ(plan.quota, 3);
@@ -44,7 +49,7 @@
 }
 
 // Guards against exceeding the target's connection limit, also while VMs see different homes.
-TEST(home_plan, limit_holds_with_one_more_home) {
+TEST(home_planner, limit_holds_with_one_more_home) {
     for (const int limit : {8, 20, 32, 107}) {
         for (const int per_place : {13, 20, 25, 100}) {
             const home_plan plan =
@@ -61,7 +66,7 @@
 }
 
 // Guards against statements that cross regions twice because a home is far from its target.
-TEST(home_plan, homes_are_near_the_target) {
+TEST(home_planner, homes_are_near_the_target) {
     home_plan_input input = make_fleet(20);
     EXPECT_EQ(get_places(plan_homes(make_target("t1", "a1"), 32, input)),
               (std::set<std::string>{"a1"}));
@@ -75,7 +80,7 @@
 
 // Guards against VMs that compute different homes because their member order differs, and against
 // a lost VM that changes the homes of targets it was not a home of.
-TEST(home_plan, depends_only_on_the_members) {
+TEST(home_planner, depends_only_on_the_members) {
     home_plan_input input = make_fleet(20);
     const home_plan plan = plan_homes(make_target("t1", "a1"), 32, input);
     std::reverse(input.live.begin(), input.live.end());
@@ -87,7 +92,7 @@
 }
 
 // Guards against a few VMs becoming the homes of all targets.
-TEST(home_plan, spreads_the_targets) {
+TEST(home_planner, spreads_the_targets) {
     std::set<std::string> homes;
     for (int i = 0; i < 24; ++i) {
         const home_plan plan =
@@ -120,7 +125,7 @@
 // the callers of the last second return at once. Guards against refused connections for 3 s after
 // that, because a burst some time before had left connections open up to the limit, or because the
 // new processes open as many as they may hold later.
-TEST(home_plan, a_fleet_that_restarts_finds_room_for_its_connections) {
+TEST(home_planner, a_fleet_that_restarts_finds_room_for_its_connections) {
     constexpr std::int64_t since_burst_ms = 5000;
     constexpr std::int64_t since_start_ms = 500;
     constexpr int busy = 2;
@@ -137,7 +142,7 @@
     }
 }
 
-TEST(home_plan, a_vm_with_a_single_connection_keeps_it_while_it_starts) {
+TEST(home_planner, a_vm_with_a_single_connection_keeps_it_while_it_starts) {
     EXPECT_EQ(get_link_limit({{}, 1, 1}, 0, true), 1);
     EXPECT_EQ(get_link_limit({{}, 4, 1}, 10'000, true), 5);
     EXPECT_EQ(get_link_limit({{}, 4, 1}, 10'000, false), 4);
