Look up JSON fields and the rank for a first record in one place each

Read in the whole change: store_watcher.cpp had the same field look-up five times after updates with changes were added, and get_first_record_rank() computed the position among the homes that get_claim_rank() gives.

No behaviour changes.

--- a/src/gateway/leadership_manager.cpp
+++ b/src/gateway/leadership_manager.cpp
@@ -510,13 +510,11 @@
     if (primary == nullptr || !is_claim_allowed(now) || !is_store_read_recent(now)) {
         return std::nullopt;
     }
-    const std::vector<std::string>& homes = primary->plan.homes;
-    if (homes.empty()) {
-        return fleet_.get_rank(group.name, now);
+    if (!primary->plan.homes.empty() && !primary->plan.is_home(fleet_.get_self().vm)) {
+        // Other VMs do not connect to the target. A lost home is replaced by the next plan.
+        return std::nullopt;
     }
-    const auto own = std::find(homes.begin(), homes.end(), fleet_.get_self().vm);
-    // Other VMs do not connect to the target. A lost home is replaced by the next plan.
-    return own == homes.end() ? std::nullopt : std::optional(static_cast<int>(own - homes.begin()));
+    return get_claim_rank(group, now);
 }
 
 bool leadership_manager::prepare_first_record(target_group& group, group_status& status,
--- a/src/gateway/store_watcher.cpp
+++ b/src/gateway/store_watcher.cpp
@@ -58,23 +58,28 @@
     return "store";
 }
 
-/** Null unless `object` has an object of that name. */
-nlohmann::json get_object_field(const nlohmann::json& object, const char* field) {
-    const auto entry = object.is_object() ? object.find(field) : object.end();
-    return entry != object.end() && entry->is_object() ? *entry : nlohmann::json();
+/** Null if `value` is not an object with that field. */
+const nlohmann::json* find_field(const nlohmann::json& value, const char* field) {
+    const auto entry = value.is_object() ? value.find(field) : value.end();
+    return entry == value.end() ? nullptr : &*entry;
 }
 
-std::optional<std::string> get_text_field(const nlohmann::json& object, const char* field) {
-    const auto entry = object.is_object() ? object.find(field) : object.end();
-    return entry != object.end() && entry->is_string() ? std::optional(entry->get<std::string>())
-                                                       : std::nullopt;
+/** Null unless the field is an object. */
+nlohmann::json get_object_field(const nlohmann::json& value, const char* field) {
+    const nlohmann::json* entry = find_field(value, field);
+    return entry != nullptr && entry->is_object() ? *entry : nlohmann::json();
 }
 
-std::optional<row_version> get_version_field(const nlohmann::json& object, const char* field) {
-    const auto entry = object.is_object() ? object.find(field) : object.end();
-    return entry != object.end() && entry->is_number_integer()
-               ? std::optional(entry->get<row_version>())
-               : std::nullopt;
+std::optional<std::string> get_text_field(const nlohmann::json& value, const char* field) {
+    const nlohmann::json* entry = find_field(value, field);
+    return entry != nullptr && entry->is_string() ? std::optional(entry->get<std::string>())
+                                                  : std::nullopt;
+}
+
+std::optional<row_version> get_version_field(const nlohmann::json& value, const char* field) {
+    const nlohmann::json* entry = find_field(value, field);
+    return entry != nullptr && entry->is_number_integer() ? std::optional(entry->get<row_version>())
+                                                          : std::nullopt;
 }
 
 }  // namespace
@@ -352,8 +357,8 @@
         return false;
     };
     apply_table(platform_table::configuration, configuration_field);
-    const auto configuration = object.is_object() ? object.find(configuration_field) : object.end();
-    if (configuration != object.end() && configuration->is_null() &&
+    const nlohmann::json* configuration = find_field(object, configuration_field);
+    if (configuration != nullptr && configuration->is_null() &&
         !watched_.contains(platform_table::configuration)) {
         // A watch waits long enough for a large answer on a slow link.
         request_changes(platform_table::configuration,
@@ -362,9 +367,9 @@
     if (apply_table(platform_table::targets, targets_field)) {
         has_targets_ = true;
     }
-    const auto age = object.is_object() ? object.find(rows_age_field) : object.end();
+    const nlohmann::json* age = find_field(object, rows_age_field);
     // A negative age would renew leases for longer than they last.
-    if (age == object.end() || !age->is_number_unsigned()) {
+    if (age == nullptr || !age->is_number_unsigned()) {
         return;
     }
     if (const auto update = find_update(rows_field)) {
