--- a/src/gateway/gateway_events.h
+++ b/src/gateway/gateway_events.h
@@ -41,5 +41,9 @@
 inline constexpr event_type event_bad_input{7035, "bad_input", event_severity::warning};
 inline constexpr event_type event_statement_failed{7036, "statement_failed"};
 inline constexpr event_type event_store_source{7037, "store_source_changed"};
+inline constexpr event_type event_store_restored{7038, "store_restored", event_severity::warning};
+inline constexpr event_type event_watch_failed{7039, "table_watch_failed", event_severity::warning};
+inline constexpr event_type event_read_failed{7040, "table_read_failed", event_severity::warning};
+inline constexpr event_type event_row_ignored{7041, "row_ignored", event_severity::warning};
 
 }  // namespace hornbeamhook::gateway
--- a/src/gateway/platform_protocol.h
+++ b/src/gateway/platform_protocol.h
@@ -46,6 +46,8 @@
     std::vector<stored_row> rows;
     row_version version = 0;  ///< The store's newest version.
     bool has_more = false;    ///< More rows follow the last one of `rows`.
+    /// Rises each time that the store is restored from an earlier copy; 0 if it is not known.
+    std::int64_t era = 0;
 };
 
 /** A change of one row, conditional unless stated otherwise. */
--- a/src/gateway/store_client.cpp
+++ b/src/gateway/store_client.cpp
@@ -40,8 +40,13 @@
         answer.status = reply.at("status");
         answer.body = reply.at("body");
         answer.error.was_sent = reply.at("was_sent");
+        // VMs of an earlier release pass on no headers.
+        const nlohmann::json headers = reply.value("headers", nlohmann::json::object());
+        for (const auto& [name, value] : headers.items()) {
+            answer.headers.push_back({name, value});
+        }
     } catch (const nlohmann::json::exception& error) {
-        answer.status = 0;
+        answer = {};
         answer.error = {transport::transport_failure::invalid, true, error.what()};
     }
     return answer;
@@ -203,10 +208,15 @@
         return;
     }
     send_direct(request, [respond](const http_exchange_answer& answer) {
+        nlohmann::json headers = nlohmann::json::object();
+        for (const transport::http_header& header : answer.headers) {
+            headers[header.name] = header.value;
+        }
         respond({.status = 200,
                  .body = nlohmann::json{{"status", answer.status},
                                         {"body", answer.body},
-                                        {"was_sent", answer.error.was_sent}}
+                                        {"was_sent", answer.error.was_sent},
+                                        {"headers", headers}}
                              .dump(-1, ' ', false, nlohmann::json::error_handler_t::replace)});
     });
 }
--- a/src/gateway/store_watcher.cpp
+++ b/src/gateway/store_watcher.cpp
@@ -58,6 +58,26 @@
     return "store";
 }
 
+std::string to_string(platform_table table) {
+    return table == platform_table::configuration ? configuration_field : targets_field;
+}
+
+std::string to_string(store_outcome outcome) {
+    switch (outcome) {
+        case store_outcome::done:
+            return "done";
+        case store_outcome::conflict:
+            return "conflict";
+        case store_outcome::refused:
+            return "refused";
+        case store_outcome::history_lost:
+            return "history_lost";
+        case store_outcome::unknown:
+            return "unknown";
+    }
+    return "unknown";
+}
+
 /** Null if `value` is not an object with that field. */
 const nlohmann::json* find_field(const nlohmann::json& value, const char* field) {
     const auto entry = value.is_object() ? value.find(field) : value.end();
@@ -190,29 +210,73 @@
     if (answer.outcome != store_outcome::done) {
         return;
     }
+    check_era(rows_field, rows_, answer);
+    check_ignored_rows(rows_field, rows_, answer.rows);
     rows_.apply_read(answer.rows, answer.version);
     rows_confirmed_at_ = std::max(rows_confirmed_at_, requested_at);
     callbacks_.rows_read(rows_.get_rows(), requested_at);
 }
 
+void store_watcher::check_era(const std::string& table, const table_copy& copy,
+                              const store_answer& answer) {
+    if (answer.era <= store_era_) {
+        return;
+    }
+    const std::int64_t previous = std::exchange(store_era_, answer.era);
+    if (previous != 0) {
+        log_.write(event_store_restored,
+                   {{"table", table},
+                    {"era", std::to_string(answer.era)},
+                    {"previous", std::to_string(previous)},
+                    {"version", std::to_string(answer.version)},
+                    {"known_version", std::to_string(copy.get_read_version())}});
+    }
+}
+
+void store_watcher::check_ignored_rows(const std::string& table, const table_copy& copy,
+                                       const std::vector<stored_row>& rows) {
+    for (const stored_row& row : rows) {
+        const auto known = copy.find(row.key);
+        if (known && known->version >= row.version && known->value != row.value) {
+            log_.write(event_row_ignored, {{"table", table},
+                                           {"key", row.key},
+                                           {"version", std::to_string(row.version)},
+                                           {"known_version", std::to_string(known->version)}});
+        }
+    }
+}
+
 void store_watcher::read_table(platform_table table) {
     watched_.insert(table);
     read_pages(
         [this, table](const std::string& after) {
             return platform_.format_platform_read(table, after);
         },
-        [this, table](const store_answer& answer) { handle_table_read(table, answer); });
+        [this, table, requested_at = transport::get_boot_time()](const store_answer& answer) {
+            handle_table_read(table, answer, requested_at);
+        });
 }
 
 void store_watcher::retry_table(platform_table table) {
     retry_timers_[table]->start(retry_ms, 0, [this, table] { read_table(table); });
 }
 
-void store_watcher::handle_table_read(platform_table table, const store_answer& answer) {
+void store_watcher::handle_table_read(platform_table table, const store_answer& answer,
+                                      std::int64_t requested_at) {
     if (answer.outcome != store_outcome::done) {
+        // Only the first failure in a row: attempts follow each other quickly.
+        if (failed_reads_.insert(table).second) {
+            log_.write(event_read_failed,
+                       {{"table", to_string(table)},
+                        {"outcome", to_string(answer.outcome)},
+                        {"waited_ms", std::to_string(transport::get_boot_time() - requested_at)}});
+        }
         retry_table(table);
         return;
     }
+    failed_reads_.erase(table);
+    check_era(to_string(table), tables_[table], answer);
+    check_ignored_rows(to_string(table), tables_[table], answer.rows);
     apply(table, tables_[table].apply_read(answer.rows, answer.version));
     has_targets_ = has_targets_ || table == platform_table::targets;
     // A VM that has just started usually learns of a hub during this pause and needs no watch.
@@ -231,24 +295,32 @@
 
 void store_watcher::request_changes(platform_table table, row_version after) {
     watched_.insert(table);
-    store_.read(platform_.format_watch(table, after),
-                [this, table, after](const transport::http_exchange_answer& answer) {
-                    const store_answer parsed = platform_.parse_store_answer(answer);
-                    if (parsed.outcome == store_outcome::done) {
-                        const row_version next = std::max(after, parsed.version);
-                        apply(table, tables_[table].apply(parsed.rows));
-                        tables_[table].set_read_version(next);
-                        if (table == platform_table::targets) {
-                            retry_timers_[table]->start(
-                                targets_watch_pause_ms, 0,
-                                [this, table, next] { watch_table(table, next); });
-                        } else {
-                            watch_table(table, next);
-                        }
-                        return;
-                    }
-                    retry_table(table);
-                });
+    store_.read(
+        platform_.format_watch(table, after),
+        [this, table, after,
+         requested_at = transport::get_boot_time()](const transport::http_exchange_answer& answer) {
+            const store_answer parsed = platform_.parse_store_answer(answer);
+            if (parsed.outcome == store_outcome::done) {
+                check_era(to_string(table), tables_[table], parsed);
+                check_ignored_rows(to_string(table), tables_[table], parsed.rows);
+                const row_version next = std::max(after, parsed.version);
+                apply(table, tables_[table].apply(parsed.rows));
+                tables_[table].set_read_version(next);
+                if (table == platform_table::targets) {
+                    retry_timers_[table]->start(targets_watch_pause_ms, 0,
+                                                [this, table, next] { watch_table(table, next); });
+                } else {
+                    watch_table(table, next);
+                }
+                return;
+            }
+            log_.write(event_watch_failed,
+                       {{"table", to_string(table)},
+                        {"outcome", to_string(parsed.outcome)},
+                        {"after", std::to_string(after)},
+                        {"waited_ms", std::to_string(transport::get_boot_time() - requested_at)}});
+            retry_table(table);
+        });
 }
 
 table_digests store_watcher::get_digests() const {
--- a/src/gateway/store_watcher.h
+++ b/src/gateway/store_watcher.h
@@ -107,7 +107,13 @@
     void handle_rows_read(const store_answer& answer, std::int64_t requested_at);
     std::int64_t get_read_interval() const;
     void read_table(platform_table table);
-    void handle_table_read(platform_table table, const store_answer& answer);
+    void handle_table_read(platform_table table, const store_answer& answer,
+                           std::int64_t requested_at);
+    /** Logs a change of the store's era. */
+    void check_era(const std::string& table, const table_copy& copy, const store_answer& answer);
+    /** Logs rows of the store that the copy does not accept although they differ. */
+    void check_ignored_rows(const std::string& table, const table_copy& copy,
+                            const std::vector<stored_row>& rows);
     void watch_table(platform_table table, row_version after);
     /** Whether this VM watches the table itself. The first hubs of all places watch the
      * configuration, because a lost answer to a single watch would delay it by the length of the
@@ -135,13 +141,15 @@
     /// changes.
     std::set<std::string> incomplete_tables_;
     source source_ = source::store;
-    std::set<platform_table> watched_;    ///< Tables with a read or watch in progress.
-    std::int64_t rows_confirmed_at_ = 0;  ///< Send time of the newest read; 0 before the first.
+    std::set<platform_table> watched_;       ///< Tables with a read or watch in progress.
+    std::set<platform_table> failed_reads_;  ///< Tables whose last read failed.
+    std::int64_t rows_confirmed_at_ = 0;     ///< Send time of the newest read; 0 before the first.
     std::map<std::string, std::int64_t> missing_since_;  ///< Targets whose entry is missing.
     std::map<platform_table, std::unique_ptr<transport::loop_timer>> retry_timers_;
     std::int64_t configuration_version_ = 0;
     std::int64_t idle_interval_ms_ = 0;  ///< Between reads that the leases do not need.
     std::int64_t rows_requested_at_ = 0;
+    std::int64_t store_era_ = 0;  ///< The latest one seen; 0 before the first.
     bool has_targets_ = false;
 };
 
--- a/src/transport/http_channel.cpp
+++ b/src/transport/http_channel.cpp
@@ -20,6 +20,24 @@
 class http_channel::connection : public std::enable_shared_from_this<connection> {
 public:
     connection(event_loop& loop, http_channel& channel) : channel_(&channel), timer_(loop) {
+        settings_.on_header_field = [](http_parser* parser, const char* at, std::size_t length) {
+            auto* self = static_cast<connection*>(parser->data);
+            // The parser may pass a name or a value in several parts.
+            if (!std::exchange(self->is_in_header_name_, true)) {
+                self->answer_.headers.emplace_back();
+            }
+            self->answer_.headers.back().name.append(at, length);
+            return 0;
+        };
+        settings_.on_header_value = [](http_parser* parser, const char* at, std::size_t length) {
+            auto* self = static_cast<connection*>(parser->data);
+            self->is_in_header_name_ = false;
+            if (self->answer_.headers.empty()) {
+                return 1;
+            }
+            self->answer_.headers.back().value.append(at, length);
+            return 0;
+        };
         settings_.on_body = [](http_parser* parser, const char* at, std::size_t length) {
             auto* self = static_cast<connection*>(parser->data);
             self->answer_.body.append(at, length);
@@ -43,6 +61,7 @@
         done_ = std::move(done);
         answer_ = {};
         is_complete_ = false;
+        is_in_header_name_ = false;
         http_parser_init(&parser_, HTTP_RESPONSE);
         parser_.data = this;
         const std::weak_ptr<connection> weak = weak_from_this();
@@ -126,6 +145,7 @@
     milliseconds_count idle_since_ = 0;
     bool is_connected_ = false;
     bool is_complete_ = false;
+    bool is_in_header_name_ = false;  ///< The header parsed last has no value yet.
 };
 
 http_channel::http_channel(event_loop& loop, endpoint address)
--- a/src/transport/http_channel.h
+++ b/src/transport/http_channel.h
@@ -13,7 +13,7 @@
 
 namespace hornbeamhook::transport {
 
-/** A header of a request. */
+/** A header of a request or an answer. */
 struct http_header {
     std::string name;
     std::string value;
@@ -33,6 +33,7 @@
     int status = 0;
     std::string body;
     transport_error error;
+    std::vector<http_header> headers;  ///< Names as the other end wrote them; case varies.
 };
 
 /** Sends requests to one address over kept-alive connections, one exchange at a time on each. */
--- a/tests/gateway/store_client_test.cpp
+++ b/tests/gateway/store_client_test.cpp
@@ -2,6 +2,7 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <optional>
 
 #include "support/free_port.h"
@@ -125,6 +126,30 @@
     EXPECT_EQ(store_calls_.size(), 0U);
 }
 
+// Guards against a VM that does not notice a restored store because another VM calls it.
+TEST_F(store_client_test, a_relayed_answer_has_the_headers_of_the_store) {
+    start_store();
+    http_reply relayed;
+    client_.serve_relayed({.method = "POST",
+                           .path = "/internal/v1/store",
+                           .body = R"({"method":"GET","path":"/v1/rows-get","timeout_ms":400})"},
+                          [&](const http_reply& reply) {
+                              relayed = reply;
+                              loop_.stop();
+                          });
+    loop_.run();
+    store_.reset();
+    start_relay(relayed);
+    // The direct call without an answer makes the client relay its next calls first.
+    change();
+    const http_exchange_answer answer = change();
+    const auto type =
+        std::find_if(answer.headers.begin(), answer.headers.end(),
+                     [](const auto& header) { return header.name == "Content-Type"; });
+    ASSERT_NE(type, answer.headers.end());
+    EXPECT_EQ(type->value, "application/json");
+}
+
 TEST_F(store_client_test, a_relayed_change_that_was_not_executed_is_sent_directly) {
     start_relay({.status = 200, .body = R"({"status":0,"body":"","was_sent":false})"});
     change();
--- a/tests/platform/store_codec_test.cpp
+++ b/tests/platform/store_codec_test.cpp
@@ -99,6 +99,19 @@
     EXPECT_TRUE(codec.parse_store_answer({200, R"({"rows":[],"HasMore":true})", {}}).has_more);
 }
 
+// Guards against a restored store that goes unnoticed, and against an odd header that ends the
+// process.
+TEST(store_codec, reads_the_era_of_any_answer) {
+    const store_codec codec;
+    EXPECT_EQ(codec.parse_store_answer({200, "{}", {}, {{"Store-Era", "3"}}}).era, 3);
+    EXPECT_EQ(codec.parse_store_answer({410, "", {}, {{"store-era", "4"}}}).era, 4);
+    for (const char* text : {"", "x", "-1", "0", "3x", " 3", "99999999999999999999"}) {
+        EXPECT_EQ(codec.parse_store_answer({200, "{}", {}, {{"Store-Era", text}}}).era, 0) << text;
+    }
+    EXPECT_EQ(codec.parse_store_answer({200, "{}", {}, {{"Store-Era-Old", "5"}}}).era, 0);
+    EXPECT_EQ(codec.parse_store_answer({200, "{}", {}, {}}).era, 0);
+}
+
 TEST(store_codec, formats_a_conditional_change) {
     const auto request = store_codec().format_change({{"t", "k", "node-1", 0, false}, 412, true});
     EXPECT_EQ(nlohmann::json::parse(request.body),
