Add a failing test of a configuration whose watch went silent

The connection of the watch of the configuration stays open and nothing arrives on it; other connections work.

--- a/tests/gateway/store_watcher_test.cpp
+++ b/tests/gateway/store_watcher_test.cpp
@@ -17,7 +17,8 @@
     store_watcher_test()
         : store_(loop_, store_address_, log_, counters_),
           watcher_(loop_, store_, codec_, log_,
-                   {.configuration_changed = [](const configuration&) {},
+                   {.configuration_changed =
+                        [this](const configuration& value) { adopted_version_ = value.version; },
                     .target_changed = [](const std::string&, const std::optional<target_entry>&) {},
                     .rows_read =
                         [this](const std::vector<stored_row>& rows, std::int64_t requested_at) {
@@ -36,6 +37,22 @@
             .dump();
     }
 
+    /** The configuration's row, as the store lists it. */
+    std::string make_configuration_row(std::int64_t version, row_version row) const {
+        const nlohmann::json value{{"Version", version}, {"Routes", nlohmann::json::array()}};
+        const auto change =
+            codec_.format_change({{"op", "config", value.dump(), 0, false}, 0, false});
+        const nlohmann::json put = nlohmann::json::parse(change.body).at("Puts").at(0);
+        return nlohmann::json{
+            {"Table", "op"}, {"Key", "config"}, {"Value", put.at("Value")}, {"RowVersion", row}}
+            .dump();
+    }
+
+    /** The store's answer to a read or a watch. */
+    static transport::http_reply make_rows_reply(const std::string& rows, row_version version) {
+        return {200, R"({"rows":[)" + rows + R"(],"RowVersion":)" + std::to_string(version) + "}"};
+    }
+
     transport::event_loop loop_;
     /// Nothing listens here unless a test does.
     transport::endpoint store_address_ = *transport::parse_endpoint(tests::get_free_address());
@@ -46,6 +63,7 @@
     store_watcher watcher_;
     std::vector<stored_row> rows_read_;
     std::int64_t requested_at_ = 0;
+    std::int64_t adopted_version_ = 0;
     int reads_ = 0;
 };
 
@@ -179,6 +197,39 @@
     EXPECT_TRUE(requests[1].ends_with("&From=vm/a%00"));
 }
 
+// Guards against a configuration that no VM learns of in time (CONFIG), because the connections of
+// all watches went silent at the same moment: each VM relied on another one to announce it.
+TEST_F(store_watcher_test, a_configuration_is_adopted_although_the_watch_went_silent) {
+    // VMs have to follow the store again this long after their connections went silent.
+    constexpr std::int64_t silence_limit_ms = 4000;
+    std::int64_t silent_since = 0;
+    const transport::http_listener store(
+        loop_, store_address_,
+        [&](const transport::http_call& call, const transport::http_listener::responder& respond) {
+            if (call.path.starts_with("/v1/rows-feed?Table=op") && silent_since == 0) {
+                silent_since = transport::get_boot_time();
+                return;
+            }
+            const bool is_configuration = call.path.starts_with("/v1/rows-get?Table=op");
+            const bool is_changed = silent_since != 0;
+            if (is_configuration || call.path.starts_with("/v1/rows-get")) {
+                respond(make_rows_reply(
+                    is_configuration
+                        ? make_configuration_row(is_changed ? 8 : 7, is_changed ? 6 : 5)
+                        : "",
+                    is_changed ? 6 : 5));
+            }
+        });
+    watcher_.start();
+    tests::run_until(loop_, [&] { return silent_since != 0; });
+    EXPECT_EQ(adopted_version_, 7);
+    tests::run_until(loop_, [&] {
+        return adopted_version_ == 8 ||
+               transport::get_boot_time() - silent_since > silence_limit_ms;
+    });
+    EXPECT_EQ(adopted_version_, 8);
+}
+
 // Guards against a stored record that ends each process that reads it.
 TEST(parse_record, malformed_records_are_rejected) {
     for (const char* value :
