Close the kept connections of a channel after one timed out

Connections may go silent for good while new ones work, all of a VM at the same moment. After a time-out the next call took another kept connection, which was silent too, and waited for its own time limit: up to two calls of 1.2 s to the store, or of 0.8 s to another VM that has a newer configuration.

Test http_channel_test.kept_connections_are_not_used_after_one_went_silent: before, the second call ended with status 0 on one of the two silent connections; now it is answered on a new one.

--- a/src/transport/http_channel.cpp
+++ b/src/transport/http_channel.cpp
@@ -67,6 +67,9 @@
         const std::weak_ptr<connection> weak = weak_from_this();
         timer_.start(timeout_ms, 0, [weak] {
             if (const auto self = weak.lock()) {
+                if (self->channel_ != nullptr) {
+                    self->channel_->drop_idle();
+                }
                 self->fail(transport_failure::timeout, "no answer in time");
             }
         });
@@ -187,6 +190,12 @@
     chosen->begin(std::move(bytes), request.timeout_ms, std::move(done));
 }
 
+void http_channel::drop_idle() {
+    for (const std::shared_ptr<connection>& entry : std::exchange(idle_, {})) {
+        entry->drop();
+    }
+}
+
 void http_channel::release(const std::shared_ptr<connection>& used, bool is_reusable) {
     std::erase(busy_, used);
     std::erase(idle_, used);
--- a/src/transport/http_channel.h
+++ b/src/transport/http_channel.h
@@ -48,7 +48,8 @@
 
     /**
      * Sends a request and calls `done` once, never from within this function. A connection whose
-     * exchange timed out is reset, so that bytes still on the way are not delivered later.
+     * exchange timed out is reset, so that bytes still on the way are not delivered later,
+     * and the idle ones are closed.
      * Loop thread only; `done` is dropped when the channel is destroyed.
      */
     void send(const http_exchange_request& request, callback done);
@@ -56,6 +57,8 @@
 private:
     class connection;
 
+    /** Closes the kept connections: they may have gone silent together with another one. */
+    void drop_idle();
     void release(const std::shared_ptr<connection>& used, bool is_reusable);
 
     event_loop& loop_;
--- /dev/null
+++ b/tests/transport/http_channel_test.cpp
@@ -0,0 +1,71 @@
+#include "transport/http_channel.h"
+
+#include <gtest/gtest.h>
+
+#include <set>
+
+#include "support/free_port.h"
+#include "support/test_caller.h"
+
+namespace hornbeamhook::transport {
+namespace {
+
+constexpr milliseconds_count call_timeout_ms = 300;
+
+/** A server whose open connections go silent when the test says so; new ones are answered. */
+class http_channel_test : public testing::Test {
+protected:
+    http_channel_test()
+        : listener_(loop_, address_, [this](const std::shared_ptr<tcp_stream>& stream) {
+              ++connections_;
+              stream->start({.connected = {},
+                             .received =
+                                 [this, stream](std::string_view) {
+                                     if (!silent_.contains(stream.get())) {
+                                         open_.insert(stream.get());
+                                         stream->write(
+                                             "HTTP/1.1 200 -\r\nContent-Length: 0\r\n\r\n");
+                                     }
+                                 },
+                             .ended = {}});
+          }) {}
+
+    void send() {
+        channel_.send(
+            {.method = "GET",
+             .path = "/",
+             .headers = {},
+             .body = {},
+             .timeout_ms = call_timeout_ms},
+            [this](const http_exchange_answer& answer) { statuses_.push_back(answer.status); });
+    }
+
+    event_loop loop_;
+    endpoint address_ = *parse_endpoint(tests::get_free_address());
+    std::set<const tcp_stream*> open_;
+    std::set<const tcp_stream*> silent_;
+    int connections_ = 0;
+    tcp_listener listener_;
+    http_channel channel_{loop_, address_};
+    std::vector<int> statuses_;
+};
+
+// Guards against a second call that waits for its time limit on a connection which went silent
+// together with the first one.
+TEST_F(http_channel_test, kept_connections_are_not_used_after_one_went_silent) {
+    send();
+    send();
+    tests::run_until(loop_, [&] { return statuses_.size() == 2; });
+    EXPECT_EQ(connections_, 2);
+    silent_ = open_;
+    send();
+    tests::run_until(loop_, [&] { return statuses_.size() == 3; });
+    EXPECT_EQ(statuses_.back(), 0);
+    send();
+    tests::run_until(loop_, [&] { return statuses_.size() == 4; });
+    EXPECT_EQ(statuses_.back(), 200);
+    EXPECT_EQ(connections_, 3);
+}
+
+}  // namespace
+}  // namespace hornbeamhook::transport
