Let two VMs confirm within 2.2 s that the configuration's watch is heard

Cause of the failing test: a watch of the configuration was held for 12 s and given up after 13.5 s, because VMs announce new versions to each other. That redundancy does not hold when all watches fail at the same moment, and all of them are as old as the last change: the connections of all VMs may go silent at once. The first two VMs by rank (in a fleet with hubs the first hub of each place) now ask the store to answer within 1.5 s and give up after 2.2 s. Another VM starts a short watch as soon as it takes their place.

A watch that times out also makes the VM relay its next read first; the relay's connections may be silent as well, so that a relayed read is sent directly after 300 ms. A watch is no longer relayed after its time-out, which doubled the time until the table was read.

About 1.2 more store calls a second for the fleet.

--- a/src/gateway/fleet_membership.cpp
+++ b/src/gateway/fleet_membership.cpp
@@ -19,6 +19,9 @@
 /// A VM that hears from less than this share of the others removes none of them.
 constexpr std::size_t min_heard_divisor = 4;
 
+/// One may stop or lose the store unnoticed for a while.
+constexpr int confirming_vms = 2;
+
 }  // namespace
 
 std::string format_member(const fleet_member& member) {
@@ -310,6 +313,10 @@
     return result;
 }
 
+bool fleet_membership::is_confirming(std::int64_t now) const {
+    return get_rank("configuration", now) < confirming_vms;
+}
+
 int fleet_membership::get_rank(const std::string& group, std::int64_t now) const {
     const std::uint64_t own = coordination::get_rendezvous_weight(group, self_.vm);
     int rank = 0;
--- a/src/gateway/fleet_membership.h
+++ b/src/gateway/fleet_membership.h
@@ -110,6 +110,9 @@
     /** Rank of this VM among the responsive ones by rendezvous weight for the group. */
     int get_rank(const std::string& group, std::int64_t now) const;
 
+    /** Whether this VM is among those that confirm for the fleet that the store is still heard. */
+    bool is_confirming(std::int64_t now) const;
+
     const fleet_member& get_self() const { return self_; }
     const std::map<std::string, fleet_member>& get_members() const { return members_; }
     /** The listed process of this VM; null if the VM is unlisted or listed with another process. */
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -218,6 +218,7 @@
     hubs_.update(live, size, store_.is_store_available(), now);
     engine_.set_fleet(live, size);
     watcher_.set_fleet_size(size);
+    watcher_.set_confirming(hubs_.is_enabled() ? hubs_.is_first_hub() : fleet_.is_confirming(now));
 }
 
 void gateway::register_self() {
--- a/src/gateway/platform_protocol.h
+++ b/src/gateway/platform_protocol.h
@@ -57,6 +57,14 @@
     bool is_conditional = true;
 };
 
+/** How long a watch may take. */
+struct watch_limits {
+    transport::milliseconds_count hold_ms = 0;     ///< The store answers after this at the latest.
+    transport::milliseconds_count transit_ms = 0;  ///< For the call and its answer to arrive.
+
+    auto operator<=>(const watch_limits&) const = default;
+};
+
 using store_callback = std::function<void(const store_answer&)>;
 
 /** The tables written by the platform. */
@@ -89,8 +97,8 @@
                                                          const std::string& after) const = 0;
     virtual transport::http_exchange_request format_platform_read(
         platform_table table, const std::string& after) const = 0;
-    virtual transport::http_exchange_request format_watch(platform_table table,
-                                                          row_version after) const = 0;
+    virtual transport::http_exchange_request format_watch(platform_table table, row_version after,
+                                                          const watch_limits& limits) const = 0;
     virtual transport::http_exchange_request format_change(const row_change& change) const = 0;
     virtual store_answer parse_store_answer(
         const transport::http_exchange_answer& answer) const = 0;
--- a/src/gateway/store_client.cpp
+++ b/src/gateway/store_client.cpp
@@ -63,6 +63,7 @@
 struct store_client::hedged_read {
     callback done;
     int open_requests = 0;
+    bool is_hedged = false;  ///< The second request was sent.
     std::unique_ptr<transport::loop_timer> timer;
     http_exchange_answer last;
 
@@ -146,23 +147,26 @@
             shared->finish(answer);
         }
     };
-    if (is_direct_backing_off() && !relays_.empty()) {
-        shared->open_requests = 1;
-        send_relayed(request, on_answer);
-        return;
-    }
     shared->open_requests = 1;
-    const auto send_hedge = [this, shared, request, on_answer] {
-        if (shared->done && !relays_.empty()) {
+    const bool is_relayed_first = is_direct_backing_off() && !relays_.empty();
+    const auto send_hedge = [this, shared, request, on_answer, is_relayed_first] {
+        if (shared->done && !shared->is_hedged && (is_relayed_first || !relays_.empty())) {
+            shared->is_hedged = true;
             ++shared->open_requests;
-            send_relayed(request, on_answer);
+            if (is_relayed_first) {
+                send_direct(request, on_answer);
+            } else {
+                send_relayed(request, on_answer);
+            }
         }
     };
-    // A watch is not answered until something changes, so a missing answer indicates no failure.
-    const bool is_watch = request.timeout_ms > relay_hedge_delay_ms * 10;
-    if (!is_watch) {
-        shared->timer = std::make_unique<transport::loop_timer>(loop_);
-        shared->timer->start(relay_hedge_delay_ms, 0, send_hedge);
+    // The relay's connections to the store may have gone silent as well, so that a relayed call is
+    // hedged too.
+    shared->timer = std::make_unique<transport::loop_timer>(loop_);
+    shared->timer->start(relay_hedge_delay_ms, 0, send_hedge);
+    if (is_relayed_first) {
+        send_relayed(request, on_answer);
+        return;
     }
     send_direct(request, [shared, on_answer, send_hedge](const http_exchange_answer& answer) {
         if (!is_store_response(answer) && shared->open_requests == 1) {
@@ -172,6 +176,14 @@
     });
 }
 
+void store_client::watch(const http_exchange_request& request, callback done) {
+    if (is_direct_backing_off() && !relays_.empty()) {
+        send_relayed(request, std::move(done));
+    } else {
+        send_direct(request, std::move(done));
+    }
+}
+
 void store_client::change(const http_exchange_request& request, callback done) {
     const bool is_relayed_first = is_direct_backing_off() && !relays_.empty();
     const auto send_first = [&](callback first) {
--- a/src/gateway/store_client.h
+++ b/src/gateway/store_client.h
@@ -27,6 +27,10 @@
      * called once, with the store's first answer or, if all attempts fail, the last failure. */
     void read(const transport::http_exchange_request& request, callback done);
 
+    /** Sends a call that the store holds until something changes: directly, or through a relay
+     * while the store does not serve this VM. `done` is called once. */
+    void watch(const transport::http_exchange_request& request, callback done);
+
     /** Sends a call with side effects; resends it only if the store did not execute it. */
     void change(const transport::http_exchange_request& request, callback done);
 
--- a/src/gateway/store_watcher.cpp
+++ b/src/gateway/store_watcher.cpp
@@ -27,6 +27,15 @@
 /// Age of the reader's rows at which a hub reads them for its place: the reader's interval and a
 /// hub request, with a delay.
 constexpr std::int64_t max_followed_age_ms = 850;
+/// A watch ends when something changes or after the time for which the store may hold it; only
+/// then does a VM notice that its connection has gone silent. For targets this has to be below the
+/// shortest time for which a leaving target may be used (7 s).
+constexpr watch_limits targets_watch{5000, 1500};
+/// VMs announce a new configuration to each other, so most of their watches may be long.
+constexpr watch_limits configuration_watch{12000, 1500};
+/// All connections may go silent at once, and 4 s later a new configuration has to reach all VMs.
+/// This leaves time for the read of the table and for the announcement.
+constexpr watch_limits confirming_watch{1500, 700};
 constexpr std::int64_t first_watch_delay_ms = 1500;  ///< After a table was read.
 constexpr std::int64_t retry_ms = 250;               ///< After a failed read or watch.
 /// Entries that expire while the store is unavailable reappear within about 2 s of its recovery.
@@ -168,6 +177,24 @@
     }
 }
 
+void store_watcher::set_confirming(bool value) {
+    if (value == is_confirming_) {
+        return;
+    }
+    is_confirming_ = value;
+    constexpr platform_table table = platform_table::configuration;
+    if (is_confirming_ && open_watches_.contains(table)) {
+        watch_table(table, tables_[table].get_read_version());
+    }
+}
+
+watch_limits store_watcher::get_watch_limits(platform_table table) const {
+    if (table == platform_table::targets) {
+        return targets_watch;
+    }
+    return is_confirming_ ? confirming_watch : configuration_watch;
+}
+
 bool store_watcher::is_watching(platform_table table) const {
     return !is_following() ||
            (source_ == source::other_hub && table == platform_table::configuration);
@@ -295,10 +322,16 @@
 
 void store_watcher::request_changes(platform_table table, row_version after) {
     watched_.insert(table);
-    store_.read(
-        platform_.format_watch(table, after),
-        [this, table, after,
+    open_watches_.insert(table);
+    const std::int64_t number = ++watch_numbers_[table];
+    store_.watch(
+        platform_.format_watch(table, after, get_watch_limits(table)),
+        [this, table, after, number,
          requested_at = transport::get_boot_time()](const transport::http_exchange_answer& answer) {
+            if (number != watch_numbers_[table]) {
+                return;
+            }
+            open_watches_.erase(table);
             const store_answer parsed = platform_.parse_store_answer(answer);
             if (parsed.outcome == store_outcome::done) {
                 check_era(to_string(table), tables_[table], parsed);
--- a/src/gateway/store_watcher.h
+++ b/src/gateway/store_watcher.h
@@ -56,6 +56,12 @@
 
     /** Chooses between the store and a hub; watches end or begin accordingly. */
     void set_source(source value);
+    /**
+     * Whether this VM notices within a few seconds that its watch of the configuration hears
+     * nothing any more, on behalf of the fleet. True until set.
+     */
+    void set_confirming(bool value);
+
     /** Whether changes are learned from another VM. */
     bool is_following() const { return source_ == source::hub || source_ == source::other_hub; }
 
@@ -120,6 +126,7 @@
      * watch. */
     bool is_watching(platform_table table) const;
     void request_changes(platform_table table, row_version after);
+    watch_limits get_watch_limits(platform_table table) const;
     void retry_table(platform_table table);
     void apply(platform_table table, const std::vector<stored_row>& newer);
     /** Applies a hub's changes of the table that an update answer names `field`; returns the newer
@@ -141,6 +148,10 @@
     /// changes.
     std::set<std::string> incomplete_tables_;
     source source_ = source::store;
+    bool is_confirming_ = true;
+    /// Number of the newest watch of each table; answers to earlier ones are ignored.
+    std::map<platform_table, std::int64_t> watch_numbers_;
+    std::set<platform_table> open_watches_;  ///< Tables whose newest watch is not answered yet.
     std::set<platform_table> watched_;       ///< Tables with a read or watch in progress.
     std::set<platform_table> failed_reads_;  ///< Tables whose last read failed.
     std::int64_t rows_confirmed_at_ = 0;     ///< Send time of the newest read; 0 before the first.
--- a/tests/gateway/fleet_membership_test.cpp
+++ b/tests/gateway/fleet_membership_test.cpp
@@ -71,6 +71,41 @@
     EXPECT_FALSE(fleet_.get_promised_since("g", 10).has_value());
 }
 
+// Guards against a fleet in which no VM notices that the watches of the configuration are silent,
+// because one that confirmed it has stopped.
+TEST(fleet_membership, two_vms_confirm_the_configuration_and_are_replaced_when_silent) {
+    const std::vector<std::string> vms{"vm1", "vm2", "vm3", "vm4", "vm5"};
+    std::vector<fleet_member> members;
+    for (const std::string& vm : vms) {
+        members.push_back(make_member(vm));
+    }
+    const auto get_confirming = [&](const std::set<std::string>& silent) {
+        std::set<std::string> confirming;
+        for (const std::string& vm : vms) {
+            fleet_membership fleet(make_member(vm));
+            fleet.update(members, true, 1000);
+            const std::int64_t ping = fleet.begin_ping_round(2000);
+            for (const std::string& other : vms) {
+                if (other != vm && !silent.contains(other)) {
+                    fleet.handle_pong(make_pong(other, ping, {}), 2050);
+                }
+            }
+            if (!silent.contains(vm) && fleet.is_confirming(2100)) {
+                confirming.insert(vm);
+            }
+        }
+        return confirming;
+    };
+    const std::set<std::string> first = get_confirming({});
+    EXPECT_EQ(first.size(), 2U);
+    const std::set<std::string> next = get_confirming(first);
+    EXPECT_EQ(next.size(), 2U);
+    for (const std::string& vm : next) {
+        EXPECT_FALSE(first.contains(vm)) << vm;
+    }
+    EXPECT_TRUE(fleet_membership(make_member("vm1")).is_confirming(2100));
+}
+
 // Guards against leases that end while the store is away because a VM has stopped as planned
 // (incidents kelaniya-skim-0d62 and kelaniya-skim-grown-e48b).
 TEST_F(fleet_membership_test, promises_of_a_departed_member_stay_valid) {
--- a/tests/gateway/store_client_test.cpp
+++ b/tests/gateway/store_client_test.cpp
@@ -126,6 +126,30 @@
     EXPECT_EQ(store_calls_.size(), 0U);
 }
 
+// Guards against a read that waits for its time limit because the relay does not answer either.
+TEST_F(store_client_test, a_relayed_read_without_answer_is_sent_directly) {
+    const http_listener silent_relay(loop_, relay_address_,
+                                     [](const http_call&, const http_listener::responder&) {});
+    // The refused direct call makes the client relay its next calls first.
+    change();
+    client_.set_relays({relay_address_});
+    start_store();
+    std::optional<http_exchange_answer> result;
+    client_.read({.method = "GET",
+                  .path = "/v1/rows-get",
+                  .headers = {},
+                  .body = {},
+                  .timeout_ms = test_timeout_ms},
+                 [&](const http_exchange_answer& answer) {
+                     result = answer;
+                     loop_.stop();
+                 });
+    loop_.run();
+    ASSERT_TRUE(result.has_value());
+    EXPECT_EQ(result->body, "stored");
+    EXPECT_EQ(store_calls_.size(), 1U);
+}
+
 // Guards against a VM that does not notice a restored store because another VM calls it.
 TEST_F(store_client_test, a_relayed_answer_has_the_headers_of_the_store) {
     start_store();
