Add failing tests of a configuration after the store was restored

After a restore the store gives out row versions again. Two ways in which a configuration that is acknowledged then is missed: its row has the version that the earlier row had, or its version is below the one that the watch asks for. Answers of http_listener may have headers, for the test's store.

--- a/src/transport/http_channel.h
+++ b/src/transport/http_channel.h
@@ -9,16 +9,11 @@
 
 #include "transport/endpoint.h"
 #include "transport/event_loop.h"
+#include "transport/http_header.h"
 #include "transport/transport_error.h"
 
 namespace hornbeamhook::transport {
 
-/** A header of a request or an answer. */
-struct http_header {
-    std::string name;
-    std::string value;
-};
-
 /** A request of http_channel. */
 struct http_exchange_request {
     std::string method;
--- a/src/transport/http_listener.cpp
+++ b/src/transport/http_listener.cpp
@@ -64,9 +64,13 @@
         if (is_ended_) {
             return;
         }
+        std::string headers;
+        for (const http_header& header : reply.headers) {
+            headers += header.name + ": " + header.value + "\r\n";
+        }
         stream_->write("HTTP/1.1 " + std::to_string(reply.status) +
                        " -\r\nContent-Type: " + reply.content_type + "\r\nContent-Length: " +
-                       std::to_string(reply.body.size()) + "\r\n\r\n" + reply.body);
+                       std::to_string(reply.body.size()) + "\r\n" + headers + "\r\n" + reply.body);
     }
 
     std::shared_ptr<tcp_stream> stream_;
--- a/src/transport/http_listener.h
+++ b/src/transport/http_listener.h
@@ -3,9 +3,11 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <vector>
 
 #include "transport/endpoint.h"
 #include "transport/event_loop.h"
+#include "transport/http_header.h"
 #include "transport/tcp_stream.h"
 
 namespace hornbeamhook::transport {
@@ -22,6 +24,7 @@
     int status = 200;
     std::string body;
     std::string content_type = "application/json";
+    std::vector<http_header> headers;  ///< Besides the type and the length.
 };
 
 /** A small HTTP/1.1 server for readiness, metrics and calls between VMs. Loop thread only. */
--- a/tests/gateway/store_watcher_test.cpp
+++ b/tests/gateway/store_watcher_test.cpp
@@ -18,7 +18,10 @@
         : store_(loop_, store_address_, log_, counters_),
           watcher_(loop_, store_, codec_, log_,
                    {.configuration_changed =
-                        [this](const configuration& value) { adopted_version_ = value.version; },
+                        [this](const configuration& value) {
+                            adopted_version_ = value.version;
+                            adopted_versions_.push_back(value.version);
+                        },
                     .target_changed = [](const std::string&, const std::optional<target_entry>&) {},
                     .rows_read =
                         [this](const std::vector<stored_row>& rows, std::int64_t requested_at) {
@@ -49,8 +52,12 @@
     }
 
     /** The store's answer to a read or a watch. */
-    static transport::http_reply make_rows_reply(const std::string& rows, row_version version) {
-        return {200, R"({"rows":[)" + rows + R"(],"RowVersion":)" + std::to_string(version) + "}"};
+    static transport::http_reply make_rows_reply(const std::string& rows, row_version version,
+                                                 int era = 1) {
+        return {
+            .status = 200,
+            .body = R"({"rows":[)" + rows + R"(],"RowVersion":)" + std::to_string(version) + "}",
+            .headers = {{"Store-Era", std::to_string(era)}}};
     }
 
     transport::event_loop loop_;
@@ -64,6 +71,7 @@
     std::vector<stored_row> rows_read_;
     std::int64_t requested_at_ = 0;
     std::int64_t adopted_version_ = 0;
+    std::vector<std::int64_t> adopted_versions_;
     int reads_ = 0;
 };
 
@@ -230,6 +238,61 @@
     EXPECT_EQ(adopted_version_, 8);
 }
 
+// Guards against a configuration that is acknowledged after the store came back from an earlier
+// copy and is never in force (CONFIG): its row has a version that was given out before.
+TEST_F(store_watcher_test, a_configuration_with_a_repeated_row_version_is_adopted) {
+    int era = 1;
+    std::vector<transport::http_listener::responder> watches;
+    const transport::http_listener store(
+        loop_, store_address_,
+        [&](const transport::http_call& call, const transport::http_listener::responder& respond) {
+            if (call.path.starts_with("/v1/rows-feed?Table=op")) {
+                watches.push_back(respond);
+            } else if (call.path.starts_with("/v1/rows-get?Table=op")) {
+                respond(era == 1 ? make_rows_reply(make_configuration_row(7, 24), 24)
+                                 : make_rows_reply(make_configuration_row(6, 20), 22, 2));
+            } else if (call.path.starts_with("/v1/rows-get")) {
+                respond(make_rows_reply("", era == 1 ? 24 : 22, era));
+            }
+        });
+    watcher_.start();
+    tests::run_until(loop_, [&] { return watches.size() == 1; });
+    era = 2;
+    watches[0]({.status = 410, .body = "{}", .headers = {{"Store-Era", "2"}}});
+    tests::run_until(loop_, [&] { return watches.size() == 2; });
+    watches[1](make_rows_reply(make_configuration_row(8, 24), 24, 2));
+    tests::run_until(loop_, [&] { return watches.size() == 3; });
+    EXPECT_EQ(adopted_versions_, (std::vector<std::int64_t>{7, 8}));
+}
+
+// Guards against a change that is missed because the store has given out the watched version again
+// since it came back from an earlier copy: the watch then shows only what is newer than that.
+TEST_F(store_watcher_test, a_watch_across_a_restore_reads_the_table_again) {
+    int era = 1;
+    int reads = 0;
+    std::vector<transport::http_listener::responder> watches;
+    const transport::http_listener store(
+        loop_, store_address_,
+        [&](const transport::http_call& call, const transport::http_listener::responder& respond) {
+            if (call.path.starts_with("/v1/rows-feed?Table=op")) {
+                watches.push_back(respond);
+            } else if (call.path.starts_with("/v1/rows-get?Table=op")) {
+                ++reads;
+                respond(era == 1 ? make_rows_reply(make_configuration_row(7, 24), 24)
+                                 : make_rows_reply(make_configuration_row(8, 23), 25, 2));
+            } else if (call.path.starts_with("/v1/rows-get")) {
+                respond(make_rows_reply("", 24, 1));
+            }
+        });
+    watcher_.start();
+    tests::run_until(loop_, [&] { return watches.size() == 1; });
+    EXPECT_EQ(reads, 1);
+    era = 2;
+    watches[0](make_rows_reply("", 25, 2));
+    tests::run_until(loop_, [&] { return watches.size() == 2; });
+    EXPECT_EQ(adopted_versions_, (std::vector<std::int64_t>{7, 8}));
+}
+
 // Guards against a stored record that ends each process that reads it.
 TEST(parse_record, malformed_records_are_rejected) {
     for (const char* value :
