Count row versions across restores of the store

What callers saw: after the store came back from an earlier copy, a configuration that was acknowledged was never in force (CONFIG). Cause: the store gives out row versions again after a restore, and the gateway compared them as numbers. The row of version 14 had the number 24, as had the row of version 12 before the restore, so it counted as known (event row_ignored). A watch that survives the restore asks for changes after a number that is given out again and passes over those below it.

A version now is the store's era followed by the number, so that it rises over the whole life of the store; the codec adds the era of the answer and takes it off for conditions and watches. Everything that compares versions is covered: copies, digests and updates between VMs, promises, notices and fences. An answer of a later era, to any read, ends the open watches and makes the VM read the watched tables again; answers of an earlier era, and pages of different eras, are dropped.

--- a/src/gateway/platform_protocol.h
+++ b/src/gateway/platform_protocol.h
@@ -8,6 +8,7 @@
 #include <string_view>
 #include <vector>
 
+#include "coordination/store_version.h"
 #include "gateway/configuration.h"
 #include "gateway/target_entry.h"
 #include "transport/http_channel.h"
@@ -15,7 +16,7 @@
 namespace hornbeamhook::gateway {
 
 /** Version of a stored row, from a counter that the store increments with each transaction. */
-using row_version = std::int64_t;
+using row_version = coordination::store_version;
 
 /** Table of the product's rows: one per VM and one per group. */
 inline constexpr const char* product_table = "hornbeamhook";
--- a/src/gateway/store_watcher.cpp
+++ b/src/gateway/store_watcher.cpp
@@ -220,6 +220,12 @@
             done(page);
             return;
         }
+        if (!earlier.rows.empty() && page.era != earlier.era) {
+            // The store was restored between two pages.
+            page.outcome = store_outcome::unknown;
+            done(page);
+            return;
+        }
         const bool is_last = !page.has_more || page.rows.empty();
         if (!earlier.rows.empty()) {
             page.version = earlier.version;
@@ -237,27 +243,40 @@
     if (answer.outcome != store_outcome::done) {
         return;
     }
-    check_era(rows_field, rows_, answer);
+    if (!accept_era(rows_field, rows_, answer)) {
+        return;
+    }
     check_ignored_rows(rows_field, rows_, answer.rows);
     rows_.apply_read(answer.rows, answer.version);
     rows_confirmed_at_ = std::max(rows_confirmed_at_, requested_at);
     callbacks_.rows_read(rows_.get_rows(), requested_at);
 }
 
-void store_watcher::check_era(const std::string& table, const table_copy& copy,
-                              const store_answer& answer) {
+bool store_watcher::accept_era(const std::string& table, const table_copy& copy,
+                               const store_answer& answer) {
     if (answer.era <= store_era_) {
-        return;
+        const bool is_answered = answer.outcome == store_outcome::done;
+        return !is_answered || answer.era == store_era_;
     }
     const std::int64_t previous = std::exchange(store_era_, answer.era);
-    if (previous != 0) {
-        log_.write(event_store_restored,
-                   {{"table", table},
-                    {"era", std::to_string(answer.era)},
-                    {"previous", std::to_string(previous)},
-                    {"version", std::to_string(answer.version)},
-                    {"known_version", std::to_string(copy.get_read_version())}});
+    if (previous == 0) {
+        return true;
+    }
+    log_.write(event_store_restored, {{"table", table},
+                                      {"era", std::to_string(answer.era)},
+                                      {"previous", std::to_string(previous)},
+                                      {"version", std::to_string(answer.version)},
+                                      {"known_version", std::to_string(copy.get_read_version())}});
+    // Open watches wait for versions that the store has given up. A watch of the new era could pass
+    // over changes, because versions are given out again.
+    for (auto& [watched, timer] : retry_timers_) {
+        ++watch_numbers_[watched];
+        open_watches_.erase(watched);
+        if (is_watching(watched)) {
+            timer->start(0, 0, [this, reread = watched] { read_table(reread); });
+        }
     }
+    return true;
 }
 
 void store_watcher::check_ignored_rows(const std::string& table, const table_copy& copy,
@@ -302,7 +321,10 @@
         return;
     }
     failed_reads_.erase(table);
-    check_era(to_string(table), tables_[table], answer);
+    if (!accept_era(to_string(table), tables_[table], answer)) {
+        retry_table(table);
+        return;
+    }
     check_ignored_rows(to_string(table), tables_[table], answer.rows);
     apply(table, tables_[table].apply_read(answer.rows, answer.version));
     has_targets_ = has_targets_ || table == platform_table::targets;
@@ -333,8 +355,14 @@
             }
             open_watches_.erase(table);
             const store_answer parsed = platform_.parse_store_answer(answer);
+            if (!accept_era(to_string(table), tables_[table], parsed)) {
+                retry_table(table);
+                return;
+            }
+            if (number != watch_numbers_[table]) {
+                return;
+            }
             if (parsed.outcome == store_outcome::done) {
-                check_era(to_string(table), tables_[table], parsed);
                 check_ignored_rows(to_string(table), tables_[table], parsed.rows);
                 const row_version next = std::max(after, parsed.version);
                 apply(table, tables_[table].apply(parsed.rows));
--- a/src/gateway/store_watcher.h
+++ b/src/gateway/store_watcher.h
@@ -115,8 +115,9 @@
     void read_table(platform_table table);
     void handle_table_read(platform_table table, const store_answer& answer,
                            std::int64_t requested_at);
-    /** Logs a change of the store's era. */
-    void check_era(const std::string& table, const table_copy& copy, const store_answer& answer);
+    /** False if the answer is from before the store was last restored. The first answer after a
+     * restore makes this VM read the tables again that it watches. */
+    bool accept_era(const std::string& table, const table_copy& copy, const store_answer& answer);
     /** Logs rows of the store that the copy does not accept although they differ. */
     void check_ignored_rows(const std::string& table, const table_copy& copy,
                             const std::vector<stored_row>& rows);
--- a/tests/gateway/store_watcher_test.cpp
+++ b/tests/gateway/store_watcher_test.cpp
@@ -293,6 +293,39 @@
     EXPECT_EQ(adopted_versions_, (std::vector<std::int64_t>{7, 8}));
 }
 
+// Guards against a VM that follows the store only until it is restored, because its watch stays
+// open without an answer; and against an answer from before the restore that arrives after it.
+TEST_F(store_watcher_test, a_restore_seen_by_another_read_ends_the_watch) {
+    int era = 1;
+    std::vector<transport::http_listener::responder> watches;
+    const transport::http_listener store(
+        loop_, store_address_,
+        [&](const transport::http_call& call, const transport::http_listener::responder& respond) {
+            if (call.path.starts_with("/v1/rows-feed?Table=op")) {
+                watches.push_back(respond);
+            } else if (call.path.starts_with("/v1/rows-get?Table=op")) {
+                respond(make_rows_reply(make_configuration_row(era == 1 ? 7 : 8, 24), 24, era));
+            } else if (call.path.starts_with("/v1/rows-get")) {
+                respond(make_rows_reply("", 24, era));
+            }
+        });
+    watcher_.start();
+    tests::run_until(loop_, [&] { return watches.size() == 1; });
+    era = 2;
+    watcher_.read_rows();
+    tests::run_until(loop_, [&] { return watches.size() == 2; });
+    EXPECT_EQ(adopted_versions_, (std::vector<std::int64_t>{7, 8}));
+    era = 1;
+    const int reads = reads_;
+    watcher_.read_rows();
+    watches[1](make_rows_reply(make_configuration_row(9, 30), 30, 1));
+    watches[0](make_rows_reply(make_configuration_row(10, 31), 31, 1));
+    const std::int64_t started_at = transport::get_boot_time();
+    tests::run_until(loop_, [&] { return transport::get_boot_time() - started_at > 200; });
+    EXPECT_EQ(adopted_version_, 8);
+    EXPECT_EQ(reads_, reads);
+}
+
 // Guards against a stored record that ends each process that reads it.
 TEST(parse_record, malformed_records_are_rejected) {
     for (const char* value :
--- a/tests/platform/store_codec_test.cpp
+++ b/tests/platform/store_codec_test.cpp
@@ -109,9 +109,28 @@
         EXPECT_EQ(codec.parse_store_answer({200, "{}", {}, {{"Store-Era", text}}}).era, 0) << text;
     }
     EXPECT_EQ(codec.parse_store_answer({200, "{}", {}, {{"Store-Era-Old", "5"}}}).era, 0);
+    EXPECT_EQ(codec.parse_store_answer({200, "{}", {}, {{"Store-Era", "1000001"}}}).era, 0);
     EXPECT_EQ(codec.parse_store_answer({200, "{}", {}, {}}).era, 0);
 }
 
+// Guards against comparing versions of different eras as numbers (CONFIG after a restored store),
+// and against a condition or a watch that names a version unknown to the store.
+TEST(store_codec, versions_rise_over_eras_and_calls_name_the_number) {
+    const store_codec codec;
+    const std::string body = R"({"rows":[{"Table":"t","Key":"k","Value":"","RowVersion":412}],)"
+                             R"("RowVersion":530})";
+    const auto before = codec.parse_store_answer({200, body, {}, {{"Store-Era", "1"}}});
+    const auto after = codec.parse_store_answer({200, body, {}, {{"Store-Era", "2"}}});
+    EXPECT_GT(after.rows.at(0).version, before.version);
+    const auto change =
+        codec.format_change({{"t", "k", "", 0, false}, after.rows[0].version, true});
+    EXPECT_EQ(nlohmann::json::parse(change.body).at("Expect").at(0).at("RowVersion"), 412);
+    const auto absent = codec.format_change({{"t", "k", "", 0, false}, 0, true});
+    EXPECT_EQ(nlohmann::json::parse(absent.body).at("Expect").at(0).at("RowVersion"), 0);
+    const auto watch = codec.format_watch(platform_table::targets, after.version, {1, 1});
+    EXPECT_NE(watch.path.find("&after=530&"), std::string::npos);
+}
+
 TEST(store_codec, formats_a_conditional_change) {
     const auto request = store_codec().format_change({{"t", "k", "node-1", 0, false}, 412, true});
     EXPECT_EQ(nlohmann::json::parse(request.body),
