Use a restored leadership record only if no change of the primary was lost

A restore of the store may lose a claim or the record of a promotion. Cause: a conditional write was taken for final, and what a VM knew of the lost rows was dropped.

A record now holds the era in which it was written. One from an earlier era is in doubt, except for a VM whose lease was valid when it learned of the restore: each change waits for every lease, so no lost change can have got past its claim. Such a VM writes the record again, with the primary of the highest term that it knows, and the others use it from then on. Without such a VM the record is taken over like an unfinished change. A lost row counts as restored. No VM claims within a lease's time of a restore, since members may have been lost from the list. A promoter that has asked for the promotion goes on from the restored record; one that waits for leases gives up. Before it ends the wait for silent members it reads the store once more, and a VM whose lease goes on under a newer record does not answer a lost claim. No first record is written while two targets are listed as primary.

The check detects the earlier behaviour as an injected fault.

--- a/src/coordination/primary_lease.h
+++ b/src/coordination/primary_lease.h
@@ -4,6 +4,7 @@
 #include <optional>
 #include <string>
 
+#include "coordination/store_version.h"
 #include "state/log_point.h"
 
 namespace hornbeamhook::coordination {
@@ -12,14 +13,23 @@
 struct leadership_record {
     std::string target;
     state::term_number term = 0;
-    std::string changer;       ///< VM, incarnation and claim replacing the primary; empty if none.
-    std::int64_t version = 0;  ///< Version of the stored row; increases with each write.
+    std::string changer;        ///< VM, incarnation and claim replacing the primary; empty if none.
+    store_version version = 0;  ///< Version of the stored row; increases with each write.
+    std::int64_t era = 0;       ///< The store's era as known to the VM that wrote the record.
 
     auto operator<=>(const leadership_record&) const = default;
 
     bool is_changing() const { return !changer.empty(); }
+
+    /** Whether the store was restored after the record was written, so that a claim or a record
+     * that followed it may be lost. */
+    bool is_restored() const { return era < get_era(version); }
 };
 
+/** The record to restore() if the store of this era holds none although `known` was written: of a
+ * version that a row which does not exist has. Pure. */
+leadership_record make_lost_record(const leadership_record& known, std::int64_t era);
+
 /**
  * How long a VM may use a primary after its lease was last renewed. A VM that replaces a primary
  * waits this long for VMs that do not answer. Leases are renewed every 700 ms, so one renewal may
@@ -50,17 +60,30 @@
  */
 class primary_lease {
 public:
-    /** Renews the lease: a store read sent at `requested_at` returned this record. */
+    /** Renews the lease: a store read sent at `requested_at` returned this record. A restored
+     * record renews no lease. */
     void confirm(const leadership_record& record, std::int64_t requested_at);
 
+    /**
+     * Replaces the known record: the store was restored and holds `record`, written earlier. A
+     * lease that is valid now continues until it ends: every change of the primary waits for it,
+     * so none can have got further than its claim. Otherwise the primary may not be used. Of the
+     * two records the primary of the higher term is kept.
+     */
+    void restore(const leadership_record& record, std::int64_t now);
+
     /**
      * Extends the lease: all members promised, in answer to pings sent at `requested_at` or later,
      * not to begin a change.
      */
     void extend(std::int64_t requested_at);
 
-    /** Ends the lease: a VM, maybe this one, replaces the primary of records up to `version`. */
-    void revoke(std::int64_t version);
+    /**
+     * Ends the lease: a VM, maybe this one, replaces the primary of records up to `version`. False
+     * if the lease goes on, because the store was restored since and this change is lost; the VM
+     * must not be told that the lease has ended.
+     */
+    bool revoke(store_version version);
 
     /** The record whose primary may be used now; empty without a valid lease. */
     std::optional<leadership_record> get_usable(std::int64_t now) const;
@@ -68,6 +91,9 @@
     /** The newest record, whether or not the lease is valid. */
     const std::optional<leadership_record>& get_record() const { return record_; }
 
+    /** Whether a change of the primary may have been lost when the store was restored. */
+    bool is_in_doubt() const { return record_ && record_->is_restored() && !is_continued_; }
+
     /** Whether a change announced to this VM is still in progress. */
     bool is_revoked() const { return record_ && record_->version <= revoked_version_; }
 
@@ -79,6 +105,7 @@
     std::int64_t confirmed_at_ = -lease_duration_ms;
     std::int64_t store_read_at_ = -max_store_outage_ms;
     std::int64_t revoked_version_ = 0;
+    bool is_continued_ = false;  ///< The lease was valid when the present record was restored.
 };
 
 }  // namespace hornbeamhook::coordination
--- a/src/coordination/promotion.cpp
+++ b/src/coordination/promotion.cpp
@@ -28,6 +28,10 @@
 constexpr std::int64_t takeover_timeout_ms = 6500;
 /// Delay between claims of VMs with consecutive ranks, so that one succeeds without a conflict.
 constexpr std::int64_t rank_delay_ms = 120;
+/// Between attempts to write a restored record again; a write takes 40 ms.
+constexpr std::int64_t restored_write_interval_ms = 400;
+/// Between reads of the store that a change waits for; a read takes 40 ms.
+constexpr std::int64_t read_interval_ms = 250;
 /// Attempts to write one record before the VM gives up and waits for the next store read.
 constexpr int max_write_attempts = 3;
 
@@ -87,17 +91,26 @@
         if (is_own) {
             out.emplace_back(change_ended{reason_, *input.record, now - claimed_at_});
             abandon({}, out);
-        } else {
-            abandon("another VM took over the change", out);
+            return out;
+        }
+        if (!input.record->is_restored() || !is_promotion_requested()) {
+            abandon(input.record->is_restored() ? "the store was restored during the change"
+                                                : "another VM took over the change",
+                    out);
+            return out;
         }
-        return out;
+        // The claim is lost, but each lease was released or has expired, and other VMs take over a
+        // restored record only after the deadline of this VM's request.
+        claim_version_ = input.record->version;
+        claim_era_ = input.era;
     }
     switch (phase_) {
         case promotion_phase::watching:
             watch(input, now, out);
             break;
         case promotion_phase::claiming:
-            if (sent_at_ == 0 && input.record && input.record->changer == claim_id_) {
+            if (sent_at_ == 0 && input.record && input.record->changer == claim_id_ &&
+                !input.record->is_restored()) {
                 begin_revoking(input, input.record->version, now, out);
             } else if (sent_at_ == 0 && now - phase_since_ > lease_duration_ms) {
                 abandon("no store read confirmed the claim", out);
@@ -131,21 +144,47 @@
     return out;
 }
 
+bool promotion::is_promotion_requested() const {
+    return phase_ == promotion_phase::requesting_promotion ||
+           phase_ == promotion_phase::awaiting_promotion;
+}
+
+void promotion::write_restored(const promotion_input& input, std::int64_t now, actions& out) {
+    const bool is_turn = now - observed_since_ >= input.rank * rank_delay_ms;
+    const bool is_due = restored_written_at_ < observed_since_ ||
+                        now - restored_written_at_ >= restored_write_interval_ms;
+    if (is_turn && is_due) {
+        restored_written_at_ = now;
+        out.emplace_back(write_record{++write_,
+                                      {input.record->target, input.record->term, {}, 0, input.era},
+                                      input.record->version});
+    }
+}
+
 void promotion::watch(const promotion_input& input, std::int64_t now, actions& out) {
+    if (input.record && input.record->is_restored() && input.has_lease) {
+        write_restored(input, now, out);
+        return;
+    }
     if (!input.may_claim || !input.is_record_fresh) {
         pending_reason_ = change_reason::none;
         return;
     }
     if (!input.record) {
-        if (!input.discovered_primary) {
+        // A superseded primary is listed as primary for a while. Its record may have been lost with
+        // the store.
+        if (!input.discovered_primary || input.listed_primaries.size() > 1) {
             pending_since_ = now;
         } else if (now - pending_since_ >= input.rank * rank_delay_ms &&
                    now - sent_at_ > lease_duration_ms) {
             sent_at_ = now;
-            out.emplace_back(write_record{
-                ++write_,
-                {input.discovered_primary->first, input.discovered_primary->second, {}, 0},
-                0});
+            out.emplace_back(write_record{++write_,
+                                          {input.discovered_primary->first,
+                                           input.discovered_primary->second,
+                                           {},
+                                           0,
+                                           input.era},
+                                          0});
         }
         return;
     }
@@ -164,7 +203,7 @@
 }
 
 change_reason promotion::find_reason(const promotion_input& input, std::int64_t now) {
-    if (input.record->is_changing()) {
+    if (input.record->is_changing() || input.record->is_restored()) {
         return now - observed_since_ > takeover_timeout_ms ? change_reason::unfinished
                                                            : change_reason::none;
     }
@@ -190,12 +229,13 @@
     reason_ = reason;
     old_ = *input.record;
     excluded_.clear();
-    may_be_promoted_ = old_.is_changing();
+    may_be_promoted_ = old_.is_changing() || old_.is_restored();
     ++write_;
     claim_id_ = input.changer + '/' + std::to_string(write_);
+    claim_era_ = input.era;
     claim_sent_at_ = now;
-    out.emplace_back(
-        write_record{write_, {old_.target, old_.term, claim_id_, 0}, input.record->version});
+    out.emplace_back(write_record{
+        write_, {old_.target, old_.term, claim_id_, 0, claim_era_}, input.record->version});
 }
 
 void promotion::handle_written(const promotion_input& input, const record_written& event,
@@ -204,8 +244,10 @@
         return;
     }
     if (phase_ == promotion_phase::claiming) {
-        if (event.version) {
+        if (event.version && get_era(*event.version) == claim_era_) {
             begin_revoking(input, *event.version, now, out);
+        } else if (event.version) {
+            abandon("the store was restored before the claim", out);
         } else {
             abandon("another VM changed the record before the claim", out);
         }
@@ -226,6 +268,7 @@
                                actions& out) {
     phase_ = promotion_phase::revoking;
     claim_version_ = version;
+    fence_ = version;
     claimed_at_ = now;
     established_released_at_.reset();
     phase_since_ = now;
@@ -258,8 +301,16 @@
             abandon("this VM joined recently and no established member answered", out);
             return;
         }
-        begin_survey(input, now, out);
-        return;
+        // If the store was restored while a lease was still valid, that lease may go on although
+        // its VM does not answer. This VM then reads a restored record.
+        if (input.members_requested_at >= waiting_since + lease_duration_ms) {
+            begin_survey(input, now, out);
+            return;
+        }
+        if (now - read_requested_at_ >= read_interval_ms) {
+            read_requested_at_ = now;
+            out.emplace_back(read_store{});
+        }
     }
     if (!waiting_.empty() && now - sent_at_ >= resend_interval_ms) {
         sent_at_ = now;
@@ -401,13 +452,13 @@
     sent_at_ = now;
     is_request_outstanding_ = true;
     may_be_promoted_ = true;
-    out.emplace_back(request_promotion{target, claim_version_});
+    out.emplace_back(request_promotion{target, fence_});
 }
 
 void promotion::handle_promotion_answer(const promotion_input& input,
                                         const promotion_answered& event, std::int64_t now,
                                         actions& out) {
-    if (event.fence != claim_version_) {
+    if (event.fence != fence_) {
         return;
     }
     is_request_outstanding_ = false;
@@ -454,7 +505,7 @@
     phase_since_ = now;
     sent_at_ = now;
     write_attempts_ = 1;
-    next_ = {target, term, {}, 0};
+    next_ = {target, term, {}, 0, claim_era_};
     out.emplace_back(write_record{++write_, next_, claim_version_});
 }
 
--- a/src/coordination/promotion.h
+++ b/src/coordination/promotion.h
@@ -39,6 +39,8 @@
 struct promotion_input {
     std::string changer;  ///< This VM and its incarnation.
     std::optional<leadership_record> record;
+    std::int64_t era = 0;          ///< The store's era as of this VM's newest read.
+    bool has_lease = false;        ///< This VM may use the primary of the record.
     bool is_record_fresh = false;  ///< The store was read recently.
     bool may_claim = false;        ///< This VM has been listed for longer than a lease lasts.
     bool is_established = false;   ///< It has been listed for at least max_store_outage_ms.
@@ -109,6 +111,9 @@
     bool is_planned = false;
 };
 
+/** Read the store now. */
+struct read_store {};
+
 /** Ask a target for a report. */
 struct request_report {
     int survey = 0;  ///< Number that the answer repeats.
@@ -145,8 +150,8 @@
 };
 
 using promotion_action =
-    std::variant<write_record, request_lease_release, request_report, step_down, resume_replica,
-                 request_promotion, change_ended, change_abandoned>;
+    std::variant<write_record, request_lease_release, read_store, request_report, step_down,
+                 resume_replica, request_promotion, change_ended, change_abandoned>;
 
 /** Progress of this VM in replacing the primary of one group. */
 enum class promotion_phase {
@@ -181,6 +186,10 @@
     using actions = std::vector<promotion_action>;
 
     void watch(const promotion_input& input, std::int64_t now, actions& out);
+    /** Whether a promotion is or will be requested, and no record of it has been written. */
+    bool is_promotion_requested() const;
+    /** Writes a restored record again, so that other VMs know that no change was lost. */
+    void write_restored(const promotion_input& input, std::int64_t now, actions& out);
     change_reason find_reason(const promotion_input& input, std::int64_t now);
     void claim(const promotion_input& input, change_reason reason, std::int64_t now, actions& out);
     void begin_revoking(const promotion_input& input, std::int64_t version, std::int64_t now,
@@ -218,9 +227,11 @@
     leadership_record old_;
     leadership_record next_;
     std::string claim_id_;  ///< Identifies the last claim; it is stored as the record's changer.
+    std::int64_t claim_era_ = 0;
     std::int64_t claim_sent_at_ = 0;  ///< The claim may have been applied any time after this.
-    std::int64_t claim_version_ = 0;
-    std::int64_t claimed_at_ = 0;  ///< When this VM learned that the claim was applied.
+    std::int64_t claim_version_ = 0;  ///< Of the record that this VM's next write replaces.
+    std::int64_t fence_ = 0;          ///< Of the promotion requests of this claim.
+    std::int64_t claimed_at_ = 0;     ///< When this VM learned that the claim was applied.
     std::int64_t phase_since_ = 0;
     /// When an established member last released its lease for this claim; empty before the first.
     std::optional<std::int64_t> established_released_at_;
@@ -234,7 +245,9 @@
     bool is_request_outstanding_ = false;
     bool may_be_promoted_ = false;  ///< A promotion may have been requested since the old record.
     int write_attempts_ = 0;
-    std::int64_t ended_version_ = 0;  ///< Of the last record that this VM wrote.
+    std::int64_t ended_version_ = 0;        ///< Of the last record that this VM wrote.
+    std::int64_t read_requested_at_ = 0;    ///< When this VM last asked for a read of the store.
+    std::int64_t restored_written_at_ = 0;  ///< Last attempt to write a restored record again.
     int write_ = 0;   ///< Number of the last write; answers to earlier writes are ignored.
     int survey_ = 0;  ///< Number of the last survey; answers to earlier surveys are ignored.
 };
--- a/src/coordination/store_version.h
+++ b/src/coordination/store_version.h
@@ -20,6 +20,11 @@
     return number == 0 ? 0 : era * numbers_per_era + number;
 }
 
+/** The version of a row that does not exist in an era; below all others of the era. Pure. */
+constexpr store_version get_first_version(std::int64_t era) {
+    return era * numbers_per_era;
+}
+
 /** The era of a version; 0 for a store without eras. Pure. */
 constexpr std::int64_t get_era(store_version version) {
     return version / numbers_per_era;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -205,7 +205,7 @@
         register_self();
         return;
     }
-    leadership_.apply_records(rows, requested_at);
+    leadership_.apply_records(rows, requested_at, watcher_.get_rows_era());
     if (!joined.empty() && !hubs_.is_enabled()) {
         send_pings();
     }
--- a/src/gateway/leadership_manager.cpp
+++ b/src/gateway/leadership_manager.cpp
@@ -36,8 +36,10 @@
 }  // namespace
 
 std::string format_record(const leadership_record& record) {
-    return nlohmann::json{
-        {"target", record.target}, {"term", record.term}, {"changer", record.changer}}
+    return nlohmann::json{{"target", record.target},
+                          {"term", record.term},
+                          {"changer", record.changer},
+                          {"era", record.era}}
         .dump();
 }
 
@@ -46,7 +48,9 @@
     try {
         return leadership_record{object.at("target"), object.at("term"),
                                  object.contains("changer") ? object.at("changer") : "",
-                                 row.version};
+                                 row.version,
+                                 // VMs of an earlier release write no era.
+                                 object.value("era", coordination::get_era(row.version))};
     } catch (const nlohmann::json::exception&) {
         return std::nullopt;
     }
@@ -74,43 +78,75 @@
     return fleet_.get_self().vm + "/" + std::to_string(fleet_.get_self().incarnation);
 }
 
+void leadership_manager::update_era(std::int64_t era, std::int64_t now) {
+    if (era <= era_) {
+        return;
+    }
+    if (era_ != 0) {
+        restored_at_ = now;
+    }
+    era_ = era;
+}
+
 void leadership_manager::apply_records(const std::vector<stored_row>& rows,
-                                       std::int64_t requested_at) {
+                                       std::int64_t requested_at, std::int64_t era) {
     if (final_promises_) {
         return;
     }
-    const std::int64_t now = transport::get_boot_time();
+    update_era(era, transport::get_boot_time());
     store_read_at_ = std::max(store_read_at_, requested_at);
     const std::string_view prefix = group_key_prefix;
+    std::set<std::string> listed;
     for (const stored_row& row : rows) {
         const auto record = row.key.starts_with(prefix) ? parse_record(row) : std::nullopt;
-        if (!record) {
-            continue;
+        if (record) {
+            const std::string name = row.key.substr(prefix.size());
+            listed.insert(name);
+            apply_record(name, *record, requested_at);
         }
-        const std::string name = row.key.substr(prefix.size());
-        target_group& group = engine_.get_groups()[name];
-        group.name = name;
-        const auto known = group.lease.get_record();
-        group.lease.confirm(*record, requested_at);
-        if (!known || known->version != group.lease.get_record()->version) {
-            group_status& status = group_statuses_[name];
-            status.record_received_at = now;
-            status.reachability_answers.clear();
-            status.suspect_since = 0;
-            log_.write(event_record_changed, {{"group", name},
-                                              {"target", record->target},
-                                              {"term", std::to_string(record->term)},
-                                              {"changer", record->changer},
-                                              {"version", std::to_string(record->version)}});
-            if (known && known->target != record->target) {
-                engine_.close_target_links(name, known->target);
-            }
+    }
+    std::vector<std::pair<std::string, leadership_record>> lost;
+    for (const auto& [name, group] : engine_.get_groups()) {
+        const auto& record = group.lease.get_record();
+        if (record && !listed.contains(name)) {
+            lost.emplace_back(name, coordination::make_lost_record(*record, era));
         }
-        engine_.dispatch(name);
+    }
+    for (const auto& [name, record] : lost) {
+        apply_record(name, record, requested_at);
     }
     tick();
 }
 
+void leadership_manager::apply_record(const std::string& name, const leadership_record& record,
+                                      std::int64_t requested_at) {
+    const std::int64_t now = transport::get_boot_time();
+    target_group& group = engine_.get_groups()[name];
+    group.name = name;
+    const auto known = group.lease.get_record();
+    if (record.is_restored()) {
+        group.lease.restore(record, now);
+    } else {
+        group.lease.confirm(record, requested_at);
+    }
+    if (!known || known->version != group.lease.get_record()->version) {
+        group_status& status = group_statuses_[name];
+        status.record_received_at = now;
+        status.reachability_answers.clear();
+        status.suspect_since = 0;
+        log_.write(event_record_changed, {{"group", name},
+                                          {"target", record.target},
+                                          {"term", std::to_string(record.term)},
+                                          {"changer", record.changer},
+                                          {"version", std::to_string(record.version)},
+                                          {"restored", record.is_restored() ? "yes" : "no"}});
+        if (known && known->target != group.lease.get_record()->target) {
+            engine_.close_target_links(name, known->target);
+        }
+    }
+    engine_.dispatch(name);
+}
+
 void leadership_manager::confirm_records(std::int64_t requested_at) {
     if (final_promises_) {
         return;
@@ -162,7 +198,8 @@
             status != group_statuses_.end() &&
             status->second.promotion.get_phase() != coordination::promotion_phase::watching;
         const auto& record = group.lease.get_record();
-        if (!is_changing && record && !record->is_changing() && !group.lease.is_revoked()) {
+        if (!is_changing && record && !record->is_changing() && !group.lease.is_in_doubt() &&
+            !group.lease.is_revoked()) {
             result.push_back({name, record->version});
         }
     }
@@ -314,7 +351,9 @@
                                          {"version", std::to_string(message.version)},
                                          {"planned", message.is_planned ? "yes" : "no"}});
     }
-    group.lease.revoke(message.version - 1);
+    if (!group.lease.revoke(message.version - 1)) {
+        return;
+    }
     status.pending_revocation = {from, message};
     // A request of this VM itself is answered in the next tick, not within the step that sent it.
     if (from != fleet_.get_self().peer_address) {
@@ -460,9 +499,12 @@
 
 bool leadership_manager::is_claim_allowed(std::int64_t now) const {
     const auto listed_since = fleet_.get_listed_since();
-    // A VM that left the list before this one joined may hold a lease unknown to this VM.
-    return listed_since && now - *listed_since >= coordination::lease_duration_ms +
-                                                      coordination::clock_drift_margin_ms;
+    // A VM that left the list before this one joined, or whose row was lost in a restore, may hold
+    // a lease unknown to this VM.
+    constexpr std::int64_t lease_wait_ms =
+        coordination::lease_duration_ms + coordination::clock_drift_margin_ms;
+    return listed_since && now - *listed_since >= lease_wait_ms &&
+           (restored_at_ == 0 || now - restored_at_ >= lease_wait_ms);
 }
 
 bool leadership_manager::is_store_read_recent(std::int64_t now) const {
@@ -491,8 +533,8 @@
                                  std::int64_t now) const {
     const auto& record = group.lease.get_record();
     return status.promotion.get_phase() == coordination::promotion_phase::watching && record &&
-           !record->is_changing() && status.suspect_since == 0 && !is_primary_leaving(group) &&
-           !is_primary_demoted(group, status, now);
+           !record->is_changing() && !record->is_restored() && status.suspect_since == 0 &&
+           !is_primary_leaving(group) && !is_primary_demoted(group, status, now);
 }
 
 const target_state* leadership_manager::find_listed_primary(const target_group& group) {
@@ -536,6 +578,8 @@
     coordination::promotion_input input;
     input.changer = get_changer();
     input.record = group.lease.get_record();
+    input.era = era_;
+    input.has_lease = group.lease.get_usable(now).has_value();
     input.is_record_fresh = is_store_read_recent(now);
     input.may_claim = is_claim_allowed(now);
     input.is_established = fleet_.is_established(now);
@@ -605,17 +649,21 @@
 
 void leadership_manager::execute(const std::string& name,
                                  const coordination::write_record& action) {
+    const bool is_restored = action.expected != 0 && group_statuses_[name].promotion.get_phase() ==
+                                                         coordination::promotion_phase::watching;
     const row_change change{
         {product_table, group_key_prefix + name, format_record(action.record), 0, false},
         action.expected,
         true};
     store_.change(platform_.format_change(change),
-                  [this, name, write = action.write,
-                   is_first = action.expected == 0](const transport::http_exchange_answer& answer) {
+                  [this, name, write = action.write, is_first = action.expected == 0,
+                   is_restored](const transport::http_exchange_answer& answer) {
                       const store_answer parsed = platform_.parse_store_answer(answer);
                       if (parsed.outcome == store_outcome::done) {
                           if (is_first) {
                               send_first_record_notice(name, parsed.version);
+                          } else if (is_restored) {
+                              send_notice(name, parsed.version);
                           }
                           step(name, coordination::record_written{write, parsed.version});
                       } else if (parsed.outcome == store_outcome::conflict) {
@@ -652,6 +700,11 @@
     return entry == found->second.targets.end() ? nullptr : &entry->second.entry;
 }
 
+void leadership_manager::execute(const std::string& /*name*/,
+                                 const coordination::read_store& /*action*/) {
+    read_rows_();
+}
+
 void leadership_manager::execute(const std::string& name,
                                  const coordination::request_report& action) {
     const target_entry* entry = find_entry(name, action.target);
--- a/src/gateway/leadership_manager.h
+++ b/src/gateway/leadership_manager.h
@@ -39,8 +39,10 @@
                        bounded_log& log, gateway_counters& counters,
                        std::function<void()> read_rows);
 
-    /** Applies the group rows of a store read sent at `requested_at` that listed this VM. */
-    void apply_records(const std::vector<stored_row>& rows, std::int64_t requested_at);
+    /** Applies the group rows of a store read sent at `requested_at` that listed this VM; `era` is
+     * the store's. */
+    void apply_records(const std::vector<stored_row>& rows, std::int64_t requested_at,
+                       std::int64_t era);
 
     /** Renews the leases: a read of the store sent at `requested_at` returned the known records and
      * listed this VM. */
@@ -103,6 +105,11 @@
         std::int64_t idle_version = 0;  ///< Version of the record if no action was due; else 0.
     };
 
+    /** Records a later era of the store. */
+    void update_era(std::int64_t era, std::int64_t now);
+    /** Applies a group's record: renews the lease, or replaces it after a restore. */
+    void apply_record(const std::string& name, const coordination::leadership_record& record,
+                      std::int64_t requested_at);
     /** Whether the lease of a group with a record ends within `reserve_ms`. */
     bool is_any_lease_ending(std::int64_t reserve_ms) const;
     void tick();
@@ -138,6 +145,7 @@
     void step(const std::string& name, const coordination::promotion_event& event);
     void execute(const std::string& name, const coordination::write_record& action);
     void execute(const std::string& name, const coordination::request_lease_release& action);
+    void execute(const std::string& name, const coordination::read_store& action);
     void execute(const std::string& name, const coordination::request_report& action);
     void execute(const std::string& name, const coordination::step_down& action);
     void execute(const std::string& name, const coordination::resume_replica& action);
@@ -158,6 +166,8 @@
     std::function<void()> read_rows_;
     std::map<std::string, group_status> group_statuses_;
     std::int64_t store_read_at_ = 0;
+    std::int64_t era_ = 0;          ///< The store's era as of the newest read.
+    std::int64_t restored_at_ = 0;  ///< When this VM learned of the last restore; 0 without one.
     std::optional<std::vector<record_promise>> final_promises_;  ///< Set by retire().
     transport::loop_timer timer_;
 };
--- a/src/gateway/store_watcher.h
+++ b/src/gateway/store_watcher.h
@@ -71,6 +71,9 @@
     /** The product's row with this key in this VM's copy; empty without one. */
     std::optional<stored_row> find_row(const std::string& key) const { return rows_.find(key); }
 
+    /** The store's era that this VM's copy of the product's rows reflects. */
+    std::int64_t get_rows_era() const { return coordination::get_era(rows_.get_read_version()); }
+
     /** Digests of this VM's copies, to compare with a hub's. */
     table_digests get_digests() const;
 
--- a/tests/coordination/promotion_test.cpp
+++ b/tests/coordination/promotion_test.cpp
@@ -429,5 +429,96 @@
     EXPECT_EQ(answered.get_phase(), promotion_phase::surveying);
 }
 
+/** An input after a restore of the store to its second era. */
+promotion_input make_restored_input() {
+    promotion_input input = make_input();
+    input.record = leadership_record{"t1", 3, {}, make_store_version(2, 10), 1};
+    input.era = 2;
+    return input;
+}
+
+// Guards against a restored record that no VM may use, and against one that each VM writes again.
+TEST(promotion, a_vm_with_a_lease_writes_a_restored_record_again) {
+    promotion machine;
+    promotion_input input = make_restored_input();
+    input.has_lease = true;
+    input.may_claim = false;
+    input.rank = 1;
+    EXPECT_TRUE(machine.step(input, input_changed{}, 1000).empty());
+    const auto actions = machine.step(input, input_changed{}, 1150);
+    const write_record* write = find<write_record>(actions);
+    ASSERT_NE(write, nullptr);
+    EXPECT_EQ(write->record, (leadership_record{"t1", 3, {}, 0, 2}));
+    EXPECT_EQ(write->expected, make_store_version(2, 10));
+    EXPECT_TRUE(machine.step(input, input_changed{}, 1200).empty());
+}
+
+// Guards against a VM without a lease that trusts a restored record, or takes it over while another
+// VM may still request the promotion of the lost claim.
+TEST(promotion, a_restored_record_in_doubt_is_taken_over_like_an_unfinished_change) {
+    constexpr std::int64_t takeover_timeout_ms = 6500;
+    promotion machine;
+    promotion_input input = make_restored_input();
+    input.is_loss_confirmed = true;
+    EXPECT_TRUE(machine.step(input, input_changed{}, 1000).empty());
+    EXPECT_TRUE(machine.step(input, input_changed{}, 1000 + takeover_timeout_ms).empty());
+    const auto actions = machine.step(input, input_changed{}, 1001 + takeover_timeout_ms);
+    ASSERT_NE(find<write_record>(actions), nullptr);
+    EXPECT_TRUE(find<write_record>(actions)->record.is_changing());
+}
+
+// Guards against a promotion for a claim that the store has lost, and against a lost claim that
+// delays the change once each lease has ended.
+TEST(promotion, a_change_whose_claim_was_lost_goes_on_only_after_all_leases_ended) {
+    for (const bool is_released : {false, true}) {
+        promotion machine;
+        promotion_input input = make_input();
+        input.record->version = make_store_version(1, 10);
+        input.record->era = 1;
+        input.era = 1;
+        input.is_loss_confirmed = true;
+        machine.step(input, input_changed{}, 1000);
+        const store_version claim = make_store_version(1, 11);
+        machine.step(input, record_written{1, claim}, 1020);
+        if (is_released) {
+            machine.step(input, lease_released{"vm1", claim}, 1030);
+            machine.step(input, lease_released{"vm2", claim}, 1040);
+            for (const char* target : {"t1", "t2", "t3"}) {
+                machine.step(input, report_received{1, target, survey_report{false, 3, {3, 7}, 0}},
+                             1100);
+            }
+            EXPECT_EQ(machine.get_phase(), promotion_phase::requesting_promotion);
+        }
+        input.record = leadership_record{"t1", 3, {}, make_store_version(2, 10), 1};
+        input.era = 2;
+        machine.step(input, input_changed{}, 1200);
+        EXPECT_EQ(machine.get_phase(),
+                  is_released ? promotion_phase::requesting_promotion : promotion_phase::watching);
+        if (is_released) {
+            machine.step(input, promotion_answered{claim, promotion_outcome::accepted}, 1250);
+            EXPECT_EQ(machine.get_phase(), promotion_phase::awaiting_promotion);
+            const auto actions = machine.step(
+                input, report_received{1, "t2", survey_report{true, 4, {4, 0}, 0}}, 2000);
+            const write_record* write = find<write_record>(actions);
+            ASSERT_NE(write, nullptr);
+            EXPECT_EQ(write->record, (leadership_record{"t2", 4, {}, 0, 2}));
+            EXPECT_EQ(write->expected, make_store_version(2, 10));
+        }
+    }
+}
+
+// Guards against a promotion while a lease goes on: the store was restored after the claim, and
+// neither the VM with the lease nor the store is heard.
+TEST(promotion, silent_members_are_waited_for_until_the_store_was_read_again) {
+    claimed_promotion claimed;
+    claimed.input.members_requested_at = 2900;
+    const auto actions = claimed.machine.step(claimed.input, input_changed{}, 3200);
+    EXPECT_NE(find<read_store>(actions), nullptr);
+    EXPECT_EQ(claimed.machine.get_phase(), promotion_phase::revoking);
+    claimed.input.members_requested_at = 3210;
+    claimed.machine.step(claimed.input, input_changed{}, 3260);
+    EXPECT_EQ(claimed.machine.get_phase(), promotion_phase::surveying);
+}
+
 }  // namespace
 }  // namespace hornbeamhook::coordination
--- a/tests/gateway/leadership_exploration_test.cpp
+++ b/tests/gateway/leadership_exploration_test.cpp
@@ -41,6 +41,7 @@
     counts_recent_members,
     departs_with_all_promises,
     departs_to_removed_members,
+    trusts_restored_records,
 };
 
 struct simulation;
@@ -59,6 +60,7 @@
     /** Ends the process as planned until another one starts at `restart_at`. */
     void depart(std::int64_t restart_at);
     void step(const coordination::promotion_event& event);
+    std::int64_t get_era() const { return coordination::get_era(rows.get_read_version()); }
     bool is_changing() const { return promotion.get_phase() != promotion_phase::watching; }
     /** The target that this VM would use as the primary; empty when it has no lease. */
     std::string get_used_primary(std::int64_t now) const;
@@ -73,6 +75,8 @@
     table_copy rows;
     std::int64_t rows_read_at = -1;  ///< Send time of the newest read; -1 before the first.
     std::int64_t store_read_at = -100000;
+    std::int64_t seen_era = 0;
+    std::int64_t restored_at = -100000;
     std::int64_t suspended_until = 0;
     bool is_store_unreachable = false;
     bool is_partitioned = false;  ///< From all other VMs.
@@ -252,7 +256,8 @@
 
 std::vector<record_promise> simulated_vm::get_promises() const {
     const auto& record = lease.get_record();
-    if (is_changing() || !record || record->is_changing() || lease.is_revoked()) {
+    if (is_changing() || !record || record->is_changing() || lease.is_in_doubt() ||
+        lease.is_revoked()) {
         return {};
     }
     const bool hides_version = sim.injected == injected_fault::omits_promise_version;
@@ -345,9 +350,11 @@
         } else {
             const std::size_t bar = row.value.find('|');
             const std::size_t second = row.value.find('|', bar + 1);
+            const std::size_t third = row.value.find('|', second + 1);
             record = leadership_record{row.value.substr(0, bar),
                                        std::stoull(row.value.substr(bar + 1, second - bar - 1)),
-                                       row.value.substr(second + 1), row.version};
+                                       row.value.substr(second + 1, third - second - 1),
+                                       row.version, std::stoll(row.value.substr(third + 1))};
         }
     }
     fleet.update(members, is_listed, sim.now);
@@ -377,7 +384,21 @@
         }
     }
     store_read_at = std::max(store_read_at, requested_at);
-    if (record) {
+    const std::int64_t era = get_era();
+    if (era > seen_era) {
+        restored_at = seen_era == 0 ? restored_at : sim.now;
+        seen_era = era;
+    }
+    if (!record && lease.get_record()) {
+        record = coordination::make_lost_record(*lease.get_record(), era);
+    }
+    const bool trusts_restored = sim.injected == injected_fault::trusts_restored_records;
+    if (record && trusts_restored) {
+        record->era = era;
+    }
+    if (record && record->is_restored()) {
+        lease.restore(*record, sim.now);
+    } else if (record) {
         lease.confirm(*record, requested_at);
     }
     step(coordination::input_changed{});
@@ -430,11 +451,15 @@
 void simulated_vm::step(const coordination::promotion_event& event) {
     coordination::promotion_input input;
     input.changer = changer;
+    constexpr std::int64_t lease_wait_ms =
+        coordination::lease_duration_ms + coordination::clock_drift_margin_ms;
     input.record = lease.get_record();
+    input.era = get_era();
+    input.has_lease = lease.get_usable(sim.now).has_value();
     input.is_record_fresh = sim.now - store_read_at < 1600;
     input.may_claim = fleet.get_listed_since() &&
-                      sim.now - *fleet.get_listed_since() >=
-                          coordination::lease_duration_ms + coordination::clock_drift_margin_ms;
+                      sim.now - *fleet.get_listed_since() >= lease_wait_ms &&
+                      sim.now - restored_at >= lease_wait_ms;
     input.is_established = fleet.is_established(sim.now);
     input.rank = fleet.get_rank(group_name, sim.now);
     input.members = fleet.get_lease_holders(sim.now);
@@ -471,11 +496,14 @@
                 is_lost ? sim.random_between(1, 4000) : sim.random_between(1, 40);
             const auto change = *write;
             sim.at(sim.now + delay, [this, self, change, is_lost] {
-                stored_row& row = sim.rows["group/g"];
+                const auto present = sim.rows.find("group/g");
+                const std::int64_t number = present == sim.rows.end() ? 0 : present->second.version;
                 std::optional<std::int64_t> version;
-                if (row.version == coordination::get_number(change.expected)) {
+                if (number == coordination::get_number(change.expected)) {
+                    stored_row& row = sim.rows["group/g"];
                     row.value = change.record.target + "|" + std::to_string(change.record.term) +
-                                "|" + change.record.changer;
+                                "|" + change.record.changer + "|" +
+                                std::to_string(change.record.era);
                     row.version = ++sim.version;
                     version = coordination::make_store_version(sim.era, sim.version);
                 }
@@ -497,7 +525,9 @@
             for (const std::string& member : ask->members) {
                 const std::string requester_name = name;
                 sim.send(*this, member, [requester_name, version](simulated_vm& other) {
-                    other.lease.revoke(version - 1);
+                    if (!other.lease.revoke(version - 1)) {
+                        return;
+                    }
                     const bool is_established =
                         other.fleet.is_established(other.sim.now) ||
                         other.sim.injected == injected_fault::counts_recent_members;
@@ -515,6 +545,8 @@
                     });
                 }
             }
+        } else if (std::holds_alternative<coordination::read_store>(action)) {
+            poll();
         } else if (const auto* report = std::get_if<coordination::request_report>(&action)) {
             const std::string target = report->target;
             sim.at_vm(
@@ -910,6 +942,8 @@
             return schedule::late_joiners;
         case injected_fault::ignores_relayed_age:
             return schedule::relayed_reads;
+        case injected_fault::trusts_restored_records:
+            return schedule::restores;
         default:
             return schedule::mixed_faults;
     }
@@ -922,7 +956,7 @@
           injected_fault::ignores_lease_expiry, injected_fault::ignores_removed_members,
           injected_fault::uses_stale_members, injected_fault::ignores_relayed_age,
           injected_fault::counts_recent_members, injected_fault::departs_with_all_promises,
-          injected_fault::departs_to_removed_members}) {
+          injected_fault::departs_to_removed_members, injected_fault::trusts_restored_records}) {
         int violations = 0;
         for (std::uint64_t seed = 1; seed <= max_fault_runs && violations == 0; ++seed) {
             violations = run_simulation(seed, fault, get_schedule(fault))->violations;
--- a/tests/gateway/store_watcher_test.cpp
+++ b/tests/gateway/store_watcher_test.cpp
@@ -330,12 +330,22 @@
 TEST(parse_record, malformed_records_are_rejected) {
     for (const char* value :
          {"", "7", "[]", "{}", R"({"target":1,"term":1})", R"({"target":"t1","term":"x"})",
-          R"({"target":"t1","term":1,"changer":7})"}) {
+          R"({"target":"t1","term":1,"changer":7})", R"({"target":"t1","term":1,"era":"1"})"}) {
         EXPECT_FALSE(parse_record({"t", "group/g", value, 3, false}).has_value()) << value;
     }
     const auto record = parse_record({"t", "group/g", R"({"target":"t1","term":1})", 3, false});
     ASSERT_TRUE(record.has_value());
     EXPECT_EQ(*record, (coordination::leadership_record{"t1", 1, {}, 3}));
+    // A record without an era is from an earlier release and counts as written in the present era.
+    const auto older = parse_record({"t", "group/g", R"({"target":"t1","term":1})",
+                                     coordination::make_store_version(2, 3), false});
+    ASSERT_TRUE(older.has_value());
+    EXPECT_FALSE(older->is_restored());
+    const coordination::leadership_record written{"t1", 1, {}, 0, 1};
+    const auto restored = parse_record(
+        {"t", "group/g", format_record(written), coordination::make_store_version(2, 3), false});
+    ASSERT_TRUE(restored.has_value());
+    EXPECT_TRUE(restored->is_restored());
 }
 
 }  // namespace
