Do not release a lease for a claim that a restore has lost

A promoter that does not know of the restore takes the answer for the end of the lease. A VM whose lease goes on answered while its write of the restored record was on the way, and a VM that had just started answered for the lost process of the same name; the other VMs then used the record that was written again, beside the promotion. A VM without a record answers after its first read of the store.

--- a/src/coordination/primary_lease.cpp
+++ b/src/coordination/primary_lease.cpp
@@ -47,12 +47,7 @@
 
 bool primary_lease::revoke(store_version version) {
     revoked_version_ = std::max(revoked_version_, version);
-    if (!record_ || get_era(version) >= get_era(record_->version)) {
-        return true;
-    }
-    // The other VM may not have learned of the restore.
-    is_continued_ = false;
-    return record_->is_restored();
+    return record_ && (get_era(version) >= get_era(record_->version) || is_in_doubt());
 }
 
 std::optional<leadership_record> primary_lease::get_usable(std::int64_t now) const {
--- a/src/coordination/primary_lease.h
+++ b/src/coordination/primary_lease.h
@@ -80,8 +80,8 @@
 
     /**
      * Ends the lease: a VM, maybe this one, replaces the primary of records up to `version`. False
-     * if the lease goes on, because the store was restored since and this change is lost; the VM
-     * must not be told that the lease has ended.
+     * if that VM must not be told so: the store was restored since, so that the change is lost and
+     * the lease goes on, or this VM does not know whether it was, having read no record yet.
      */
     bool revoke(store_version version);
 
