Number the registrations of a VM, so that others see it list itself again

A VM that reaches the store but no other VM is removed from the list and lists itself again. A VM that never read a list without it removed it again at once, for its earlier silence; another one that read the list only between two registrations did not know it as listed and did not wait for its lease.

The row of a VM now holds a number that rises when the process was found unlisted. A row with another number counts as joined, with the full time before a removal. fleet_membership_test.a_member_that_listed_itself_again_counts_as_joined failed before.

--- a/src/gateway/fleet_membership.cpp
+++ b/src/gateway/fleet_membership.cpp
@@ -28,7 +28,8 @@
     return nlohmann::json{{"incarnation", member.incarnation},
                           {"peer", transport::format_endpoint(member.peer_address)},
                           {"control", transport::format_endpoint(member.control_address)},
-                          {"place", member.place}}
+                          {"place", member.place},
+                          {"registration", member.registration}}
         .dump();
 }
 
@@ -48,7 +49,15 @@
     if (!peer || !control || incarnation == object.end() || !incarnation->is_number_integer()) {
         return std::nullopt;
     }
-    return fleet_member{vm, incarnation->get<std::int64_t>(), *peer, *control, get_text("place")};
+    // VMs of an earlier release write no number.
+    const auto registration = object.find("registration");
+    const bool is_numbered = registration != object.end() && registration->is_number_integer();
+    return fleet_member{vm,
+                        incarnation->get<std::int64_t>(),
+                        *peer,
+                        *control,
+                        get_text("place"),
+                        is_numbered ? registration->get<std::int64_t>() : 0};
 }
 
 std::pair<std::set<std::string>, std::set<std::string>> fleet_membership::update(
@@ -80,6 +89,9 @@
     }
     members_ = std::move(next);
     if (!is_self_listed) {
+        // The other VMs have to see that this one left, even those that never read a list without
+        // it: they would remove it for its earlier silence.
+        self_.registration += listed_since_ ? 1 : 0;
         listed_since_.reset();
     } else if (!listed_since_) {
         listed_since_ = now;
@@ -87,6 +99,12 @@
     return {joined, left};
 }
 
+bool fleet_membership::is_self(const fleet_member& member) const {
+    fleet_member same = member;
+    same.registration = self_.registration;
+    return same == self_;
+}
+
 const fleet_member* fleet_membership::find_member(const std::string& vm,
                                                   std::int64_t incarnation) const {
     const auto entry = members_.find(vm);
--- a/src/gateway/fleet_membership.h
+++ b/src/gateway/fleet_membership.h
@@ -113,6 +113,9 @@
     /** Whether this VM is among those that confirm for the fleet that the store is still heard. */
     bool is_confirming(std::int64_t now) const;
 
+    /** Whether the row is of this process, whichever of its registrations. */
+    bool is_self(const fleet_member& member) const;
+
     const fleet_member& get_self() const { return self_; }
     const std::map<std::string, fleet_member>& get_members() const { return members_; }
     /** The listed process of this VM; null if the VM is unlisted or listed with another process. */
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -188,7 +188,7 @@
                                 : std::nullopt;
         if (member) {
             members.push_back(*member);
-            is_self_listed = is_self_listed || *member == fleet_.get_self();
+            is_self_listed = is_self_listed || fleet_.is_self(*member);
         }
     }
     const auto [joined, left] = fleet_.update(members, is_self_listed, now);
--- a/src/gateway/peer_messenger.h
+++ b/src/gateway/peer_messenger.h
@@ -20,6 +20,8 @@
     transport::endpoint peer_address;
     transport::endpoint control_address;
     std::string place;
+    /// How often this process was found unlisted and listed itself again.
+    std::int64_t registration = 0;
 
     auto operator<=>(const fleet_member&) const = default;
 };
--- a/tests/gateway/fleet_membership_test.cpp
+++ b/tests/gateway/fleet_membership_test.cpp
@@ -185,6 +185,34 @@
               (std::set<std::string>{"vm1", "vm2"}));
 }
 
+// Guards against a VM that lists itself again and is removed at once, by a VM that did not see it
+// missing: a promoter that did not see it listed again does not wait for its lease.
+TEST_F(fleet_membership_test, a_member_that_listed_itself_again_counts_as_joined) {
+    const std::int64_t silent_at = 1001 + coordination::max_store_outage_ms;
+    const std::int64_t ping = fleet_.begin_ping_round(silent_at);
+    fleet_.handle_pong(make_pong("vm3", ping, {}), silent_at);
+    EXPECT_EQ(fleet_.get_removable_members(silent_at), std::set<std::string>{"vm2"});
+    fleet_member again = make_member("vm2");
+    again.registration = 1;
+    const auto [joined, left] =
+        fleet_.update({make_member("vm1"), again, make_member("vm3")}, true, silent_at);
+    EXPECT_EQ(joined, std::set<std::string>{"vm2"});
+    EXPECT_TRUE(fleet_.get_removable_members(silent_at).empty());
+    EXPECT_EQ(parse_member("vm2", format_member(again)), again);
+}
+
+// Guards against a VM that lists itself without end because its row is from an earlier attempt.
+TEST_F(fleet_membership_test, a_vm_found_unlisted_gets_one_new_registration_number) {
+    const fleet_member listed = fleet_.get_self();
+    fleet_.update({make_member("vm2")}, false, 2000);
+    EXPECT_EQ(fleet_.get_self().registration, 1);
+    fleet_.update({make_member("vm2")}, false, 2500);
+    EXPECT_EQ(fleet_.get_self().registration, 1);
+    EXPECT_TRUE(fleet_.is_self(listed));
+    EXPECT_FALSE(fleet_.is_self(make_member("vm1", 2)));
+    EXPECT_FALSE(fleet_.is_self(make_member("vm2")));
+}
+
 TEST_F(fleet_membership_test, member_row_round_trips_and_invalid_rows_are_rejected) {
     EXPECT_EQ(parse_member("vm2", format_member(make_member("vm2", 7))), make_member("vm2", 7));
     for (const char* value : {"", "x", "[]", "{}", R"({"incarnation":"1","peer":"a:1"})"}) {
--- a/tests/gateway/leadership_exploration_test.cpp
+++ b/tests/gateway/leadership_exploration_test.cpp
@@ -322,7 +322,7 @@
         const std::int64_t age = other.sim.now - other.rows_read_at;
         const table_update update = other.rows.get_update(0);
         other.sim.send(other, self.vm, [update, age, sent_at, self](simulated_vm& requester) {
-            if (requester.fleet.get_self() != self) {
+            if (!requester.fleet.is_self(self)) {
                 return;
             }
             const bool ignores_age = requester.sim.injected == injected_fault::ignores_relayed_age;
@@ -345,8 +345,14 @@
     for (const auto& [key, row] : known) {
         if (key.starts_with("vm/")) {
             const std::string vm = key.substr(3);
-            members.push_back({vm, std::stoll(row.value), {vm, 1}, {vm, 2}, "z"});
-            is_listed = is_listed || (vm == name && members.back() == fleet.get_self());
+            const std::size_t slash = row.value.find('/');
+            members.push_back({vm,
+                               std::stoll(row.value.substr(0, slash)),
+                               {vm, 1},
+                               {vm, 2},
+                               "z",
+                               std::stoll(row.value.substr(slash + 1))});
+            is_listed = is_listed || fleet.is_self(members.back());
         } else {
             const std::size_t bar = row.value.find('|');
             const std::size_t second = row.value.find('|', bar + 1);
@@ -359,7 +365,9 @@
     }
     fleet.update(members, is_listed, sim.now);
     if (!is_listed) {
-        sim.rows["vm/" + name] = {"", "vm/" + name, std::to_string(fleet.get_self().incarnation),
+        sim.rows["vm/" + name] = {"", "vm/" + name,
+                                  std::to_string(fleet.get_self().incarnation) + "/" +
+                                      std::to_string(fleet.get_self().registration),
                                   ++sim.version, false};
         if (sim.reads_after_joining) {
             sim.at_vm(sim.vms.at(name), sim.now + 20, [this] { poll(); });
@@ -426,12 +434,12 @@
             pong.sequence = sequence;
             const auto requester_entry = other.fleet.get_members().find(self.vm);
             if (requester_entry != other.fleet.get_members().end() &&
-                requester_entry->second == self) {
+                requester_entry->second.incarnation == self.incarnation) {
                 pong.promises = other.get_promises();
             }
             other.sim.send(other, self.vm, [pong, self](simulated_vm& requester) {
                 const auto known = requester.fleet.get_members().find(pong.vm);
-                if (requester.fleet.get_self() != self ||
+                if (!requester.fleet.is_self(self) ||
                     known == requester.fleet.get_members().end() ||
                     known->second.incarnation != pong.incarnation) {
                     return;
