Write the record of a new primary until another VM may take over

The record was tried three times within 0.2 s when the store refused the calls, and then left to the takeover after 6.5 s, although the promotion had taken effect. A restore of the store in that time made it worse: the claim was lost with it. The promoter now writes the record every 200 ms until the takeover, and after a restore too, unless a later claim may have been lost: then it released its lease, or its record is older than a lease.

--- a/src/coordination/primary_lease.h
+++ b/src/coordination/primary_lease.h
@@ -97,6 +97,9 @@
     /** Whether a change announced to this VM is still in progress. */
     bool is_revoked() const { return record_ && record_->version <= revoked_version_; }
 
+    /** Records up to this version give no lease. */
+    store_version get_revoked_version() const { return revoked_version_; }
+
     /** When the lease expires unless it is renewed. */
     std::int64_t get_end() const { return confirmed_at_ + lease_duration_ms; }
 
@@ -104,7 +107,7 @@
     std::optional<leadership_record> record_;
     std::int64_t confirmed_at_ = -lease_duration_ms;
     std::int64_t store_read_at_ = -max_store_outage_ms;
-    std::int64_t revoked_version_ = 0;
+    store_version revoked_version_ = 0;
     bool is_continued_ = false;  ///< The lease was valid when the present record was restored.
 };
 
--- a/src/coordination/promotion.cpp
+++ b/src/coordination/promotion.cpp
@@ -32,8 +32,8 @@
 constexpr std::int64_t restored_write_interval_ms = 400;
 /// Between reads of the store that a change waits for; a read takes 40 ms.
 constexpr std::int64_t read_interval_ms = 250;
-/// Attempts to write one record before the VM gives up and waits for the next store read.
-constexpr int max_write_attempts = 3;
+/// Before the record of a new primary is written again after a failed attempt.
+constexpr std::int64_t record_retry_ms = 200;
 
 }  // namespace
 
@@ -64,10 +64,10 @@
         handle_written(input, *written, now, out);
     } else if (const auto* unknown = std::get_if<record_unknown>(&event)) {
         // The next store read shows whether the write was applied.
-        const bool is_awaited =
-            phase_ == promotion_phase::claiming || phase_ == promotion_phase::recording;
-        if (is_awaited && unknown->write == write_) {
+        if (phase_ == promotion_phase::claiming && unknown->write == write_) {
             sent_at_ = 0;
+        } else if (phase_ == promotion_phase::recording && unknown->write == write_) {
+            record_due_at_ = now + record_retry_ms;
         }
     } else if (const auto* released = std::get_if<lease_released>(&event)) {
         if (released->version == claim_version_) {
@@ -93,7 +93,7 @@
             abandon({}, out);
             return out;
         }
-        if (!input.record->is_restored() || !is_promotion_requested()) {
+        if (!input.record->is_restored() || !is_claim_standing(input, now)) {
             abandon(input.record->is_restored() ? "the store was restored during the change"
                                                 : "another VM took over the change",
                     out);
@@ -103,6 +103,8 @@
         // restored record only after the deadline of this VM's request.
         claim_version_ = input.record->version;
         claim_era_ = input.era;
+        next_.era = claim_era_;
+        record_due_at_ = std::min(record_due_at_, now);
     }
     switch (phase_) {
         case promotion_phase::watching:
@@ -131,22 +133,39 @@
             continue_awaiting(input, now, out);
             break;
         case promotion_phase::recording:
-            if (sent_at_ == 0 || now - sent_at_ > lease_duration_ms) {
-                if (++write_attempts_ > max_write_attempts) {
-                    abandon("the new primary could not be written to the store", out);
-                    break;
-                }
-                sent_at_ = now;
-                out.emplace_back(write_record{++write_, next_, claim_version_});
-            }
+            continue_recording(now, out);
             break;
     }
     return out;
 }
 
-bool promotion::is_promotion_requested() const {
-    return phase_ == promotion_phase::requesting_promotion ||
-           phase_ == promotion_phase::awaiting_promotion;
+void promotion::continue_recording(std::int64_t now, actions& out) {
+    if (now - claim_sent_at_ > takeover_timeout_ms) {
+        abandon("the new primary could not be written to the store", out);
+        return;
+    }
+    if (now >= record_due_at_) {
+        record_due_at_ = now + lease_duration_ms;
+        out.emplace_back(write_record{++write_, next_, claim_version_});
+    }
+}
+
+bool promotion::is_claim_standing(const promotion_input& input, std::int64_t now) const {
+    switch (phase_) {
+        case promotion_phase::requesting_promotion:
+        case promotion_phase::awaiting_promotion:
+            return true;
+        case promotion_phase::recording:
+            // The record may have been written and replaced by another claim before the restore.
+            // Such a claim waits for this VM's answer or for the end of a lease.
+            return now - phase_since_ < lease_duration_ms && input.revoked_version < claim_version_;
+        case promotion_phase::watching:
+        case promotion_phase::claiming:
+        case promotion_phase::revoking:
+        case promotion_phase::surveying:
+            break;
+    }
+    return false;
 }
 
 void promotion::write_restored(const promotion_input& input, std::int64_t now, actions& out) {
@@ -259,7 +278,7 @@
             out.emplace_back(change_ended{reason_, ended, now - claimed_at_});
             abandon({}, out);
         } else {
-            sent_at_ = 0;
+            record_due_at_ = now + record_retry_ms;
         }
     }
 }
@@ -503,10 +522,9 @@
                        actions& out) {
     phase_ = promotion_phase::recording;
     phase_since_ = now;
-    sent_at_ = now;
-    write_attempts_ = 1;
+    record_due_at_ = now;
     next_ = {target, term, {}, 0, claim_era_};
-    out.emplace_back(write_record{++write_, next_, claim_version_});
+    continue_recording(now, out);
 }
 
 void promotion::abandon(std::string message, actions& out) {
--- a/src/coordination/promotion.h
+++ b/src/coordination/promotion.h
@@ -39,11 +39,12 @@
 struct promotion_input {
     std::string changer;  ///< This VM and its incarnation.
     std::optional<leadership_record> record;
-    std::int64_t era = 0;          ///< The store's era as of this VM's newest read.
-    bool has_lease = false;        ///< This VM may use the primary of the record.
-    bool is_record_fresh = false;  ///< The store was read recently.
-    bool may_claim = false;        ///< This VM has been listed for longer than a lease lasts.
-    bool is_established = false;   ///< It has been listed for at least max_store_outage_ms.
+    std::int64_t era = 0;               ///< The store's era as of this VM's newest read.
+    bool has_lease = false;             ///< This VM may use the primary of the record.
+    store_version revoked_version = 0;  ///< Records up to this one give no lease to this VM.
+    bool is_record_fresh = false;       ///< The store was read recently.
+    bool may_claim = false;             ///< This VM has been listed for longer than a lease lasts.
+    bool is_established = false;        ///< It has been listed for at least max_store_outage_ms.
     bool is_loss_confirmed = false;
     bool is_primary_leaving = false;
     bool is_primary_demoted = false;
@@ -186,8 +187,9 @@
     using actions = std::vector<promotion_action>;
 
     void watch(const promotion_input& input, std::int64_t now, actions& out);
-    /** Whether a promotion is or will be requested, and no record of it has been written. */
-    bool is_promotion_requested() const;
+    /** Whether no other VM can have got past a claim since this VM's, if the store was restored and
+     * has lost it. */
+    bool is_claim_standing(const promotion_input& input, std::int64_t now) const;
     /** Writes a restored record again, so that other VMs know that no change was lost. */
     void write_restored(const promotion_input& input, std::int64_t now, actions& out);
     change_reason find_reason(const promotion_input& input, std::int64_t now);
@@ -209,6 +211,7 @@
     bool is_candidate(const promotion_input& input, const std::string& target) const;
     std::optional<std::string> choose_candidate(const promotion_input& input) const;
     void send_promotion_request(const std::string& target, std::int64_t now, actions& out);
+    void continue_recording(std::int64_t now, actions& out);
     void continue_awaiting(const promotion_input& input, std::int64_t now, actions& out);
     void record(const std::string& target, state::term_number term, std::int64_t now, actions& out);
     void abandon(std::string message, actions& out);
@@ -243,9 +246,9 @@
     std::string chosen_;
     state::term_number superseded_term_ = 0;  ///< A new primary has a term above this one.
     bool is_request_outstanding_ = false;
-    bool may_be_promoted_ = false;  ///< A promotion may have been requested since the old record.
-    int write_attempts_ = 0;
-    std::int64_t ended_version_ = 0;        ///< Of the last record that this VM wrote.
+    bool may_be_promoted_ = false;    ///< A promotion may have been requested since the old record.
+    std::int64_t record_due_at_ = 0;  ///< Next attempt to write the record of the new primary.
+    std::int64_t ended_version_ = 0;  ///< Of the last record that this VM wrote.
     std::int64_t read_requested_at_ = 0;    ///< When this VM last asked for a read of the store.
     std::int64_t restored_written_at_ = 0;  ///< Last attempt to write a restored record again.
     int write_ = 0;   ///< Number of the last write; answers to earlier writes are ignored.
--- a/src/gateway/leadership_manager.cpp
+++ b/src/gateway/leadership_manager.cpp
@@ -580,6 +580,7 @@
     input.record = group.lease.get_record();
     input.era = era_;
     input.has_lease = group.lease.get_usable(now).has_value();
+    input.revoked_version = group.lease.get_revoked_version();
     input.is_record_fresh = is_store_read_recent(now);
     input.may_claim = is_claim_allowed(now);
     input.is_established = fleet_.is_established(now);
--- a/tests/coordination/promotion_test.cpp
+++ b/tests/coordination/promotion_test.cpp
@@ -520,5 +520,70 @@
     EXPECT_EQ(claimed.machine.get_phase(), promotion_phase::surveying);
 }
 
+/** A promotion of t2 whose record is being written since time 1200. */
+class recording_promotion {
+public:
+    recording_promotion() : input(make_input()) {
+        input.record->version = make_store_version(1, 10);
+        input.record->era = 1;
+        input.era = 1;
+        input.is_loss_confirmed = true;
+        machine.step(input, input_changed{}, 1000);
+        machine.step(input, record_written{1, claim}, 1020);
+        machine.step(input, lease_released{"vm1", claim}, 1030);
+        machine.step(input, lease_released{"vm2", claim}, 1040);
+        for (const char* target : {"t1", "t2", "t3"}) {
+            const bool is_chosen = std::string(target) == "t2";
+            machine.step(input, report_received{1, target, survey_report{is_chosen, 4, {4, 7}, 0}},
+                         1200);
+        }
+        EXPECT_EQ(machine.get_phase(), promotion_phase::recording);
+    }
+
+    store_version claim = make_store_version(1, 11);
+    promotion machine;
+    promotion_input input;
+};
+
+// Guards against a promotion that took effect and is known to nobody for seconds, because the store
+// was unavailable for a moment when its record was written.
+TEST(promotion, the_record_is_written_again_until_another_vm_may_take_over) {
+    recording_promotion recording;
+    std::int64_t now = 1200;
+    int failed_write = 2;
+    recording.machine.step(recording.input, record_unknown{failed_write}, now);
+    for (; recording.machine.get_phase() == promotion_phase::recording; now += 40) {
+        const auto actions = recording.machine.step(recording.input, input_changed{}, now);
+        if (const write_record* write = find<write_record>(actions)) {
+            failed_write = write->write;
+            recording.machine.step(recording.input, record_unknown{failed_write}, now);
+        }
+        ASSERT_LT(now, 20000);
+    }
+    EXPECT_GT(now, 7500);
+    EXPECT_GT(failed_write, 20);
+}
+
+// Guards against the loss of a promotion whose record could not be written before the store was
+// restored, and against an older primary that is recorded after a restore lost a later change.
+TEST(promotion, a_record_is_written_after_a_restore_only_if_no_later_change_can_be_lost) {
+    for (const auto& [now, revoked, is_written] :
+         {std::tuple{std::int64_t{2000}, std::int64_t{10}, true},
+          std::tuple{std::int64_t{2000}, std::int64_t{12}, false},
+          std::tuple{std::int64_t{3300}, std::int64_t{10}, false}}) {
+        recording_promotion recording;
+        recording.input.record = leadership_record{"t1", 3, {}, make_store_version(2, 10), 1};
+        recording.input.era = 2;
+        recording.input.revoked_version = make_store_version(1, revoked);
+        const auto actions = recording.machine.step(recording.input, input_changed{}, now);
+        const write_record* write = find<write_record>(actions);
+        EXPECT_EQ(write != nullptr, is_written) << now << " " << revoked;
+        if (write != nullptr) {
+            EXPECT_EQ(write->record, (leadership_record{"t2", 4, {}, 0, 2}));
+            EXPECT_EQ(write->expected, make_store_version(2, 10));
+        }
+    }
+}
+
 }  // namespace
 }  // namespace hornbeamhook::coordination
--- a/tests/gateway/leadership_exploration_test.cpp
+++ b/tests/gateway/leadership_exploration_test.cpp
@@ -464,6 +464,7 @@
     input.record = lease.get_record();
     input.era = get_era();
     input.has_lease = lease.get_usable(sim.now).has_value();
+    input.revoked_version = lease.get_revoked_version();
     input.is_record_fresh = sim.now - store_read_at < 1600;
     input.may_claim = fleet.get_listed_since() &&
                       sim.now - *fleet.get_listed_since() >= lease_wait_ms &&
