Reject targets whose entry has an odd number or address

Reported by other operators: an entry of another writer, very deeply nested, with a number too large or a port out of range, ended the machines that read the list. A key with a special character as the last one of a page is escaped in the request of the next page; unescaped it ended the query, so that the list could not be read.

--- a/tests/platform/store_codec_test.cpp
+++ b/tests/platform/store_codec_test.cpp
@@ -51,6 +51,85 @@
     EXPECT_EQ(decoded.errors.size(), rows.size() - 1);
 }
 
+/** An entry as another program may write it; not all of them are JSON. */
+struct odd_target {
+    std::string name;
+    std::string value;
+};
+
+/** Keeps the text of the entry out of the test's name. */
+void PrintTo(const odd_target& target, std::ostream* out) {
+    *out << target.name;
+}
+
+/** The entry of a valid target with one field replaced by this text. */
+std::string replace_field(const std::string& field, const std::string& text) {
+    nlohmann::json target = make_target();
+    target[field] = "REPLACED";
+    std::string value = target.dump();
+    const std::string quoted = "\"REPLACED\"";
+    return value.replace(value.find(quoted), quoted.size(), text);
+}
+
+std::string nest(const std::string& open, const std::string& close) {
+    constexpr int levels = 60000;
+    std::string text;
+    for (int i = 0; i < levels; ++i) {
+        text += open;
+    }
+    text += "1";
+    for (int i = 0; i < levels; ++i) {
+        text += close;
+    }
+    return text;
+}
+
+class odd_target_test : public testing::TestWithParam<odd_target> {};
+
+// Guards against an entry of another writer that ends each process which reads it, hides the valid
+// entries, or yields a target that cannot be used.
+TEST_P(odd_target_test, names_no_target_and_hides_no_other) {
+    const auto decoded = store_codec().decode(
+        platform_table::targets,
+        {make_row("good", make_target()), {"servers", "odd", GetParam().value, 6, false}});
+    EXPECT_TRUE(decoded.targets.at("good").has_value());
+    EXPECT_FALSE(decoded.targets.at("odd").has_value());
+    EXPECT_EQ(decoded.errors.size(), 1U);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    store_codec, odd_target_test,
+    testing::Values(odd_target{"nested_lists", nest("[", "]")},
+                    odd_target{"nested_objects", nest("{\"a\":", "}")},
+                    odd_target{"nested_field", replace_field("Zone", nest("[", "]"))},
+                    odd_target{"slots_overflow", replace_field("Slots", "1e999")},
+                    odd_target{"slots_too_large", replace_field("Slots", "99999999999999999999")},
+                    odd_target{"slots_above_int", replace_field("Slots", "4294967299")},
+                    odd_target{"slots_max", replace_field("Slots", "2147483647")},
+                    odd_target{"slots_zero", replace_field("Slots", "0")},
+                    odd_target{"slots_fraction", replace_field("Slots", "2.5")},
+                    odd_target{"start_above_int64", replace_field("born", "18446744073709551615")},
+                    odd_target{"start_negative", replace_field("born", "-1")},
+                    odd_target{"start_text", replace_field("born", "\"1700\"")},
+                    odd_target{"port_out_of_range", replace_field("Addr", "\"10.0.0.1:65536\"")},
+                    odd_target{"port_zero", replace_field("Addr", "\"10.0.0.1:0\"")},
+                    odd_target{"port_overflow",
+                               replace_field("Addr", "\"10.0.0.1:99999999999999999999\"")},
+                    odd_target{"host_name", replace_field("Addr", "\"server:80\"")},
+                    odd_target{"host_out_of_range", replace_field("Addr", "\"10.0.0.256:80\"")},
+                    odd_target{"zone_missing", replace_field("Zone", "\"\"")},
+                    odd_target{"not_utf8", replace_field("Zone", "\"\xff\"")}),
+    [](const testing::TestParamInfo<odd_target>& tested) { return tested.param.name; });
+
+// Guards against a page of rows that is asked for with a key of another writer which ends the
+// query.
+TEST(store_codec, a_key_is_escaped_in_the_request_of_the_next_page) {
+    const auto request =
+        store_codec().format_platform_read(platform_table::targets, "a&b c#%?\xc3\xa4-_.~9");
+    EXPECT_NE(request.path.find("&From=a%26b%20c%23%25%3F%C3%A4-_.~9%00"), std::string::npos)
+        << request.path;
+}
+
 TEST(store_codec, reads_a_configuration_and_skips_an_invalid_route) {
     const nlohmann::json value{
         {"Version", 7},
