Report a number out of range in JSON as an error of the text

nlohmann::json throws out_of_range and not parse_error for a number such as 1e999, so that parse_json() threw instead of returning an error. Test json_reader.a_text_that_cannot_be_read_is_an_error failed before.

--- a/src/state/json_reader.cpp
+++ b/src/state/json_reader.cpp
@@ -234,6 +234,9 @@
         return leaf::new_error(state_error{
             std::string(what),
             std::string(what) + ": malformed JSON at byte " + std::to_string(error.byte)});
+    } catch (const nlohmann::json::out_of_range&) {
+        return leaf::new_error(
+            state_error{std::string(what), std::string(what) + ": a number is out of range"});
     }
 }
 
