Test copies and targets of a restored store

Rows of a copy from before a restore bring nothing back and leave a follower; a target whose entry was lost is kept for the 2.5 s in which it may be listed again.

--- a/tests/gateway/store_watcher_test.cpp
+++ b/tests/gateway/store_watcher_test.cpp
@@ -22,7 +22,10 @@
                             adopted_version_ = value.version;
                             adopted_versions_.push_back(value.version);
                         },
-                    .target_changed = [](const std::string&, const std::optional<target_entry>&) {},
+                    .target_changed =
+                        [this](const std::string& id, const std::optional<target_entry>& entry) {
+                            targets_[id] = entry.has_value();
+                        },
                     .rows_read =
                         [this](const std::vector<stored_row>& rows, std::int64_t requested_at) {
                             ++reads_;
@@ -43,14 +46,26 @@
     /** The configuration's row, as the store lists it. */
     std::string make_configuration_row(std::int64_t version, row_version row) const {
         const nlohmann::json value{{"Version", version}, {"Routes", nlohmann::json::array()}};
-        const auto change =
-            codec_.format_change({{"op", "config", value.dump(), 0, false}, 0, false});
+        return make_stored_row("op", "config", value, row);
+    }
+
+    std::string make_stored_row(const std::string& table, const std::string& key,
+                                const nlohmann::json& value, row_version row) const {
+        const auto change = codec_.format_change({{table, key, value.dump(), 0, false}, 0, false});
         const nlohmann::json put = nlohmann::json::parse(change.body).at("Puts").at(0);
         return nlohmann::json{
-            {"Table", "op"}, {"Key", "config"}, {"Value", put.at("Value")}, {"RowVersion", row}}
+            {"Table", table}, {"Key", key}, {"Value", put.at("Value")}, {"RowVersion", row}}
             .dump();
     }
 
+    /** A target's row, as the store lists it. */
+    std::string make_target_row(const std::string& id, row_version row) const {
+        const nlohmann::json value{{"Service", "s"},     {"Addr", "10.0.0.1:80"}, {"Zone", "z"},
+                                   {"Slots", 3},         {"State", "ready"},      {"Seq", 1},
+                                   {"DbRole", "replica"}};
+        return make_stored_row("servers", id, value, row);
+    }
+
     /** The store's answer to a read or a watch. */
     static transport::http_reply make_rows_reply(const std::string& rows, row_version version,
                                                  int era = 1) {
@@ -72,6 +87,7 @@
     std::int64_t requested_at_ = 0;
     std::int64_t adopted_version_ = 0;
     std::vector<std::int64_t> adopted_versions_;
+    std::map<std::string, bool> targets_;  ///< Whether the target is listed, by its last change.
     int reads_ = 0;
 };
 
@@ -326,6 +342,38 @@
     EXPECT_EQ(reads_, reads);
 }
 
+// Guards against a target that is given up because its entry was lost in a restore, before it has
+// had the time to write it again; and against one that stays in use although it does not return.
+TEST_F(store_watcher_test, targets_lost_in_a_restore_may_return) {
+    int era = 1;
+    bool has_returned = false;
+    const transport::http_listener store(
+        loop_, store_address_,
+        [&](const transport::http_call& call, const transport::http_listener::responder& respond) {
+            if (call.path.starts_with("/v1/rows-get?Table=servers")) {
+                respond(era == 1 ? make_rows_reply(make_target_row("old", 3) + "," +
+                                                       make_target_row("new", 20) + "," +
+                                                       make_target_row("gone", 21),
+                                                   24)
+                                 : make_rows_reply(make_target_row("old", 3), 10, 2));
+            } else if (call.path.starts_with("/v1/rows-feed?Table=servers")) {
+                if (era == 2 && !std::exchange(has_returned, true)) {
+                    respond(make_rows_reply(make_target_row("new", 20), 20, 2));
+                }
+            } else if (call.path.starts_with("/v1/rows-get")) {
+                respond(make_rows_reply("", 24, era));
+            }
+        });
+    watcher_.start();
+    tests::run_until(loop_, [&] { return targets_.size() == 3; });
+    era = 2;
+    watcher_.read_rows();
+    tests::run_until(loop_, [&] { return !targets_.at("gone"); });
+    EXPECT_TRUE(has_returned);
+    EXPECT_TRUE(targets_.at("old"));
+    EXPECT_TRUE(targets_.at("new"));
+}
+
 // Guards against a stored record that ends each process that reads it.
 TEST(parse_record, malformed_records_are_rejected) {
     for (const char* value :
--- a/tests/gateway/table_copy_test.cpp
+++ b/tests/gateway/table_copy_test.cpp
@@ -113,5 +113,32 @@
     EXPECT_EQ(older.get_read_version(), 5);
 }
 
+// Guards against rows that a restore of the store has lost and that VMs which have not read it
+// since spread again; and against such rows staying at a VM that follows another one.
+TEST(table_copy, a_copy_from_before_a_restore_brings_nothing_back) {
+    using coordination::make_store_version;
+    table_copy before;
+    before.apply_read(
+        {make_row("kept", make_store_version(1, 3)), make_row("changed", make_store_version(1, 9)),
+         make_row("lost", make_store_version(1, 8))},
+        make_store_version(1, 9));
+    stored_row older = make_row("changed", make_store_version(2, 5));
+    older.value = "older value";
+    table_copy hub;
+    hub.apply_read({make_row("kept", make_store_version(2, 3)), older}, make_store_version(2, 6));
+    EXPECT_TRUE(hub.apply_update(before.get_update(0)).empty());
+    EXPECT_TRUE(hub.apply_copied(before.get_all_rows()).empty());
+    EXPECT_EQ(hub.find("changed")->value, "older value");
+
+    table_copy follower = before;
+    follower.apply_changes(hub.get_changes(follower.get_read_version()));
+    EXPECT_NE(follower.get_digest(), hub.get_digest()) << "the lost row is not noticed";
+    EXPECT_EQ(follower.get_read_version(), before.get_read_version());
+    follower.apply_update(hub.get_update(follower.get_newest_version()));
+    EXPECT_EQ(follower.get_digest(), hub.get_digest());
+    EXPECT_FALSE(follower.find("lost").has_value());
+    EXPECT_EQ(follower.find("changed")->value, "older value");
+}
+
 }  // namespace
 }  // namespace hornbeamhook::gateway
