--- a/tests/gateway/leadership_exploration_test.cpp
+++ b/tests/gateway/leadership_exploration_test.cpp
@@ -860,14 +860,15 @@
 // second claim and requests a promotion after another VM has taken over; and (late_store) against
 // VMs that all joined recently and replace a primary used by VMs that do not know them; and
 // (partial_reports) against a VM that records the first of two promotions that were not recorded;
-// and (departures) against leases extended by a VM that stopped after it had removed their holder.
+// and (departures) against leases extended by a VM that stopped after it had removed their holder;
+// and (restores) against a lease released for a lost claim while its record is written again, and
+// against a VM that listed itself again and is not waited for.
 TEST(leadership_exploration, seeds_that_failed_before) {
     const std::vector<std::pair<std::uint64_t, schedule>> seeds = {
-        {2808971969, schedule::mixed_faults},
-        {4099628558, schedule::mixed_faults},
-        {3335917238, schedule::late_store},
-        {2641931027, schedule::partial_reports},
-        {1572311469, schedule::departures}};
+        {2808971969, schedule::mixed_faults}, {4099628558, schedule::mixed_faults},
+        {3335917238, schedule::late_store},   {2641931027, schedule::partial_reports},
+        {1572311469, schedule::departures},   {994986871, schedule::restores},
+        {4250982111, schedule::restores}};
     for (const auto& [seed, events] : seeds) {
         const auto result = run_simulation(seed, injected_fault::none, events);
         EXPECT_EQ(result->violations, 0) << "HORNBEAMHOOK_SEED=" << seed << " " << result->detail;
