--- a/src/coordination/promotion.cpp
+++ b/src/coordination/promotion.cpp
@@ -247,7 +247,6 @@
     sent_at_ = now;
     reason_ = reason;
     old_ = *input.record;
-    claim_version_ = 0;
     excluded_.clear();
     may_be_promoted_ = old_.is_changing() || old_.is_restored();
     ++write_;
@@ -324,12 +323,7 @@
         // If the store was restored while a lease was still valid, that lease may go on although
         // its VM does not answer. This VM then reads a restored record.
         if (input.members_requested_at >= waiting_since + lease_duration_ms) {
-            const bool has_waited_for_store = read_requested_at_ >= claimed_at_;
-            if (has_waited_for_store && now - claim_sent_at_ > request_deadline_ms) {
-                claim(input, reason_, now, out);
-            } else {
-                begin_survey(input, now, out);
-            }
+            begin_survey(input, now, out);
             return;
         }
         if (now - read_requested_at_ >= read_interval_ms) {
