--- a/src/coordination/promotion.cpp
+++ b/src/coordination/promotion.cpp
@@ -322,7 +322,7 @@
         }
         // If the store was restored while a lease was still valid, that lease may go on although
         // its VM does not answer. This VM then reads a restored record.
-        if (input.members_requested_at >= waiting_since + lease_duration_ms) {
+        if (waiting_.empty() || input.members_requested_at >= waiting_since + lease_duration_ms) {
             begin_survey(input, now, out);
             return;
         }
--- a/tests/coordination/promotion_test.cpp
+++ b/tests/coordination/promotion_test.cpp
@@ -520,6 +520,16 @@
     EXPECT_EQ(claimed.machine.get_phase(), promotion_phase::surveying);
 }
 
+// Guards against a change that waits for the store although each member has answered.
+TEST(promotion, members_that_all_answered_need_no_other_read_after_the_lease_time) {
+    claimed_promotion claimed;
+    claimed.input.members_requested_at = 900;
+    claimed.machine.step(claimed.input, lease_released{"vm2", 11}, 1100);
+    EXPECT_EQ(claimed.machine.get_phase(), promotion_phase::revoking);
+    claimed.machine.step(claimed.input, input_changed{}, 3200);
+    EXPECT_EQ(claimed.machine.get_phase(), promotion_phase::surveying);
+}
+
 /** A promotion of t2 whose record is being written since time 1200. */
 class recording_promotion {
 public:
