--- a/src/coordination/primary_lease.h
+++ b/src/coordination/primary_lease.h
@@ -65,7 +65,7 @@
     void confirm(const leadership_record& record, std::int64_t requested_at);
 
     /**
-     * Replaces the known record: the store was restored and holds `record`, written earlier. A
+     * Replaces the known record: the store was restored and holds `record`, which is_restored(). A
      * lease that is valid now continues until it ends: every change of the primary waits for it,
      * so none can have got further than its claim. Otherwise the primary may not be used. Of the
      * two records the primary of the higher term is kept.
--- a/src/gateway/store_watcher.cpp
+++ b/src/gateway/store_watcher.cpp
@@ -328,7 +328,8 @@
     check_ignored_rows(to_string(table), tables_[table], answer.rows);
     apply(table, tables_[table].apply_read(answer.rows, answer.version));
     has_targets_ = has_targets_ || table == platform_table::targets;
-    // A VM that has just started usually learns of a hub during this pause and needs no watch.
+    // A VM that has just started usually learns of a hub during this pause and needs no watch. The
+    // pause also replaces the read of this table that accept_era() may have scheduled.
     retry_timers_[table]->start(first_watch_delay_ms, 0, [this, table, version = answer.version] {
         watch_table(table, version);
     });
--- a/tests/gateway/store_watcher_test.cpp
+++ b/tests/gateway/store_watcher_test.cpp
@@ -254,88 +254,81 @@
     EXPECT_EQ(adopted_version_, 8);
 }
 
+/** A store that may be restored. It keeps the watches of the configuration open. */
+class restorable_store_test : public store_watcher_test {
+protected:
+    restorable_store_test()
+        : listener_(loop_, store_address_,
+                    [this](const transport::http_call& call,
+                           const transport::http_listener::responder& respond) {
+                        if (call.path.starts_with("/v1/rows-feed?Table=op")) {
+                            watches_.push_back(respond);
+                        } else if (call.path.starts_with("/v1/rows-get?Table=op")) {
+                            ++configuration_reads_;
+                            respond(make_rows_reply(configuration_, version_, era_));
+                        } else if (call.path.starts_with("/v1/rows-get")) {
+                            respond(make_rows_reply("", version_, era_));
+                        }
+                    }) {}
+
+    /** Continues in the second era with this configuration. */
+    void restore(std::int64_t configuration, row_version row, row_version version) {
+        era_ = 2;
+        configuration_ = make_configuration_row(configuration, row);
+        version_ = version;
+    }
+
+    void wait_for_watches(std::size_t count) {
+        tests::run_until(loop_, [&] { return watches_.size() == count; });
+    }
+
+    std::string configuration_ = make_configuration_row(7, 24);
+    row_version version_ = 24;
+    int era_ = 1;
+    int configuration_reads_ = 0;
+    std::vector<transport::http_listener::responder> watches_;
+    transport::http_listener listener_;
+};
+
 // Guards against a configuration that is acknowledged after the store came back from an earlier
 // copy and is never in force (CONFIG): its row has a version that was given out before.
-TEST_F(store_watcher_test, a_configuration_with_a_repeated_row_version_is_adopted) {
-    int era = 1;
-    std::vector<transport::http_listener::responder> watches;
-    const transport::http_listener store(
-        loop_, store_address_,
-        [&](const transport::http_call& call, const transport::http_listener::responder& respond) {
-            if (call.path.starts_with("/v1/rows-feed?Table=op")) {
-                watches.push_back(respond);
-            } else if (call.path.starts_with("/v1/rows-get?Table=op")) {
-                respond(era == 1 ? make_rows_reply(make_configuration_row(7, 24), 24)
-                                 : make_rows_reply(make_configuration_row(6, 20), 22, 2));
-            } else if (call.path.starts_with("/v1/rows-get")) {
-                respond(make_rows_reply("", era == 1 ? 24 : 22, era));
-            }
-        });
+TEST_F(restorable_store_test, a_configuration_with_a_repeated_row_version_is_adopted) {
     watcher_.start();
-    tests::run_until(loop_, [&] { return watches.size() == 1; });
-    era = 2;
-    watches[0]({.status = 410, .body = "{}", .headers = {{"Store-Era", "2"}}});
-    tests::run_until(loop_, [&] { return watches.size() == 2; });
-    watches[1](make_rows_reply(make_configuration_row(8, 24), 24, 2));
-    tests::run_until(loop_, [&] { return watches.size() == 3; });
+    wait_for_watches(1);
+    restore(6, 20, 22);
+    watches_[0]({.status = 410, .body = "{}", .headers = {{"Store-Era", "2"}}});
+    wait_for_watches(2);
+    watches_[1](make_rows_reply(make_configuration_row(8, 24), 24, 2));
+    wait_for_watches(3);
     EXPECT_EQ(adopted_versions_, (std::vector<std::int64_t>{7, 8}));
 }
 
 // Guards against a change that is missed because the store has given out the watched version again
 // since it came back from an earlier copy: the watch then shows only what is newer than that.
-TEST_F(store_watcher_test, a_watch_across_a_restore_reads_the_table_again) {
-    int era = 1;
-    int reads = 0;
-    std::vector<transport::http_listener::responder> watches;
-    const transport::http_listener store(
-        loop_, store_address_,
-        [&](const transport::http_call& call, const transport::http_listener::responder& respond) {
-            if (call.path.starts_with("/v1/rows-feed?Table=op")) {
-                watches.push_back(respond);
-            } else if (call.path.starts_with("/v1/rows-get?Table=op")) {
-                ++reads;
-                respond(era == 1 ? make_rows_reply(make_configuration_row(7, 24), 24)
-                                 : make_rows_reply(make_configuration_row(8, 23), 25, 2));
-            } else if (call.path.starts_with("/v1/rows-get")) {
-                respond(make_rows_reply("", 24, 1));
-            }
-        });
+TEST_F(restorable_store_test, a_watch_across_a_restore_reads_the_table_again) {
     watcher_.start();
-    tests::run_until(loop_, [&] { return watches.size() == 1; });
-    EXPECT_EQ(reads, 1);
-    era = 2;
-    watches[0](make_rows_reply("", 25, 2));
-    tests::run_until(loop_, [&] { return watches.size() == 2; });
+    wait_for_watches(1);
+    EXPECT_EQ(configuration_reads_, 1);
+    restore(8, 23, 25);
+    watches_[0](make_rows_reply("", 25, 2));
+    wait_for_watches(2);
     EXPECT_EQ(adopted_versions_, (std::vector<std::int64_t>{7, 8}));
 }
 
 // Guards against a VM that follows the store only until it is restored, because its watch stays
 // open without an answer; and against an answer from before the restore that arrives after it.
-TEST_F(store_watcher_test, a_restore_seen_by_another_read_ends_the_watch) {
-    int era = 1;
-    std::vector<transport::http_listener::responder> watches;
-    const transport::http_listener store(
-        loop_, store_address_,
-        [&](const transport::http_call& call, const transport::http_listener::responder& respond) {
-            if (call.path.starts_with("/v1/rows-feed?Table=op")) {
-                watches.push_back(respond);
-            } else if (call.path.starts_with("/v1/rows-get?Table=op")) {
-                respond(make_rows_reply(make_configuration_row(era == 1 ? 7 : 8, 24), 24, era));
-            } else if (call.path.starts_with("/v1/rows-get")) {
-                respond(make_rows_reply("", 24, era));
-            }
-        });
+TEST_F(restorable_store_test, a_restore_seen_by_another_read_ends_the_watch) {
     watcher_.start();
-    tests::run_until(loop_, [&] { return watches.size() == 1; });
-    era = 2;
+    wait_for_watches(1);
+    restore(8, 24, 24);
     watcher_.read_rows();
-    tests::run_until(loop_, [&] { return watches.size() == 2; });
+    wait_for_watches(2);
     EXPECT_EQ(adopted_versions_, (std::vector<std::int64_t>{7, 8}));
-    era = 1;
+    era_ = 1;
     const int reads = reads_;
     watcher_.read_rows();
-    watches[1](make_rows_reply(make_configuration_row(9, 30), 30, 1));
-    watches[0](make_rows_reply(make_configuration_row(10, 31), 31, 1));
+    watches_[1](make_rows_reply(make_configuration_row(9, 30), 30, 1));
+    watches_[0](make_rows_reply(make_configuration_row(10, 31), 31, 1));
     const std::int64_t started_at = transport::get_boot_time();
     tests::run_until(loop_, [&] { return transport::get_boot_time() - started_at > 200; });
     EXPECT_EQ(adopted_version_, 8);
