--- a/review/1/case.py
+++ b/review/1/case.py
@@ -67,7 +67,9 @@
         if TROUBLE:
             full.is_deaf = True
             record.add(f"{full.name}: receives nothing from now on, log at {full.position()}")
-        await asyncio.sleep(DEAF_S - 0.5)
+        await asyncio.sleep(DEAF_S / 2 - 1.3)
+        lagging.is_deaf = False  # It is primary by now, or it catches up.
+        await asyncio.sleep(DEAF_S / 2 + 0.8)
         stale, lost = find_stale_reads(deployment, requesters, full)
         served = sum(answer[4].startswith("COMPLETE") for requester in requesters
                      for answer in requester.answers)
