Ask a target again that refused its report before promoting another

Cause: a survey opens a connection to each target. One that has too many connections or no free slot answers "not now", which was taken for silence, so the survey counted as complete and promoted a lagging replica. The remaining replica of a group is in this state just after a loss.

Change: a refused report is a result of its own. The survey asks again for at most 2 s, over an idle connection of this VM when the target accepts no new one. Control statements are repeated in the same way. A survey that the deadline cuts short promotes nothing. Events 7042 and 7043 show what a survey asked and what each target answered.

--- a/src/coordination/promotion.cpp
+++ b/src/coordination/promotion.cpp
@@ -11,6 +11,10 @@
 constexpr std::int64_t resend_interval_ms = 80;
 /// A report needs a free slot on the target and at most two inter-region trips.
 constexpr std::int64_t survey_timeout_ms = 300;
+/// How long a survey waits for the report of a target that is alive but busy; without that report
+/// acknowledged commits may be lost. After the wait for a silent member it still ends before
+/// request_deadline_ms.
+constexpr std::int64_t live_target_timeout_ms = 2000;
 /// How long a change waits for a replica to catch up with an old primary that still reports.
 constexpr std::int64_t catch_up_timeout_ms = 600;
 /// A promotion requested before this change was claimed has taken effect after this time.
@@ -56,6 +60,11 @@
 std::vector<promotion_action> promotion::step(const promotion_input& input,
                                               const promotion_event& event, std::int64_t now) {
     actions out;
+    if (phase_ == promotion_phase::surveying && now - stepped_at_ > survey_timeout_ms) {
+        // This VM was suspended and has asked nobody meanwhile.
+        phase_since_ += now - stepped_at_;
+    }
+    stepped_at_ = now;
     if (input.record && input.record->version != observed_version_) {
         observed_version_ = input.record->version;
         observed_since_ = now;
@@ -78,7 +87,9 @@
             }
         }
     } else if (const auto* report = std::get_if<report_received>(&event)) {
-        handle_report(*report, now, out);
+        handle_report(input, *report, now, out);
+    } else if (const auto* refused = std::get_if<report_refused>(&event)) {
+        handle_refused_report(*refused, now, out);
     } else if (const auto* answer = std::get_if<promotion_answered>(&event)) {
         handle_promotion_answer(input, *answer, now, out);
     }
@@ -345,6 +356,7 @@
     }
     sent_at_ = now;
     reports_.clear();
+    refused_by_.clear();
     ++survey_;
     waiting_ = input.targets;
     for (const std::string& target : waiting_) {
@@ -352,11 +364,38 @@
     }
 }
 
-void promotion::handle_report(const report_received& event, std::int64_t now, actions& out) {
+bool promotion::may_await_live_targets(std::int64_t now) const {
+    return now - phase_since_ < live_target_timeout_ms;
+}
+
+bool promotion::is_awaiting_live_target(const promotion_input& input, std::int64_t now) const {
+    return may_await_live_targets(now) &&
+           std::any_of(waiting_.begin(), waiting_.end(), [&](const std::string& target) {
+               return refused_by_.contains(target) || input.responsive_targets.contains(target);
+           });
+}
+
+void promotion::handle_refused_report(const report_refused& event, std::int64_t now, actions& out) {
+    if (event.survey != survey_ || phase_ != promotion_phase::surveying) {
+        return;
+    }
+    refused_by_.insert(event.target);
+    if (may_await_live_targets(now)) {
+        out.emplace_back(request_report{survey_, event.target});
+    }
+}
+
+void promotion::handle_report(const promotion_input& input, const report_received& event,
+                              std::int64_t now, actions& out) {
     if (event.survey != survey_) {
         return;
     }
     if (phase_ == promotion_phase::surveying) {
+        if (!event.report && input.responsive_targets.contains(event.target)) {
+            // The request was held up or its answer was lost.
+            handle_refused_report({event.survey, event.target}, now, out);
+            return;
+        }
         waiting_.erase(event.target);
         reports_[event.target] = event.report;
         return;
@@ -388,8 +427,11 @@
 }
 
 void promotion::continue_survey(const promotion_input& input, std::int64_t now, actions& out) {
-    const bool is_complete = waiting_.empty() || now - sent_at_ >= survey_timeout_ms;
-    if (!is_complete) {
+    // A survey that is cut short by the deadline promotes nothing; the VM that takes over has time
+    // to hear each live target.
+    const bool is_complete = waiting_.empty() || (now - sent_at_ >= survey_timeout_ms &&
+                                                  !is_awaiting_live_target(input, now));
+    if (!is_complete && now - claim_sent_at_ <= request_deadline_ms) {
         return;
     }
     if (now - claim_sent_at_ > request_deadline_ms) {
--- a/src/coordination/promotion.h
+++ b/src/coordination/promotion.h
@@ -56,6 +56,8 @@
     /// Primary according to discovery, with its term, once this VM has connected to it.
     std::optional<std::pair<std::string, state::term_number>> discovered_primary;
     std::set<std::string> listed_primaries;  ///< Targets that discovery lists as primary.
+    /// Targets that answered this VM recently, on any connection.
+    std::set<std::string> responsive_targets;
 };
 
 /** Time passed or input changed. */
@@ -86,6 +88,12 @@
     std::optional<survey_report> report;
 };
 
+/** A target is alive but could not report: it had no free slot, or too many connections. */
+struct report_refused {
+    int survey = 0;  ///< Number of the answered survey.
+    std::string target;
+};
+
 /** The platform's answer to a promotion request. */
 enum class promotion_outcome { accepted, not_running, refused, unknown };
 
@@ -96,7 +104,7 @@
 };
 
 using promotion_event = std::variant<input_changed, record_written, record_unknown, lease_released,
-                                     report_received, promotion_answered>;
+                                     report_received, report_refused, promotion_answered>;
 
 /** Write the record if the stored row still has version `expected`. */
 struct write_record {
@@ -217,7 +225,12 @@
     void abandon(std::string message, actions& out);
     void handle_written(const promotion_input& input, const record_written& event, std::int64_t now,
                         actions& out);
-    void handle_report(const report_received& event, std::int64_t now, actions& out);
+    void handle_report(const promotion_input& input, const report_received& event, std::int64_t now,
+                       actions& out);
+    void handle_refused_report(const report_refused& event, std::int64_t now, actions& out);
+    /** Whether a target that is known to be alive has not reported and may still be waited for. */
+    bool is_awaiting_live_target(const promotion_input& input, std::int64_t now) const;
+    bool may_await_live_targets(std::int64_t now) const;
     void handle_promotion_answer(const promotion_input& input, const promotion_answered& event,
                                  std::int64_t now, actions& out);
 
@@ -236,10 +249,12 @@
     std::int64_t fence_ = 0;          ///< Of the promotion requests of this claim.
     std::int64_t claimed_at_ = 0;     ///< When this VM learned that the claim was applied.
     std::int64_t phase_since_ = 0;
+    std::int64_t stepped_at_ = 0;  ///< Steps follow each other quickly unless the VM is suspended.
     /// When an established member last released its lease for this claim; empty before the first.
     std::optional<std::int64_t> established_released_at_;
     std::int64_t sent_at_ = 0;  ///< When the last messages of the current phase were sent.
     std::set<std::string> waiting_;
+    std::set<std::string> refused_by_;   ///< Targets that refused a report in this survey.
     std::set<std::string> released_by_;  ///< Members that answered the current claim.
     std::map<std::string, std::optional<survey_report>> reports_;
     std::set<std::string> excluded_;  ///< Targets reported as not running by the platform.
--- a/src/gateway/gateway_events.h
+++ b/src/gateway/gateway_events.h
@@ -45,5 +45,8 @@
 inline constexpr event_type event_watch_failed{7039, "table_watch_failed", event_severity::warning};
 inline constexpr event_type event_read_failed{7040, "table_read_failed", event_severity::warning};
 inline constexpr event_type event_row_ignored{7041, "row_ignored", event_severity::warning};
+inline constexpr event_type event_control_failed{7042, "target_control_failed",
+                                                 event_severity::warning};
+inline constexpr event_type event_promotion_survey{7043, "promotion_survey"};
 
 }  // namespace hornbeamhook::gateway
--- a/src/gateway/leadership_manager.cpp
+++ b/src/gateway/leadership_manager.cpp
@@ -30,6 +30,8 @@
 /// How long a target's read-only failure counts as a sign that it was demoted.
 constexpr std::int64_t demotion_expiry_ms = 2000;
 constexpr std::int64_t discovery_delay_ms = 1500;  ///< Discovery reflects a promotion within this.
+/// A target that answered this VM within this time is alive, even if a report times out.
+constexpr std::int64_t responsive_target_ms = 300;
 /// Between extra store reads after record notices.
 constexpr std::int64_t min_early_read_interval_ms = 150;
 
@@ -597,6 +599,9 @@
         if (!target.entry.is_leaving) {
             input.candidates.insert(id);
         }
+        if (now - target.last_answer_at < responsive_target_ms) {
+            input.responsive_targets.insert(id);
+        }
         if (target.entry.is_primary) {
             input.listed_primaries.insert(id);
             if (target.term != 0) {
@@ -712,16 +717,45 @@
     if (entry == nullptr) {
         return;
     }
-    engine_.get_control().request_report(
-        *entry, [this, name, number = action.survey,
-                 target = action.target](const std::optional<target_report>& report) {
-            std::optional<coordination::survey_report> survey;
-            if (report) {
-                survey = coordination::survey_report{report->is_primary, report->term,
-                                                     report->received, report->held_term};
-            }
-            step(name, coordination::report_received{number, target, survey});
-        });
+    log_survey(name, action.survey, action.target, "asked", {});
+    engine_.get_control().request_report(*entry, [this, name, number = action.survey,
+                                                  target =
+                                                      action.target](const report_answer& answer) {
+        std::visit([&](const auto& value) { handle_report(name, number, target, value); }, answer);
+    });
+}
+
+void leadership_manager::log_survey(const std::string& group, int survey, const std::string& target,
+                                    const std::string& outcome, const std::string& position) {
+    log_.write(event_promotion_survey, {{"group", group},
+                                        {"survey", std::to_string(survey)},
+                                        {"target", target},
+                                        {"outcome", outcome},
+                                        {"position", position}});
+}
+
+void leadership_manager::handle_report(const std::string& group, int survey,
+                                       const std::string& target, const target_report& report) {
+    log_survey(
+        group, survey, target, "answered",
+        std::to_string(report.received.term) + "." + std::to_string(report.received.position));
+    step(group, coordination::report_received{
+                    survey, target,
+                    coordination::survey_report{report.is_primary, report.term, report.received,
+                                                report.held_term}});
+}
+
+void leadership_manager::handle_report(const std::string& group, int survey,
+                                       const std::string& target, const target_refusal& refusal) {
+    log_survey(group, survey, target, "refused " + refusal.code, {});
+    step(group, coordination::report_refused{survey, target});
+}
+
+void leadership_manager::handle_report(const std::string& group, int survey,
+                                       const std::string& target,
+                                       const target_silence& /*silence*/) {
+    log_survey(group, survey, target, "no_answer", {});
+    step(group, coordination::report_received{survey, target, std::nullopt});
 }
 
 void leadership_manager::execute(const std::string& name, const coordination::step_down& action) {
--- a/src/gateway/leadership_manager.h
+++ b/src/gateway/leadership_manager.h
@@ -143,6 +143,14 @@
                                                       const group_status& status,
                                                       std::int64_t now) const;
     void step(const std::string& name, const coordination::promotion_event& event);
+    void handle_report(const std::string& group, int survey, const std::string& target,
+                       const target_report& report);
+    void handle_report(const std::string& group, int survey, const std::string& target,
+                       const target_refusal& refusal);
+    void handle_report(const std::string& group, int survey, const std::string& target,
+                       const target_silence& silence);
+    void log_survey(const std::string& group, int survey, const std::string& target,
+                    const std::string& outcome, const std::string& position);
     void execute(const std::string& name, const coordination::write_record& action);
     void execute(const std::string& name, const coordination::request_lease_release& action);
     void execute(const std::string& name, const coordination::read_store& action);
--- a/src/gateway/session_engine.cpp
+++ b/src/gateway/session_engine.cpp
@@ -110,7 +110,10 @@
       place_(std::move(place)),
       planner_({{}, 1, std::move(place_regions)}),
       homes_(vm_),
-      control_(loop, protocol),
+      control_(loop, protocol, log,
+               [this](const std::string& group, const std::string& target) {
+                   return find_control_link(group, target);
+               }),
       timer_(loop) {
     timer_.start(tick_ms, tick_ms, [this] { tick(); });
 }
@@ -302,7 +305,24 @@
            get_wait_limit(group, pending, now);
 }
 
+std::shared_ptr<target_link> session_engine::find_control_link(const std::string& group,
+                                                               const std::string& target) {
+    const target_state* found = find_target(group, target);
+    if (found == nullptr) {
+        return nullptr;
+    }
+    const auto link =
+        std::find_if(found->links.begin(), found->links.end(), [](const auto& candidate) {
+            return candidate->is_idle() && !candidate->is_pinned() && !candidate->is_relayed() &&
+                   candidate->get_state() == transaction_state::idle;
+        });
+    return link == found->links.end() ? nullptr : *link;
+}
+
 void session_engine::dispatch(const std::string& name) {
+    // Before queued statements take the idle connections: few control statements wait, and a change
+    // of the primary depends on them.
+    control_.use_idle_links();
     const auto found = groups_.find(name);
     if (found == groups_.end()) {
         return;
@@ -612,6 +632,7 @@
         // Statements go on over the connections that it has accepted.
         target->connection_limited_until = now + connection_limit_backoff_ms;
         target->last_answer_at = now;
+        target->refused_since = 0;
     } else {
         target->unreachable_until = target->reconnect_at;
     }
@@ -894,7 +915,7 @@
         expire(group, now);
         dispatch(name);
     }
-    control_.close_timed_out(now);
+    control_.update(now);
     enforce_time_limits(now);
     log_.flush();
 }
--- a/src/gateway/session_engine.h
+++ b/src/gateway/session_engine.h
@@ -121,6 +121,9 @@
                                                   const pending_statement& pending);
     std::shared_ptr<target_link> find_relayed_link(target_state& target,
                                                    const pending_statement& pending);
+    /** An idle connection that may carry a control statement; null without one. */
+    std::shared_ptr<target_link> find_control_link(const std::string& group,
+                                                   const std::string& target);
     void open_link(target_state& target);
     void open_relayed_link(target_state& target, const std::string& home);
     /** Plans the homes of all targets after the fleet or the connection limits changed. */
--- a/src/gateway/target_control.h
+++ b/src/gateway/target_control.h
@@ -1,41 +1,87 @@
 #pragma once
 
+#include <cstdint>
 #include <functional>
 #include <memory>
-#include <optional>
 #include <string>
+#include <variant>
 #include <vector>
 
+#include "gateway/bounded_log.h"
 #include "gateway/session_protocol.h"
 #include "gateway/target_link.h"
 #include "transport/event_loop.h"
 
 namespace hornbeamhook::gateway {
 
-/** Sends status requests and control statements, each on its own connection. Loop thread only. */
+/** The target is alive but did not run the statement: it has no free slot, or too many connections.
+ */
+struct target_refusal {
+    std::string code;  ///< As received.
+
+    auto operator<=>(const target_refusal&) const = default;
+};
+
+/** The target gave no usable answer. */
+struct target_silence {
+    auto operator<=>(const target_silence&) const = default;
+};
+
+/** Result of a status request. */
+using report_answer = std::variant<target_report, target_refusal, target_silence>;
+
+/**
+ * Sends status requests and control statements to targets. Each opens a connection of its own; if
+ * the target refuses that or is slow to accept it, an idle one of the VM's connections is used.
+ * Loop thread only.
+ */
 class target_control {
 public:
-    target_control(transport::event_loop& loop, const session_protocol& protocol)
-        : loop_(loop), protocol_(protocol) {}
+    /** Returns a connection to the target that may carry a statement now; null without one. */
+    using link_source = std::function<std::shared_ptr<target_link>(const std::string& group,
+                                                                   const std::string& target)>;
+
+    /** `find_idle_link` may be called until this object is destroyed. */
+    target_control(transport::event_loop& loop, const session_protocol& protocol, bounded_log& log,
+                   link_source find_idle_link);
 
     ~target_control();
     target_control(const target_control&) = delete;
     target_control& operator=(const target_control&) = delete;
 
-    /** Requests a target's report; `done` gets it, or empty after a failure or timeout. */
-    void request_report(const target_entry& target,
-                        std::function<void(const std::optional<target_report>&)> done);
+    /** Requests a target's report; `done` gets the answer once, within the control timeout. */
+    void request_report(const target_entry& target, std::function<void(const report_answer&)> done);
 
-    /** Sends a control statement and ignores its answer. */
+    /**
+     * Sends a control statement, which must be safe to repeat. It is repeated while the target
+     * refuses to run it, for a limited time.
+     */
     void send(const target_entry& target, const std::string& bytes);
 
-    /** Closes the connections that have timed out. Call regularly. */
-    void close_timed_out(std::int64_t now);
+    /** Uses idle connections for statements that wait for one, if there are any. */
+    void use_idle_links();
+
+    /** Ends attempts that have timed out and begins those that are due. Call regularly. */
+    void update(std::int64_t now);
 
 private:
+    struct exchange;
+    using exchange_ptr = std::shared_ptr<exchange>;
+
+    exchange_ptr start(const target_entry& target, std::string bytes, std::int64_t timeout_ms);
+    /** Opens a connection for the next attempt. */
+    void connect(const exchange_ptr& started);
+    void send_on(const exchange_ptr& started, const std::shared_ptr<target_link>& link,
+                 bool is_own_link);
+    void handle_answer(const exchange_ptr& started, const target_answer& answer, bool is_own_link);
+    void refuse(const exchange_ptr& started, const std::string& code, std::int64_t retry_ms);
+    void finish(const exchange_ptr& started, const report_answer& answer);
+
     transport::event_loop& loop_;
     const session_protocol& protocol_;
-    std::vector<std::shared_ptr<target_link>> links_;
+    bounded_log& log_;
+    link_source find_idle_link_;
+    std::vector<exchange_ptr> exchanges_;
 };
 
 }  // namespace hornbeamhook::gateway
--- a/tests/coordination/promotion_test.cpp
+++ b/tests/coordination/promotion_test.cpp
@@ -111,6 +111,71 @@
     EXPECT_EQ(request->fence, 11);
 }
 
+// Guards against the promotion of a lagging replica because the better one refused its report with
+// "busy" or "too many connections" (review case 1).
+TEST(promotion, asks_a_target_again_that_refused_its_report) {
+    claimed_promotion claimed;
+    claimed.machine.step(claimed.input, lease_released{"vm2", 11}, 1040);
+    claimed.machine.step(claimed.input, report_received{1, "t1", std::nullopt}, 1050);
+    claimed.machine.step(claimed.input, report_received{1, "t2", make_replica(90)}, 1060);
+    auto actions = claimed.machine.step(claimed.input, report_refused{1, "t3"}, 1540);
+    ASSERT_NE(find<request_report>(actions), nullptr);
+    EXPECT_EQ(find<request_report>(actions)->target, "t3");
+    actions = claimed.machine.step(claimed.input, input_changed{}, 1800);
+    EXPECT_EQ(claimed.machine.get_phase(), promotion_phase::surveying);
+    actions = claimed.machine.step(claimed.input, report_received{1, "t3", make_replica(95)}, 1900);
+    ASSERT_NE(find<request_promotion>(actions), nullptr);
+    EXPECT_EQ(find<request_promotion>(actions)->target, "t3");
+}
+
+// Guards against the promotion of a lagging replica because the report of the better one, which
+// answers other statements, timed out.
+TEST(promotion, waits_for_the_report_of_a_responsive_target) {
+    claimed_promotion claimed;
+    claimed.input.responsive_targets = {"t3"};
+    claimed.machine.step(claimed.input, lease_released{"vm2", 11}, 1040);
+    claimed.machine.step(claimed.input, report_received{1, "t1", std::nullopt}, 1050);
+    claimed.machine.step(claimed.input, report_received{1, "t2", make_replica(90)}, 1060);
+    claimed.machine.step(claimed.input, input_changed{}, 1500);
+    EXPECT_EQ(claimed.machine.get_phase(), promotion_phase::surveying);
+    const auto actions =
+        claimed.machine.step(claimed.input, report_received{1, "t3", std::nullopt}, 1540);
+    ASSERT_NE(find<request_report>(actions), nullptr);
+    claimed.input.responsive_targets.clear();
+    claimed.machine.step(claimed.input, report_received{1, "t3", std::nullopt}, 2040);
+    EXPECT_EQ(claimed.machine.get_phase(), promotion_phase::requesting_promotion);
+}
+
+// Guards against a group that stays without a primary because a target keeps refusing its report.
+TEST(promotion, waits_for_a_refused_report_for_a_limited_time) {
+    claimed_promotion claimed;
+    claimed.machine.step(claimed.input, lease_released{"vm2", 11}, 1040);
+    claimed.machine.step(claimed.input, report_received{1, "t1", std::nullopt}, 1050);
+    claimed.machine.step(claimed.input, report_received{1, "t2", make_replica(90)}, 1060);
+    for (std::int64_t now = 1100; now < 3040; now += 40) {
+        claimed.machine.step(claimed.input, report_refused{1, "t3"}, now);
+        EXPECT_EQ(claimed.machine.get_phase(), promotion_phase::surveying);
+    }
+    const auto actions = claimed.machine.step(claimed.input, input_changed{}, 3041);
+    ASSERT_NE(find<request_promotion>(actions), nullptr);
+    EXPECT_EQ(find<request_promotion>(actions)->target, "t2");
+}
+
+// Guards against the promotion of a lagging replica because this VM was suspended while the better
+// one was busy, or the deadline came first (found by leadership_exploration, seed 3346566282).
+TEST(promotion, promotes_nothing_when_time_to_hear_a_live_target_was_missing) {
+    claimed_promotion claimed;
+    claimed.machine.step(claimed.input, lease_released{"vm2", 11}, 1040);
+    claimed.machine.step(claimed.input, report_received{1, "t1", std::nullopt}, 1050);
+    claimed.machine.step(claimed.input, report_received{1, "t2", make_replica(90)}, 1060);
+    claimed.machine.step(claimed.input, report_refused{1, "t3"}, 1070);
+    claimed.machine.step(claimed.input, input_changed{}, 5400);
+    EXPECT_EQ(claimed.machine.get_phase(), promotion_phase::surveying);
+    const auto actions = claimed.machine.step(claimed.input, input_changed{}, 5501);
+    EXPECT_NE(find<change_abandoned>(actions), nullptr);
+    EXPECT_EQ(find<request_promotion>(actions), nullptr);
+}
+
 // Guards against the replacement of a primary that works after all.
 TEST(promotion, keeps_a_primary_that_answers_the_survey) {
     claimed_promotion claimed;
--- a/tests/gateway/leadership_exploration_test.cpp
+++ b/tests/gateway/leadership_exploration_test.cpp
@@ -42,6 +42,7 @@
     departs_with_all_promises,
     departs_to_removed_members,
     trusts_restored_records,
+    ignores_refused_reports,
 };
 
 struct simulation;
@@ -159,6 +160,9 @@
     void set_all_suspect(bool value) {
         set_suspects([value](const simulated_vm&) { return value; });
     }
+    /** Counts a violation if a replica holds commits that the chosen target lacks. `old` is the
+     * primary that the promoter replaces; it does not answer. */
+    void check_chosen(const std::string& chosen, const std::string& old);
     /** Counts a violation if the VM would use a primary other than the one promoted last. */
     void check_primary_use(const simulated_vm& vm);
 
@@ -176,6 +180,8 @@
     bool relays_reads = false;
     /// Targets lose reports at random, and a replaced primary that was not told still answers.
     bool loses_reports = false;
+    /// Targets refuse most reports, and the replicas' logs end at different positions.
+    bool refuses_reports = false;
     bool reads_after_joining = false;  ///< VMs read the rows as soon as they are listed.
     std::int64_t now = 0;
     std::int64_t order = 0;
@@ -204,6 +210,19 @@
     }
 }
 
+void simulation::check_chosen(const std::string& chosen, const std::string& old) {
+    if (chosen == newest_primary) {
+        return;  // Promoted before and not recorded yet; the replicas follow it.
+    }
+    for (const auto& [id, target] : targets) {
+        if (id != old && target.position > targets[chosen].position) {
+            ++violations;
+            detail += chosen + " was promoted at " + std::to_string(now) + " although " + id +
+                      " holds more; ";
+        }
+    }
+}
+
 void simulation::restore_store(std::int64_t age_ms, std::int64_t end) {
     const auto copy = copies.upper_bound(now - age_ms);
     if (copy != copies.begin()) {
@@ -567,13 +586,20 @@
                         lease.get_record() && lease.get_record()->target == target &&
                         !(model.is_primary && model.term > lease.get_record()->term);
                     const bool is_silent = sim.loses_reports ? sim.chance(0.5) : is_suspected;
-                    if (model.is_up && !is_silent) {
+                    const bool is_refused =
+                        sim.refuses_reports && model.is_up && !is_silent && sim.chance(0.7);
+                    if (is_refused && sim.injected != injected_fault::ignores_refused_reports) {
+                        step(coordination::report_refused{number, target});
+                        return;
+                    }
+                    if (model.is_up && !is_silent && !is_refused) {
                         answer = {model.is_primary, model.term, {model.term, model.position}, 0};
                     }
                     step(coordination::report_received{number, target, answer});
                 });
         } else if (const auto* request = std::get_if<coordination::request_promotion>(&action)) {
             const auto sent = *request;
+            sim.check_chosen(sent.target, lease.get_record() ? lease.get_record()->target : "");
             sim.at(sim.now + sim.random_between(1, 30), [this, self, sent] {
                 if (sent.fence < sim.newest_fence) {
                     ++sim.violations;
@@ -608,6 +634,7 @@
     partial_reports,  ///< Mixed faults; targets are reached only now and then.
     relayed_reads,    ///< Mixed faults, and VMs take most rows from another VM's copy.
     restores,         ///< Mixed faults, and the store comes back from earlier copies.
+    refused_reports,  ///< Mixed faults, and targets are too busy to answer most surveys.
 };
 
 /** Starts VMs shortly before the primary is considered lost. */
@@ -744,6 +771,11 @@
     sim.targets["t1"];
     sim.targets["t2"];
     sim.newest_primary = "t0";
+    if (events == schedule::refused_reports) {
+        sim.refuses_reports = true;
+        sim.targets["t1"].position = sim.random_between(50, 99);
+        sim.targets["t2"].position = sim.random_between(50, 99);
+    }
     const auto start = [&sim](int number, std::int64_t incarnation) {
         const auto vm = std::make_shared<simulated_vm>(sim, number, incarnation);
         sim.vms[vm->name] = vm;
@@ -934,6 +966,15 @@
     EXPECT_GT(promotions, runs) << "too few promotions to test the rules";
 }
 
+// Guards against the promotion of a replica that lacks commits of another live one, because that
+// one refused its report (review case 1).
+TEST(leadership_exploration, a_busy_replica_that_holds_more_is_waited_for) {
+    constexpr int runs = 600;
+    int promotions = 0;
+    ASSERT_NO_FATAL_FAILURE(explore(schedule::refused_reports, runs, promotions));
+    EXPECT_GT(promotions, runs) << "too few promotions to test the rules";
+}
+
 /// The rarest injected fault is detected in about one run in a thousand. Seeds are fixed, so that
 /// the result does not depend on chance.
 constexpr std::uint64_t max_fault_runs = 8000;
@@ -954,6 +995,8 @@
             return schedule::relayed_reads;
         case injected_fault::trusts_restored_records:
             return schedule::restores;
+        case injected_fault::ignores_refused_reports:
+            return schedule::refused_reports;
         default:
             return schedule::mixed_faults;
     }
@@ -966,7 +1009,8 @@
           injected_fault::ignores_lease_expiry, injected_fault::ignores_removed_members,
           injected_fault::uses_stale_members, injected_fault::ignores_relayed_age,
           injected_fault::counts_recent_members, injected_fault::departs_with_all_promises,
-          injected_fault::departs_to_removed_members, injected_fault::trusts_restored_records}) {
+          injected_fault::departs_to_removed_members, injected_fault::trusts_restored_records,
+          injected_fault::ignores_refused_reports}) {
         int violations = 0;
         for (std::uint64_t seed = 1; seed <= max_fault_runs && violations == 0; ++seed) {
             violations = run_simulation(seed, fault, get_schedule(fault))->violations;
--- a/tests/gateway/session_engine_test.cpp
+++ b/tests/gateway/session_engine_test.cpp
@@ -303,20 +303,82 @@
     int requested = 0;
     std::function<void()> request = [&] {
         ++requested;
-        engine_.get_control().request_report(entry,
-                                             [&](const std::optional<target_report>& report) {
-                                                 EXPECT_FALSE(report.has_value());
-                                                 ++ended;
-                                                 for (int i = 0; i < 20 && requested < 60; ++i) {
-                                                     request();
-                                                 }
-                                             });
+        engine_.get_control().request_report(entry, [&](const report_answer& report) {
+            EXPECT_TRUE(std::holds_alternative<target_silence>(report));
+            ++ended;
+            for (int i = 0; i < 20 && requested < 60; ++i) {
+                request();
+            }
+        });
     };
     request();
     run_until([&] { return ended == 60; });
     EXPECT_EQ(requested, 60);
 }
 
+// Guards against a report that is given up because the target has too many connections, although
+// this VM has an open one (review case 1: a lagging replica was promoted).
+TEST_F(session_engine_test, a_report_uses_an_open_connection_when_new_ones_are_refused) {
+    int starts = 0;
+    scripted_target& target = add_target("t1", true, [&starts](const std::string& line) {
+        if (line.starts_with("STARTUP")) {
+            return std::string(++starts == 1 ? "READY I 1.5\r\n" : "ERROR CONNLIMIT t1\r\n");
+        }
+        return std::string(line.ends_with("STATUS")
+                               ? "DATAROW replica 1 1.7 0 0 0 1\r\nCOMPLETE -\r\nREADY I 1.5\r\n"
+                               : "DATAROW row\r\nCOMPLETE proof\r\nREADY I 1.5\r\n");
+    });
+    give_lease("t1");
+    const auto caller = open_session("strict");
+    ask(*caller, "READ k1");
+    std::optional<report_answer> answer;
+    const target_entry entry = engine_.get_groups()["g"].targets.at("t1").entry;
+    engine_.get_control().request_report(entry, [&](const report_answer& got) { answer = got; });
+    run_until([&] { return answer.has_value(); });
+    ASSERT_TRUE(std::holds_alternative<target_report>(*answer));
+    EXPECT_EQ(std::get<target_report>(*answer).received, (state::log_point{1, 7}));
+    EXPECT_GE(target.connections, 2);
+}
+
+// Guards against a busy target that counts as one that does not answer.
+TEST_F(session_engine_test, a_report_that_a_target_refuses_is_told_from_a_missing_one) {
+    int requests = 0;
+    const transport::endpoint address = *transport::parse_endpoint(tests::get_free_address());
+    scripted_target busy(loop_, address, [&requests](const std::string& line) {
+        if (line.starts_with("STARTUP")) {
+            return std::string("READY I 1.5\r\n");
+        }
+        ++requests;
+        return std::string("ERROR BUSY t1\r\nREADY I 1.5\r\n");
+    });
+    const target_entry entry{"t1", "g", address, "z", 1, 2, false, false};
+    std::optional<report_answer> answer;
+    engine_.get_control().request_report(entry, [&](const report_answer& got) { answer = got; });
+    run_until([&] { return answer.has_value(); });
+    ASSERT_TRUE(std::holds_alternative<target_refusal>(*answer));
+    EXPECT_EQ(std::get<target_refusal>(*answer).code, "BUSY");
+    EXPECT_GE(requests, 3);
+    EXPECT_EQ(busy.connections, 1);
+}
+
+// Guards against a control statement that a busy target refused and nobody repeats.
+TEST_F(session_engine_test, a_refused_control_statement_is_repeated) {
+    int requests = 0;
+    const transport::endpoint address = *transport::parse_endpoint(tests::get_free_address());
+    scripted_target busy(loop_, address, [&requests](const std::string& line) {
+        if (line.starts_with("STARTUP")) {
+            return std::string("READY I 1.5\r\n");
+        }
+        return std::string(++requests < 4 ? "ERROR BUSY t1\r\nREADY I 1.5\r\n"
+                                          : "DATAROW replica 2 1.7 0 0 0 1\r\nCOMPLETE -\r\n"
+                                            "READY I 1.5\r\n");
+    });
+    const target_entry entry{"t1", "g", address, "z", 1, 2, false, false};
+    engine_.get_control().send(entry, codec_.format_step_down(2));
+    run_until([&] { return requests == 4; });
+    EXPECT_EQ(requests, 4);
+}
+
 // Guards against input that crashes the process, affects other sessions or is buffered without
 // bound.
 TEST_F(session_engine_test, drops_sessions_with_malformed_input) {
