Write and remove the row of a VM only under its version

Cause: the store may execute a call seconds after its caller gave up. Registration and removal of a VM's row had no condition, so the late removal by a stopped process unlisted the next one. That process held leases that no promoter knew of.

Change: both writes name the version of the row. A process that finds itself unlisted gives up its leases, except after a restore of the store. Processes ping as soon as they are listed, and promoters wait for processes that they hear from but do not find in the list. A VM is removed only after it was listed for 5 s, so that each VM that may claim has read a list with it.

--- a/src/coordination/primary_lease.h
+++ b/src/coordination/primary_lease.h
@@ -51,6 +51,18 @@
  */
 inline constexpr std::int64_t member_removal_timeout_ms = 3500;
 
+/**
+ * A VM may replace a primary only if its newest read of the store was sent within this time: the
+ * longest interval between reads, 4 s, and a delay.
+ */
+inline constexpr std::int64_t max_record_age_ms = 4500;
+
+/**
+ * Time for which a VM is listed before another one may remove it. Each VM that may replace a
+ * primary has then read a list with it, and waits for its lease.
+ */
+inline constexpr std::int64_t min_listed_time_ms = max_record_age_ms + 500;
+
 /** Allows for clock drift between VMs. */
 inline constexpr std::int64_t clock_drift_margin_ms = 100;
 
@@ -85,6 +97,9 @@
      */
     bool revoke(store_version version);
 
+    /** Ends the lease until it is renewed. */
+    void expire() { confirmed_at_ = -lease_duration_ms; }
+
     /** The record whose primary may be used now; empty without a valid lease. */
     std::optional<leadership_record> get_usable(std::int64_t now) const;
 
--- a/src/gateway/fleet_membership.cpp
+++ b/src/gateway/fleet_membership.cpp
@@ -19,6 +19,10 @@
 /// A VM that hears from less than this share of the others removes none of them.
 constexpr std::size_t min_heard_divisor = 4;
 
+/// How long a VM that is not listed any more may hold a lease.
+constexpr std::int64_t unlisted_lease_ms =
+    coordination::lease_duration_ms + coordination::clock_drift_margin_ms;
+
 /// One may stop or lose the store unnoticed for a while.
 constexpr int confirming_vms = 2;
 
@@ -87,6 +91,10 @@
             peer_states_.erase(vm);
         }
     }
+    std::erase_if(unlisted_, [&next](const auto& entry) {
+        const auto listed = next.find(entry.first);
+        return listed != next.end() && listed->second.incarnation == entry.second.incarnation;
+    });
     members_ = std::move(next);
     if (!is_self_listed) {
         // The other VMs have to see that this one left, even those that never read a list without
@@ -176,7 +184,32 @@
     }
 }
 
+void fleet_membership::handle_unlisted(const std::string& vm, std::int64_t incarnation,
+                                       const transport::endpoint& address, std::int64_t now) {
+    const auto ended = ended_incarnations_.find(vm);
+    const bool has_ended = ended != ended_incarnations_.end() && incarnation <= ended->second;
+    if (vm != self_.vm && !has_ended) {
+        unlisted_[vm] = {incarnation, address, now};
+    }
+}
+
+std::optional<transport::endpoint> fleet_membership::find_peer_address(
+    const std::string& vm) const {
+    const auto unlisted = unlisted_.find(vm);
+    if (unlisted != unlisted_.end()) {
+        return unlisted->second.address;
+    }
+    const auto member = members_.find(vm);
+    return member == members_.end() ? std::nullopt : std::optional(member->second.peer_address);
+}
+
 void fleet_membership::handle_departure(const departure_notice& notice) {
+    std::int64_t& ended = ended_incarnations_[notice.vm];
+    ended = std::max(ended, notice.incarnation);
+    const auto unlisted = unlisted_.find(notice.vm);
+    if (unlisted != unlisted_.end() && unlisted->second.incarnation <= ended) {
+        unlisted_.erase(unlisted);
+    }
     if (find_member(notice.vm, notice.incarnation) == nullptr) {
         return;
     }
@@ -298,8 +331,12 @@
         }
     }
     for (const auto& [vm, left_at] : left_at_) {
-        if (now - left_at <=
-            coordination::lease_duration_ms + coordination::clock_drift_margin_ms) {
+        if (now - left_at <= unlisted_lease_ms) {
+            result.insert(vm);
+        }
+    }
+    for (const auto& [vm, process] : unlisted_) {
+        if (now - process.heard_at <= unlisted_lease_ms) {
             result.insert(vm);
         }
     }
@@ -314,7 +351,8 @@
     }
     for (const auto& [vm, known] : peer_states_) {
         if (now - std::max(known.last_pong_at, known.joined_at) >
-            coordination::member_removal_timeout_ms) {
+                coordination::member_removal_timeout_ms &&
+            now - known.joined_at >= coordination::min_listed_time_ms) {
             result.insert(vm);
         }
     }
--- a/src/gateway/fleet_membership.h
+++ b/src/gateway/fleet_membership.h
@@ -45,6 +45,13 @@
     /** Records a message from the member itself. */
     void handle_heard(const std::string& vm, bool is_stopping, std::int64_t now);
 
+    /**
+     * Records a message of a process that is not listed. It may hold a lease from a list that this
+     * VM has not read, so promoters have to wait for it.
+     */
+    void handle_unlisted(const std::string& vm, std::int64_t incarnation,
+                         const transport::endpoint& address, std::int64_t now);
+
     /** Records that the member's process has ended as planned. */
     void handle_departure(const departure_notice& notice);
 
@@ -90,10 +97,10 @@
     std::vector<fleet_member> get_live_members(std::int64_t now) const;
 
     /**
-     * VMs that may hold a lease: this one, the listed ones, and those removed from the list so
-     * recently that their lease may not have expired; not those that ended as planned. This VM
-     * makes no promises to a removed VM, and a removed VM learns that it is unlisted when it next
-     * reads the store.
+     * VMs that may hold a lease: this one, the listed ones, and those removed from the list or
+     * heard while unlisted so recently that their lease may not have expired; not those that ended
+     * as planned. This VM makes no promises to an unlisted VM, and a removed VM learns that it is
+     * unlisted when it next reads the store.
      */
     std::set<std::string> get_lease_holders(std::int64_t now) const;
 
@@ -118,6 +125,8 @@
 
     const fleet_member& get_self() const { return self_; }
     const std::map<std::string, fleet_member>& get_members() const { return members_; }
+    /** Where the VM receives messages, listed or not; empty for one that is not known. */
+    std::optional<transport::endpoint> find_peer_address(const std::string& vm) const;
     /** The listed process of this VM; null if the VM is unlisted or listed with another process. */
     const fleet_member* find_member(const std::string& vm, std::int64_t incarnation) const;
     bool is_self_listed() const { return listed_since_.has_value(); }
@@ -139,6 +148,13 @@
         bool is_removal_requested = false;  ///< By this VM.
     };
 
+    /** A process that sends messages although it is not listed. */
+    struct unlisted_process {
+        std::int64_t incarnation = 0;
+        transport::endpoint address;
+        std::int64_t heard_at = 0;
+    };
+
     struct ping_round {
         std::int64_t sent_at = 0;
         std::map<std::string, std::int64_t> promises;  ///< Own record versions, by group.
@@ -148,7 +164,9 @@
     std::map<std::string, fleet_member> members_;  ///< Excludes this VM.
     std::map<std::string, peer_state> peer_states_;
     std::map<std::string, std::int64_t> left_at_;  ///< When a member was found removed.
-    std::map<std::int64_t, ping_round> pings_;     ///< Recent pings, by sequence number.
+    std::map<std::string, unlisted_process> unlisted_;
+    std::map<std::string, std::int64_t> ended_incarnations_;  ///< Newest that ended as planned.
+    std::map<std::int64_t, ping_round> pings_;                ///< Recent pings, by sequence number.
     std::int64_t sequence_ = 0;
     std::optional<std::int64_t> listed_since_;
 };
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -181,6 +181,7 @@
     const std::int64_t now = transport::get_boot_time();
     const std::string_view prefix = member_key_prefix;
     std::vector<fleet_member> members;
+    const bool was_self_listed = fleet_.is_self_listed();
     bool is_self_listed = false;
     for (const stored_row& row : rows) {
         const auto member = row.key.starts_with(prefix)
@@ -188,7 +189,10 @@
                                 : std::nullopt;
         if (member) {
             members.push_back(*member);
-            is_self_listed = is_self_listed || fleet_.is_self(*member);
+            if (fleet_.is_self(*member)) {
+                is_self_listed = true;
+                own_row_version_ = row.version;
+            }
         }
     }
     const auto [joined, left] = fleet_.update(members, is_self_listed, now);
@@ -200,13 +204,18 @@
     }
     update_homes(now);
     if (!is_self_listed) {
-        // Other VMs do not wait for an unlisted VM when they change a primary, so it gets no
-        // leases.
+        // Other VMs do not wait for an unlisted VM when they change a primary, so it has no leases.
+        // After a restore of the store leases go on: no change can have ended without them.
+        if (was_self_listed && watcher_.get_rows_era() == listed_era_) {
+            leadership_.release_leases();
+        }
         register_self();
         return;
     }
-    leadership_.apply_records(rows, requested_at, watcher_.get_rows_era());
-    if (!joined.empty() && !hubs_.is_enabled()) {
+    listed_era_ = watcher_.get_rows_era();
+    leadership_.apply_records(rows, requested_at, listed_era_);
+    if ((!joined.empty() || !was_self_listed) && !hubs_.is_enabled()) {
+        // The other VMs have to know that this one may hold leases now.
         send_pings();
     }
     remove_lost_members(now);
@@ -228,12 +237,21 @@
         return;
     }
     last_registration_at_ = now;
-    const row_change change{{product_table, member_key_prefix + settings_.vm,
-                             format_member(fleet_.get_self()), 0, false},
-                            0,
-                            false};
+    // A call without an answer may be executed seconds later, when another process of this VM has
+    // replaced the row.
+    const std::string key = member_key_prefix + settings_.vm;
+    const auto present = watcher_.find_row(key);
+    const row_change change{{product_table, key, format_member(fleet_.get_self()), 0, false},
+                            present ? present->version : 0,
+                            true};
     store_.change(platform_.format_change(change),
-                  [this](const transport::http_exchange_answer&) { watcher_.read_rows(); });
+                  [this](const transport::http_exchange_answer& answer) {
+                      const store_answer parsed = platform_.parse_store_answer(answer);
+                      if (parsed.outcome == store_outcome::done) {
+                          own_row_version_ = parsed.version;
+                      }
+                      watcher_.read_rows();
+                  });
 }
 
 void gateway::remove_lost_members(std::int64_t now) {
@@ -354,6 +372,7 @@
     const std::int64_t now = transport::get_boot_time();
     const fleet_member* sender = fleet_.find_member(request.vm, request.incarnation);
     if (sender == nullptr) {
+        fleet_.handle_unlisted(request.vm, request.incarnation, from, now);
         read_unknown_member();
         return;
     }
@@ -474,6 +493,7 @@
     if (is_member) {
         fleet_.handle_heard(ping.vm, false, transport::get_boot_time());
     } else {
+        fleet_.handle_unlisted(ping.vm, ping.incarnation, from, transport::get_boot_time());
         read_unknown_member();
     }
     std::vector<record_promise> promises =
@@ -567,12 +587,36 @@
     const std::int64_t remaining = settings_.shutdown_limit_ms - exit_margin_ms - elapsed;
     stop_timer_.start(std::max(remaining, shutdown_check_interval_ms), 0,
                       [this] { finish_shutdown(false); });
+    if (own_row_version_ == 0) {
+        finish_shutdown(true);
+        return;
+    }
+    remove_self(own_row_version_);
+}
+
+void gateway::remove_self(row_version version) {
+    // The condition keeps the row of the next process of this VM, because a call without an answer
+    // may be executed seconds later.
     const row_change change{
-        {product_table, member_key_prefix + settings_.vm, {}, 0, true}, 0, false};
-    store_.change(
-        platform_.format_change(change), [this](const transport::http_exchange_answer& answer) {
-            finish_shutdown(platform_.parse_store_answer(answer).outcome == store_outcome::done);
-        });
+        {product_table, member_key_prefix + settings_.vm, {}, 0, true}, version, true};
+    store_.change(platform_.format_change(change),
+                  [this, version](const transport::http_exchange_answer& answer) {
+                      const store_answer parsed = platform_.parse_store_answer(answer);
+                      for (const stored_row& row : parsed.rows) {
+                          const auto member = row.key.starts_with(member_key_prefix)
+                                                  ? parse_member(settings_.vm, row.value)
+                                                  : std::nullopt;
+                          const bool is_newer_own = parsed.outcome == store_outcome::conflict &&
+                                                    member && fleet_.is_self(*member) &&
+                                                    row.version > version;
+                          if (is_newer_own) {
+                              remove_self(row.version);
+                              return;
+                          }
+                      }
+                      finish_shutdown(parsed.outcome == store_outcome::done ||
+                                      parsed.outcome == store_outcome::conflict);
+                  });
 }
 
 void gateway::send_departure() {
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -49,6 +49,9 @@
     /** Updates the VMs among which the engine divides the targets' connections. */
     void update_homes(std::int64_t now);
     void register_self();
+    /** Removes this process's row, if the stored row still has this version, and ends the process.
+     */
+    void remove_self(row_version version);
     /** Removes silent members from the list. Call whenever the rows are known to be current. */
     void remove_lost_members(std::int64_t now);
     /** Periodic work on the fleet that does not depend on its size. */
@@ -108,6 +111,8 @@
     std::int64_t pinged_at_ = 0;       ///< Last round of pings to all members.
     std::int64_t stopping_since_ = 0;  ///< 0 while serving.
     std::int64_t last_registration_at_ = 0;
+    row_version own_row_version_ = 0;  ///< Of this process's row; 0 before it was written.
+    std::int64_t listed_era_ = 0;      ///< The store's era when this VM was last seen listed.
     std::int64_t snapshot_requested_at_ = 0;
     std::uint64_t next_seed_ = 0;  ///< Counts from another number on each VM.
     std::int64_t updates_requested_at_ = 0;
--- a/src/gateway/leadership_manager.cpp
+++ b/src/gateway/leadership_manager.cpp
@@ -17,7 +17,6 @@
 constexpr std::int64_t reachability_request_interval_ms = 100;
 /// How long a planned change lets open transactions end.
 constexpr std::int64_t drain_timeout_ms = 400;
-constexpr std::int64_t max_record_age_ms = 4500;  ///< The longest read interval, 4 s, and a delay.
 /// Remaining lease time at which the store is read because promises did not extend the lease.
 constexpr std::int64_t read_reserve_ms = 1000;
 /// The same in a fleet with hubs, after members were asked for promises.
@@ -178,6 +177,14 @@
     }
 }
 
+void leadership_manager::release_leases() {
+    const std::int64_t now = transport::get_boot_time();
+    for (auto& [name, group] : engine_.get_groups()) {
+        group.lease.expire();
+        check_lease(group, group_statuses_[name], now);
+    }
+}
+
 void leadership_manager::retire() {
     final_promises_ = get_promises();
     timer_.stop();
@@ -510,7 +517,7 @@
 }
 
 bool leadership_manager::is_store_read_recent(std::int64_t now) const {
-    return store_read_at_ != 0 && now - store_read_at_ <= max_record_age_ms;
+    return store_read_at_ != 0 && now - store_read_at_ <= coordination::max_record_age_ms;
 }
 
 bool leadership_manager::is_primary_leaving(const target_group& group) const {
@@ -688,10 +695,8 @@
             handle(fleet_.get_self().peer_address,
                    revoke_request{name, action.version, action.is_planned});
         }
-        const auto member = fleet_.get_members().find(vm);
-        if (member != fleet_.get_members().end()) {
-            messenger_.send(member->second.peer_address,
-                            revoke_request{name, action.version, action.is_planned});
+        if (const auto address = fleet_.find_peer_address(vm)) {
+            messenger_.send(*address, revoke_request{name, action.version, action.is_planned});
         }
     }
 }
--- a/src/gateway/leadership_manager.h
+++ b/src/gateway/leadership_manager.h
@@ -69,6 +69,9 @@
     /** Promises for all groups in which this VM knows of no change of the primary under way. */
     std::vector<record_promise> get_promises() const;
 
+    /** Gives up all leases until a read of the store lists this VM again. */
+    void release_leases();
+
     /**
      * Gives up all leases and stops all changes for good, because this process ends. The promises
      * of this moment stay valid.
--- a/tests/gateway/fleet_membership_test.cpp
+++ b/tests/gateway/fleet_membership_test.cpp
@@ -71,6 +71,40 @@
     EXPECT_FALSE(fleet_.get_promised_since("g", 10).has_value());
 }
 
+// Guards against a change of the primary that does not wait for a process which holds a lease from
+// a list that this VM has not read (review case 2).
+TEST_F(fleet_membership_test, an_unlisted_process_that_is_heard_may_hold_a_lease) {
+    const transport::endpoint address{"10.0.0.4", 7440};
+    fleet_.handle_unlisted("vm4", 5, address, 2000);
+    constexpr std::int64_t lease_ms =
+        coordination::lease_duration_ms + coordination::clock_drift_margin_ms;
+    EXPECT_TRUE(fleet_.get_lease_holders(2000 + lease_ms).contains("vm4"));
+    EXPECT_FALSE(fleet_.get_lease_holders(2001 + lease_ms).contains("vm4"));
+    EXPECT_EQ(fleet_.find_peer_address("vm4"), address);
+    EXPECT_EQ(fleet_.find_peer_address("vm5"), std::nullopt);
+    // The next process of a listed VM that ended as planned.
+    fleet_.handle_departure({"vm2", 1, {}});
+    fleet_.handle_unlisted("vm2", 1, address, 2000);
+    EXPECT_FALSE(fleet_.get_lease_holders(2000).contains("vm2"));
+    fleet_.handle_unlisted("vm2", 2, address, 2000);
+    EXPECT_TRUE(fleet_.get_lease_holders(2000).contains("vm2"));
+    fleet_.handle_departure({"vm2", 2, {}});
+    EXPECT_FALSE(fleet_.get_lease_holders(2000).contains("vm2"));
+}
+
+// Guards against a VM that is removed before each VM that may replace a primary has read a list
+// with it.
+TEST(fleet_membership, a_vm_that_joined_recently_is_not_removed) {
+    fleet_membership fleet(make_member("vm1"));
+    fleet.update({make_member("vm1")}, true, 0);
+    const std::int64_t joined_at = coordination::max_store_outage_ms;
+    fleet.update({make_member("vm1"), make_member("vm2")}, true, joined_at);
+    EXPECT_TRUE(
+        fleet.get_removable_members(joined_at + coordination::min_listed_time_ms - 1).empty());
+    EXPECT_EQ(fleet.get_removable_members(joined_at + coordination::min_listed_time_ms),
+              std::set<std::string>{"vm2"});
+}
+
 // Guards against a fleet in which no VM notices that the watches of the configuration are silent,
 // because one that confirmed it has stopped.
 TEST(fleet_membership, two_vms_confirm_the_configuration_and_are_replaced_when_silent) {
--- a/tests/gateway/leadership_exploration_test.cpp
+++ b/tests/gateway/leadership_exploration_test.cpp
@@ -43,6 +43,7 @@
     departs_to_removed_members,
     trusts_restored_records,
     ignores_refused_reports,
+    removes_next_process,
 };
 
 struct simulation;
@@ -58,8 +59,9 @@
     void extend_lease();
     void ping();
     void tick();
-    /** Ends the process as planned until another one starts at `restart_at`. */
-    void depart(std::int64_t restart_at);
+    /** Ends the process as planned until another one starts at `restart_at`. The store executes the
+     * removal of its row at `removed_at`. */
+    void depart(std::int64_t restart_at, std::int64_t removed_at);
     void step(const coordination::promotion_event& event);
     std::int64_t get_era() const { return coordination::get_era(rows.get_read_version()); }
     bool is_changing() const { return promotion.get_phase() != promotion_phase::watching; }
@@ -283,7 +285,7 @@
     return {{group_name, hides_version ? 0 : record->version}};
 }
 
-void simulated_vm::depart(std::int64_t restart_at) {
+void simulated_vm::depart(std::int64_t restart_at, std::int64_t removed_at) {
     departure_notice notice{name, fleet.get_self().incarnation, get_promises()};
     if (sim.injected == injected_fault::departs_with_all_promises && lease.get_record()) {
         notice.promises = {{group_name, lease.get_record()->version}};
@@ -292,9 +294,17 @@
         sim.send(*this, member.vm,
                  [notice](simulated_vm& other) { other.fleet.handle_departure(notice); });
     }
-    if (!is_store_unreachable && sim.now >= sim.store_down_until) {
-        sim.rows.erase("vm/" + name);
-        ++sim.version;
+    const std::string key = "vm/" + name;
+    const auto row = sim.rows.find(key);
+    if (!is_store_unreachable && sim.now >= sim.store_down_until && row != sim.rows.end()) {
+        sim.at(removed_at, [&owner = sim, key, version = row->second.version] {
+            const auto present = owner.rows.find(key);
+            const bool is_same = present != owner.rows.end() && present->second.version == version;
+            if (is_same || owner.injected == injected_fault::removes_next_process) {
+                owner.rows.erase(key);
+                ++owner.version;
+            }
+        });
     }
     has_departed = true;
     suspended_until = restart_at + 1;  // Until the next process has replaced it.
@@ -382,8 +392,13 @@
                                        row.version, std::stoll(row.value.substr(third + 1))};
         }
     }
+    const bool was_listed = fleet.is_self_listed();
     fleet.update(members, is_listed, sim.now);
+    const bool ignores_unlisted = sim.injected == injected_fault::removes_next_process;
     if (!is_listed) {
+        if (was_listed && get_era() == seen_era && !ignores_unlisted) {
+            lease.expire();
+        }
         sim.rows["vm/" + name] = {"", "vm/" + name,
                                   std::to_string(fleet.get_self().incarnation) + "/" +
                                       std::to_string(fleet.get_self().registration),
@@ -455,6 +470,9 @@
             if (requester_entry != other.fleet.get_members().end() &&
                 requester_entry->second.incarnation == self.incarnation) {
                 pong.promises = other.get_promises();
+            } else if (other.sim.injected != injected_fault::removes_next_process) {
+                other.fleet.handle_unlisted(self.vm, self.incarnation, self.peer_address,
+                                            other.sim.now);
             }
             other.sim.send(other, self.vm, [pong, self](simulated_vm& requester) {
                 const auto known = requester.fleet.get_members().find(pong.vm);
@@ -634,6 +652,7 @@
     partial_reports,  ///< Mixed faults; targets are reached only now and then.
     relayed_reads,    ///< Mixed faults, and VMs take most rows from another VM's copy.
     restores,         ///< Mixed faults, and the store comes back from earlier copies.
+    late_removals,    ///< VMs stop as planned and start again; their rows are removed late.
     refused_reports,  ///< Mixed faults, and targets are too busy to answer most surveys.
 };
 
@@ -701,11 +720,31 @@
             const int number = std::stoi(vm->name.substr(2));
             sim.at(end, [&sim, start, number] { start(number, sim.now + 1); });
             vm->reaches_all_sides = sim.chance(0.5);
-            vm->depart(end);
+            vm->depart(end, sim.now);
         });
     }
 }
 
+/**
+ * Stops VMs as planned and starts them again. The store executes the removal of their rows late, at
+ * about the time at which the next process registers, and the primary is considered lost then.
+ */
+void add_late_removals(simulation& sim, const std::function<void(int, std::int64_t)>& start,
+                       int vms) {
+    for (std::int64_t begin = 6000; begin < run_duration_ms - 8000; begin += 5000) {
+        const auto number = static_cast<int>(sim.random_between(0, vms - 1));
+        const std::int64_t restart_at = begin + sim.random_between(300, 2500);
+        const std::int64_t removed_at = restart_at + sim.random_between(-200, 1600);
+        const std::int64_t lost_at = removed_at + sim.random_between(-100, 400);
+        sim.at(begin, [&sim, number, restart_at, removed_at] {
+            sim.vms.at("vm" + std::to_string(number))->depart(restart_at, removed_at);
+        });
+        sim.at(restart_at, [&sim, start, number] { start(number, sim.now + 1); });
+        sim.at(lost_at, [&sim] { sim.set_all_suspect(true); });
+        sim.at(lost_at + 700, [&sim] { sim.set_all_suspect(false); });
+    }
+}
+
 /**
  * Cuts all VMs but one from the store and from that one. A VM joins on the side of the store and
  * considers the primary lost, and the one that was listed for long stops as planned; its last
@@ -730,7 +769,7 @@
     sim.at(stopped_at, [&sim] {
         const auto vm = sim.vms.at("vm0");
         vm->reaches_all_sides = sim.chance(0.5);
-        vm->depart(run_duration_ms);
+        vm->depart(run_duration_ms, sim.now);
     });
     sim.at(healed_at, [&sim, set_cut] {
         set_cut(0);
@@ -764,7 +803,8 @@
     sim.loses_reports = events == schedule::partial_reports;
     const bool is_split = events == schedule::split_fleets || events == schedule::late_store ||
                           events == schedule::departures;
-    sim.reads_after_joining = events == schedule::late_joiners || is_split;
+    sim.reads_after_joining =
+        events == schedule::late_joiners || events == schedule::late_removals || is_split;
     const auto vms =
         static_cast<int>(is_split ? sim.random_between(6, 9) : sim.random_between(2, 5));
     sim.targets["t0"].is_primary = true;
@@ -801,6 +841,11 @@
         sim.run();
         return result;
     }
+    if (events == schedule::late_removals) {
+        add_late_removals(sim, start, vms);
+        sim.run();
+        return result;
+    }
     if (events == schedule::departures && sim.chance(0.5)) {
         add_departure_during_change(sim, start, vms);
         sim.run();
@@ -975,6 +1020,15 @@
     EXPECT_GT(promotions, runs) << "too few promotions to test the rules";
 }
 
+// Guards against a change of the primary that does not wait for a process whose row was removed by
+// the late call of the process before it (review case 2).
+TEST(leadership_exploration, a_late_removal_does_not_hide_the_next_process) {
+    constexpr int runs = 600;
+    int promotions = 0;
+    ASSERT_NO_FATAL_FAILURE(explore(schedule::late_removals, runs, promotions));
+    EXPECT_GT(promotions, runs) << "too few promotions to test the rules";
+}
+
 /// The rarest injected fault is detected in about one run in a thousand. Seeds are fixed, so that
 /// the result does not depend on chance.
 constexpr std::uint64_t max_fault_runs = 8000;
@@ -997,6 +1051,8 @@
             return schedule::restores;
         case injected_fault::ignores_refused_reports:
             return schedule::refused_reports;
+        case injected_fault::removes_next_process:
+            return schedule::late_removals;
         default:
             return schedule::mixed_faults;
     }
@@ -1010,7 +1066,7 @@
           injected_fault::uses_stale_members, injected_fault::ignores_relayed_age,
           injected_fault::counts_recent_members, injected_fault::departs_with_all_promises,
           injected_fault::departs_to_removed_members, injected_fault::trusts_restored_records,
-          injected_fault::ignores_refused_reports}) {
+          injected_fault::ignores_refused_reports, injected_fault::removes_next_process}) {
         int violations = 0;
         for (std::uint64_t seed = 1; seed <= max_fault_runs && violations == 0; ++seed) {
             violations = run_simulation(seed, fault, get_schedule(fault))->violations;
