Learn of a leaving target in time although connections go silent twice

Cause: connections to the store go silent in the pause between two watches of the targets. The next watch is sent on a silent connection and fails after 6.5 s. The bound of 7 s left out the pause and the retry, and in fleets with hubs the time to pass a change on.

Change: shorter watches; a read without an answer is sent again on a new connection after 300 ms; updates of a hub are fetched again every 200 ms, on a new connection each.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -431,8 +431,10 @@
         watcher_.confirm_rows(sent_at - answer.rows_age_ms);
     }
     const std::int64_t now = transport::get_boot_time();
-    if (answer.digests != own && now - updates_requested_at_ >= min_update_interval_ms) {
+    if (answer.digests != own && !is_fetching_updates_ &&
+        now - updates_requested_at_ >= min_update_interval_ms) {
         updates_requested_at_ = now;
+        is_fetching_updates_ = true;
         fetch_updates(hub, answer.digests);
     }
 }
@@ -440,16 +442,18 @@
 void gateway::fetch_updates(const fleet_member& hub, const table_digests& digests) {
     const std::int64_t now = transport::get_boot_time();
     peer_channels_.get(hub.control_address)
-        .send({.method = "POST",
-               .path = "/internal/v1/updates",
-               .headers = {},
-               .body = watcher_.format_update_request(digests),
-               .timeout_ms = update_timeout_ms},
-              [this, now](const transport::http_exchange_answer& answer) {
-                  if (answer.status == status_ok) {
-                      watcher_.apply_updates(answer.body, now);
-                  }
-              });
+        .send_repeatedly({.method = "POST",
+                          .path = "/internal/v1/updates",
+                          .headers = {},
+                          .body = watcher_.format_update_request(digests),
+                          .timeout_ms = update_timeout_ms},
+                         update_retry_ms, update_attempts,
+                         [this, now](const transport::http_exchange_answer& answer) {
+                             is_fetching_updates_ = false;
+                             if (answer.status == status_ok) {
+                                 watcher_.apply_updates(answer.body, now);
+                             }
+                         });
 }
 
 void gateway::handle_message(const transport::endpoint& from, const peer_message& message) {
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -110,6 +110,7 @@
     std::int64_t started_at_ = 0;
     std::int64_t pinged_at_ = 0;       ///< Last round of pings to all members.
     std::int64_t stopping_since_ = 0;  ///< 0 while serving.
+    bool is_fetching_updates_ = false;
     std::int64_t last_registration_at_ = 0;
     row_version own_row_version_ = 0;  ///< Of this process's row; 0 before it was written.
     std::int64_t listed_era_ = 0;      ///< The store's era when this VM was last seen listed.
--- a/src/gateway/store_client.cpp
+++ b/src/gateway/store_client.cpp
@@ -3,6 +3,7 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
+#include "gateway/change_propagation.h"
 #include "gateway/gateway_events.h"
 
 namespace hornbeamhook::gateway {
@@ -15,11 +16,8 @@
 /// After a failed direct call, calls are relayed first for this long, so that a store that does not
 /// answer does not delay each call.
 constexpr std::int64_t direct_backoff_ms = 2000;
-/// A call is answered within 60 ms even between regions; after this delay it is relayed as well.
-constexpr std::int64_t relay_hedge_delay_ms = 300;
 /// Two reads at the interval that leases need, 700 ms, and a delay.
 constexpr std::int64_t availability_timeout_ms = 1500;
-constexpr std::int64_t relay_overhead_ms = 300;  ///< Round trip to the relaying VM.
 constexpr int status_unavailable = 503;
 constexpr int status_limited = 429;
 constexpr int status_bad_request = 400;
@@ -59,11 +57,11 @@
 
 }  // namespace
 
-/** One read that may be sent both directly and through a relay. */
+/** One read that may be sent directly, on a new connection and through a relay. */
 struct store_client::hedged_read {
     callback done;
     int open_requests = 0;
-    bool is_hedged = false;  ///< The second request was sent.
+    bool is_hedged = false;  ///< The other requests were sent.
     std::unique_ptr<transport::loop_timer> timer;
     http_exchange_answer last;
 
@@ -149,31 +147,41 @@
     };
     shared->open_requests = 1;
     const bool is_relayed_first = is_direct_backing_off() && !relays_.empty();
-    const auto send_hedge = [this, shared, request, on_answer, is_relayed_first] {
-        if (shared->done && !shared->is_hedged && (is_relayed_first || !relays_.empty())) {
-            shared->is_hedged = true;
+    const auto send_on_new_connection = [this, shared, request, on_answer] {
+        ++shared->open_requests;
+        http_exchange_request again = request;
+        again.is_connection_new = true;
+        send_direct(again, on_answer);
+    };
+    const auto send_through_relay = [this, shared, request, on_answer] {
+        if (!relays_.empty()) {
             ++shared->open_requests;
-            if (is_relayed_first) {
-                send_direct(request, on_answer);
-            } else {
-                send_relayed(request, on_answer);
-            }
+            send_relayed(request, on_answer);
         }
     };
-    // The relay's connections to the store may have gone silent as well, so that a relayed call is
-    // hedged too.
+    // All connections to the store may have gone silent at once, also those of the relay.
     shared->timer = std::make_unique<transport::loop_timer>(loop_);
-    shared->timer->start(relay_hedge_delay_ms, 0, send_hedge);
+    shared->timer->start(store_hedge_delay_ms, 0,
+                         [shared, is_relayed_first, send_on_new_connection, send_through_relay] {
+                             if (shared->done && !std::exchange(shared->is_hedged, true)) {
+                                 send_on_new_connection();
+                                 if (!is_relayed_first) {
+                                     send_through_relay();
+                                 }
+                             }
+                         });
     if (is_relayed_first) {
         send_relayed(request, on_answer);
         return;
     }
-    send_direct(request, [shared, on_answer, send_hedge](const http_exchange_answer& answer) {
-        if (!is_store_response(answer) && shared->open_requests == 1) {
-            send_hedge();
-        }
-        on_answer(answer);
-    });
+    send_direct(request,
+                [shared, on_answer, send_through_relay](const http_exchange_answer& answer) {
+                    if (!is_store_response(answer) && shared->open_requests == 1 &&
+                        !std::exchange(shared->is_hedged, true)) {
+                        send_through_relay();
+                    }
+                    on_answer(answer);
+                });
 }
 
 void store_client::watch(const http_exchange_request& request, callback done) {
@@ -214,7 +222,7 @@
                    .path = body.at("path"),
                    .headers = {},
                    .body = body.value("body", std::string()),
-                   .timeout_ms = body.value("timeout_ms", std::int64_t{relay_hedge_delay_ms})};
+                   .timeout_ms = body.value("timeout_ms", std::int64_t{store_hedge_delay_ms})};
     } catch (const nlohmann::json::exception&) {
         respond({.status = status_bad_request, .body = "{}"});
         return;
--- a/src/gateway/store_watcher.cpp
+++ b/src/gateway/store_watcher.cpp
@@ -12,9 +12,6 @@
 namespace {
 
 constexpr std::int64_t read_check_interval_ms = 100;
-/// Targets change in bursts, for example when they start; a pause batches several changes into one
-/// answer.
-constexpr std::int64_t targets_watch_pause_ms = 800;
 constexpr std::int64_t due_read_interval_ms = 700;  ///< A third of coordination::lease_duration_ms.
 /// Interval while members' promises extend all leases, because each read is billed. The maximum
 /// keeps the records fresh enough to begin a change of a primary.
@@ -27,20 +24,13 @@
 /// Age of the reader's rows at which a hub reads them for its place: the reader's interval and a
 /// hub request, with a delay.
 constexpr std::int64_t max_followed_age_ms = 850;
-/// A watch ends when something changes or after the time for which the store may hold it; only
-/// then does a VM notice that its connection has gone silent. For targets this has to be below the
-/// shortest time for which a leaving target may be used (7 s).
-constexpr watch_limits targets_watch{5000, 1500};
 /// VMs announce a new configuration to each other, so most of their watches may be long.
 constexpr watch_limits configuration_watch{12000, 1500};
 /// All connections may go silent at once, and 4 s later a new configuration has to reach all VMs.
 /// This leaves time for the read of the table and for the announcement.
 constexpr watch_limits confirming_watch{1500, 700};
-constexpr std::int64_t first_watch_delay_ms = 1500;  ///< After a table was read.
-constexpr std::int64_t retry_ms = 250;               ///< After a failed read or watch.
-/// Entries that expire while the store is unavailable reappear within about 2 s of its recovery.
-constexpr std::int64_t removal_delay_ms = 2500;
-constexpr std::int64_t removal_check_ms = 250;
+/// After the configuration was read.
+constexpr std::int64_t first_configuration_watch_delay_ms = 1500;
 /// A larger configuration is read from the store: sent to all VMs of a place at once, it would
 /// delay the callers on a hub's link of 20 Mbit/s.
 constexpr std::size_t max_relayed_configuration_bytes = 65536;
@@ -190,11 +180,15 @@
 
 watch_limits store_watcher::get_watch_limits(platform_table table) const {
     if (table == platform_table::targets) {
-        return targets_watch;
+        return get_targets_schedule().limits;
     }
     return is_confirming_ ? confirming_watch : configuration_watch;
 }
 
+const watch_schedule& store_watcher::get_targets_schedule() const {
+    return source_ == source::reader ? reader_targets_schedule : targets_schedule;
+}
+
 bool store_watcher::is_watching(platform_table table) const {
     return !is_following() ||
            (source_ == source::other_hub && table == platform_table::configuration);
@@ -304,7 +298,7 @@
 }
 
 void store_watcher::retry_table(platform_table table) {
-    retry_timers_[table]->start(retry_ms, 0, [this, table] { read_table(table); });
+    retry_timers_[table]->start(store_retry_ms, 0, [this, table] { read_table(table); });
 }
 
 void store_watcher::handle_table_read(platform_table table, const store_answer& answer,
@@ -330,9 +324,11 @@
     has_targets_ = has_targets_ || table == platform_table::targets;
     // A VM that has just started usually learns of a hub during this pause and needs no watch. The
     // pause also replaces the read of this table that accept_era() may have scheduled.
-    retry_timers_[table]->start(first_watch_delay_ms, 0, [this, table, version = answer.version] {
-        watch_table(table, version);
-    });
+    const std::int64_t delay_ms = table == platform_table::targets
+                                      ? get_targets_schedule().pause_ms
+                                      : first_configuration_watch_delay_ms;
+    retry_timers_[table]->start(
+        delay_ms, 0, [this, table, version = answer.version] { watch_table(table, version); });
 }
 
 void store_watcher::watch_table(platform_table table, row_version after) {
@@ -369,7 +365,7 @@
                 apply(table, tables_[table].apply(parsed.rows));
                 tables_[table].set_read_version(next);
                 if (table == platform_table::targets) {
-                    retry_timers_[table]->start(targets_watch_pause_ms, 0,
+                    retry_timers_[table]->start(get_targets_schedule().pause_ms, 0,
                                                 [this, table, next] { watch_table(table, next); });
                 } else {
                     watch_table(table, next);
--- a/src/gateway/store_watcher.h
+++ b/src/gateway/store_watcher.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "gateway/bounded_log.h"
+#include "gateway/change_propagation.h"
 #include "gateway/peer_message.h"
 #include "gateway/platform_protocol.h"
 #include "gateway/store_client.h"
@@ -131,6 +132,7 @@
     bool is_watching(platform_table table) const;
     void request_changes(platform_table table, row_version after);
     watch_limits get_watch_limits(platform_table table) const;
+    const watch_schedule& get_targets_schedule() const;
     void retry_table(platform_table table);
     void apply(platform_table table, const std::vector<stored_row>& newer);
     /** Applies a hub's changes of the table that an update answer names `field`; returns the newer
--- a/src/transport/http_channel.cpp
+++ b/src/transport/http_channel.cpp
@@ -151,6 +151,15 @@
     bool is_in_header_name_ = false;  ///< The header parsed last has no value yet.
 };
 
+/** A request whose next attempts follow unless one is answered. */
+struct http_channel::repeated_exchange {
+    http_exchange_request request;
+    callback done;
+    int attempts_left = 0;
+    int outstanding = 0;
+    loop_timer timer;
+};
+
 http_channel::http_channel(event_loop& loop, endpoint address)
     : loop_(loop), address_(std::move(address)) {}
 
@@ -174,7 +183,7 @@
     }
     bytes += "\r\n" + request.body;
     std::shared_ptr<connection> chosen;
-    while (!idle_.empty() && !chosen) {
+    while (!request.is_connection_new && !idle_.empty() && !chosen) {
         chosen = idle_.back();
         idle_.pop_back();
         if (!chosen->is_usable()) {
@@ -190,6 +199,38 @@
     chosen->begin(std::move(bytes), request.timeout_ms, std::move(done));
 }
 
+void http_channel::send_repeatedly(const http_exchange_request& request,
+                                   milliseconds_count interval_ms, int attempts, callback done) {
+    const std::shared_ptr<repeated_exchange> exchange(
+        new repeated_exchange{request, std::move(done), attempts, 0, loop_timer(loop_)});
+    repeated_.push_back(exchange);
+    exchange->timer.start(interval_ms, interval_ms, [this, weak = std::weak_ptr(exchange)] {
+        if (const auto entry = weak.lock()) {
+            entry->request.is_connection_new = true;
+            send_attempt(entry);
+        }
+    });
+    send_attempt(exchange);
+}
+
+void http_channel::send_attempt(const std::shared_ptr<repeated_exchange>& exchange) {
+    if (--exchange->attempts_left == 0) {
+        exchange->timer.stop();
+    }
+    ++exchange->outstanding;
+    send(exchange->request, [this, exchange](const http_exchange_answer& answer) {
+        --exchange->outstanding;
+        const bool is_last = exchange->attempts_left == 0 && exchange->outstanding == 0;
+        if (!exchange->done || (answer.status == 0 && !is_last)) {
+            return;
+        }
+        exchange->timer.stop();
+        exchange->attempts_left = 0;
+        std::erase(repeated_, exchange);
+        std::exchange(exchange->done, nullptr)(answer);
+    });
+}
+
 void http_channel::drop_idle() {
     for (const std::shared_ptr<connection>& entry : std::exchange(idle_, {})) {
         entry->drop();
--- a/src/transport/http_channel.h
+++ b/src/transport/http_channel.h
@@ -21,6 +21,7 @@
     std::vector<http_header> headers;
     std::string body;
     milliseconds_count timeout_ms = 0;  ///< For the whole exchange, connecting included.
+    bool is_connection_new = false;     ///< Use no kept connection; it may have gone silent.
 };
 
 /** How an exchange ended: `status` is 0 when there was no complete answer, see `error`. */
@@ -49,17 +50,28 @@
      */
     void send(const http_exchange_request& request, callback done);
 
+    /**
+     * Sends a request, and again on a new connection each `interval_ms` without an answer, at most
+     * `attempts` times in all. The request must be safe to repeat. Calls `done` once, with the
+     * first answer or the last failure. Preconditions, and when `done` is dropped, as for send().
+     */
+    void send_repeatedly(const http_exchange_request& request, milliseconds_count interval_ms,
+                         int attempts, callback done);
+
 private:
     class connection;
+    struct repeated_exchange;
 
     /** Closes the kept connections: they may have gone silent together with another one. */
     void drop_idle();
     void release(const std::shared_ptr<connection>& used, bool is_reusable);
+    void send_attempt(const std::shared_ptr<repeated_exchange>& exchange);
 
     event_loop& loop_;
     endpoint address_;
     std::vector<std::shared_ptr<connection>> idle_;
     std::vector<std::shared_ptr<connection>> busy_;
+    std::vector<std::shared_ptr<repeated_exchange>> repeated_;
 };
 
 }  // namespace hornbeamhook::transport
--- a/tests/gateway/store_watcher_test.cpp
+++ b/tests/gateway/store_watcher_test.cpp
@@ -3,7 +3,9 @@
 #include <gtest/gtest.h>
 
 #include <nlohmann/json.hpp>
+#include <set>
 
+#include "gateway/change_propagation.h"
 #include "gateway/leadership_manager.h"
 #include "platform/store_codec.h"
 #include "support/free_port.h"
@@ -25,6 +27,9 @@
                     .target_changed =
                         [this](const std::string& id, const std::optional<target_entry>& entry) {
                             targets_[id] = entry.has_value();
+                            if (entry && entry->is_leaving) {
+                                leaving_targets_.insert(id);
+                            }
                         },
                     .rows_read =
                         [this](const std::vector<stored_row>& rows, std::int64_t requested_at) {
@@ -59,9 +64,10 @@
     }
 
     /** A target's row, as the store lists it. */
-    std::string make_target_row(const std::string& id, row_version row) const {
+    std::string make_target_row(const std::string& id, row_version row,
+                                const std::string& state = "ready") const {
         const nlohmann::json value{{"Service", "s"},     {"Addr", "10.0.0.1:80"}, {"Zone", "z"},
-                                   {"Slots", 3},         {"State", "ready"},      {"Seq", 1},
+                                   {"Slots", 3},         {"State", state},        {"Seq", 1},
                                    {"DbRole", "replica"}};
         return make_stored_row("servers", id, value, row);
     }
@@ -88,6 +94,7 @@
     std::int64_t adopted_version_ = 0;
     std::vector<std::int64_t> adopted_versions_;
     std::map<std::string, bool> targets_;  ///< Whether the target is listed, by its last change.
+    std::set<std::string> leaving_targets_;
     int reads_ = 0;
 };
 
@@ -254,6 +261,105 @@
     EXPECT_EQ(adopted_version_, 8);
 }
 
+/**
+ * A store whose connections go silent, as often as the test says: it never answers a call on such a
+ * connection, and answers new ones.
+ */
+class silent_connections_test : public store_watcher_test {
+protected:
+    silent_connections_test()
+        : listener_(loop_, store_address_,
+                    [this](const std::shared_ptr<transport::tcp_stream>& stream) {
+                        streams_.push_back(stream);
+                        stream->start({.connected = {},
+                                       .received =
+                                           [this, stream](std::string_view bytes) {
+                                               receive(stream, std::string(bytes));
+                                           },
+                                       .ended = {}});
+                    }) {}
+
+    /** Makes all connections silent that are open now. */
+    void silence() {
+        for (const auto& stream : streams_) {
+            silent_.insert(stream.get());
+        }
+    }
+
+    std::int64_t leaving_since_ = 0;  ///< The target is listed as leaving from then on.
+    int silences_after_watch_ = 0;    ///< Connections that go silent as a failed watch is retried.
+    int target_reads_ = 0;
+    int target_watches_ = 0;
+
+private:
+    void receive(const std::shared_ptr<transport::tcp_stream>& stream, const std::string& call) {
+        const bool is_target_read = call.starts_with("GET /v1/rows-get?Table=servers");
+        target_reads_ += is_target_read ? 1 : 0;
+        if (is_target_read && target_reads_ > 1 && silences_after_watch_ > 0) {
+            --silences_after_watch_;
+            silence();
+        }
+        if (silent_.contains(stream.get())) {
+            return;
+        }
+        const bool is_leaving = leaving_since_ != 0;
+        const row_version version = is_leaving ? 6 : 5;
+        std::string rows;
+        if (is_target_read) {
+            rows = make_target_row("t1", version, is_leaving ? "draining" : "ready");
+        } else if (call.starts_with("GET /v1/rows-feed?Table=servers")) {
+            // The answer to the first watch ends it with a change, and the pause begins.
+            if (++target_watches_ > 1) {
+                return;
+            }
+        } else if (call.starts_with("GET /v1/rows-feed")) {
+            return;
+        }
+        const std::string body = make_rows_reply(rows, version).body;
+        stream->write("HTTP/1.1 200 -\r\nStore-Era: 1\r\nContent-Length: " +
+                      std::to_string(body.size()) + "\r\n\r\n" + body);
+    }
+
+    std::vector<std::shared_ptr<transport::tcp_stream>> streams_;
+    std::set<const transport::tcp_stream*> silent_;
+    transport::tcp_listener listener_;
+};
+
+// Guards against a leaving target that is used for too long (DRAIN), because the connections go
+// silent in the pause between two watches (review case 5).
+TEST_F(silent_connections_test, a_leaving_target_is_known_although_connections_went_silent) {
+    watcher_.start();
+    tests::run_until(loop_, [&] { return target_watches_ == 1; });
+    leaving_since_ = transport::get_boot_time();
+    silence();
+    transport::loop_timer limit(loop_);
+    limit.start(min_leaving_time_ms, 0, [this] { loop_.stop(); });
+    while (!leaving_targets_.contains("t1") &&
+           transport::get_boot_time() - leaving_since_ < min_leaving_time_ms) {
+        uv_run(loop_.get_handle(), UV_RUN_ONCE);
+    }
+    EXPECT_TRUE(leaving_targets_.contains("t1"));
+}
+
+// Guards against the same when the connection of the read after the watch goes silent as well.
+TEST_F(silent_connections_test, a_leaving_target_is_known_although_the_next_connection_is_silent) {
+    watcher_.start();
+    tests::run_until(loop_, [&] { return target_watches_ == 1; });
+    leaving_since_ = transport::get_boot_time();
+    silence();
+    silences_after_watch_ = 1;
+    transport::loop_timer limit(loop_);
+    limit.start(min_leaving_time_ms, 0, [this] { loop_.stop(); });
+    while (!leaving_targets_.contains("t1") &&
+           transport::get_boot_time() - leaving_since_ < min_leaving_time_ms) {
+        uv_run(loop_.get_handle(), UV_RUN_ONCE);
+    }
+    EXPECT_TRUE(leaving_targets_.contains("t1"));
+    EXPECT_EQ(silences_after_watch_, 0);
+    EXPECT_LE(transport::get_boot_time() - leaving_since_,
+              get_max_watch_delay_ms(targets_schedule));
+}
+
 /** A store that may be restored. It keeps the watches of the configuration open. */
 class restorable_store_test : public store_watcher_test {
 protected:
--- a/tests/transport/http_channel_test.cpp
+++ b/tests/transport/http_channel_test.cpp
@@ -21,7 +21,7 @@
               stream->start({.connected = {},
                              .received =
                                  [this, stream](std::string_view) {
-                                     if (!silent_.contains(stream.get())) {
+                                     if (!is_silent_ && !silent_.contains(stream.get())) {
                                          open_.insert(stream.get());
                                          stream->write(
                                              "HTTP/1.1 200 -\r\nContent-Length: 0\r\n\r\n");
@@ -45,11 +45,40 @@
     std::set<const tcp_stream*> open_;
     std::set<const tcp_stream*> silent_;
     int connections_ = 0;
+    bool is_silent_ = false;  ///< Applies to new connections too.
     tcp_listener listener_;
     http_channel channel_{loop_, address_};
     std::vector<int> statuses_;
 };
 
+// Guards against a call between VMs, for example for updates of a hub, that waits for its time
+// limit on one silent connection after another.
+TEST_F(http_channel_test, a_repeated_call_is_answered_on_a_new_connection) {
+    send();
+    tests::run_until(loop_, [&] { return statuses_.size() == 1; });
+    silent_ = open_;
+    constexpr milliseconds_count interval_ms = 50;
+    const milliseconds_count started_at = get_boot_time();
+    channel_.send_repeatedly(
+        {.method = "GET", .path = "/", .headers = {}, .body = {}, .timeout_ms = 10000}, interval_ms,
+        3, [this](const http_exchange_answer& answer) { statuses_.push_back(answer.status); });
+    tests::run_until(loop_, [&] { return statuses_.size() == 2; });
+    EXPECT_EQ(statuses_.back(), 200);
+    EXPECT_EQ(connections_, 2);
+    EXPECT_LT(get_boot_time() - started_at, 1000);
+}
+
+// Guards against a repeated call that never ends, or ends more than once.
+TEST_F(http_channel_test, a_repeated_call_fails_once_after_its_last_attempt) {
+    is_silent_ = true;
+    channel_.send_repeatedly(
+        {.method = "GET", .path = "/", .headers = {}, .body = {}, .timeout_ms = call_timeout_ms},
+        50, 3, [this](const http_exchange_answer& answer) { statuses_.push_back(answer.status); });
+    tests::run_until(loop_, [&] { return !statuses_.empty(); });
+    EXPECT_EQ(statuses_, std::vector<int>{0});
+    EXPECT_EQ(connections_, 3);
+}
+
 // Guards against a second call that waits for its time limit on a connection which went silent
 // together with the first one.
 TEST_F(http_channel_test, kept_connections_are_not_used_after_one_went_silent) {
