Do not wait for a stopped process that still pings while its row is removed

Found when reading the change of the member rows: a process that has given up its leases went on pinging until its removal was answered. It sends no pings and hub requests any more. Ended processes are told by their exact incarnation, because the time of day may jump back.

--- a/src/gateway/fleet_membership.cpp
+++ b/src/gateway/fleet_membership.cpp
@@ -187,7 +187,7 @@
 void fleet_membership::handle_unlisted(const std::string& vm, std::int64_t incarnation,
                                        const transport::endpoint& address, std::int64_t now) {
     const auto ended = ended_incarnations_.find(vm);
-    const bool has_ended = ended != ended_incarnations_.end() && incarnation <= ended->second;
+    const bool has_ended = ended != ended_incarnations_.end() && incarnation == ended->second;
     if (vm != self_.vm && !has_ended) {
         unlisted_[vm] = {incarnation, address, now};
     }
@@ -204,10 +204,9 @@
 }
 
 void fleet_membership::handle_departure(const departure_notice& notice) {
-    std::int64_t& ended = ended_incarnations_[notice.vm];
-    ended = std::max(ended, notice.incarnation);
+    ended_incarnations_[notice.vm] = notice.incarnation;
     const auto unlisted = unlisted_.find(notice.vm);
-    if (unlisted != unlisted_.end() && unlisted->second.incarnation <= ended) {
+    if (unlisted != unlisted_.end() && unlisted->second.incarnation == notice.incarnation) {
         unlisted_.erase(unlisted);
     }
     if (find_member(notice.vm, notice.incarnation) == nullptr) {
--- a/src/gateway/fleet_membership.h
+++ b/src/gateway/fleet_membership.h
@@ -165,7 +165,7 @@
     std::map<std::string, peer_state> peer_states_;
     std::map<std::string, std::int64_t> left_at_;  ///< When a member was found removed.
     std::map<std::string, unlisted_process> unlisted_;
-    std::map<std::string, std::int64_t> ended_incarnations_;  ///< Newest that ended as planned.
+    std::map<std::string, std::int64_t> ended_incarnations_;  ///< Last that ended as planned.
     std::map<std::int64_t, ping_round> pings_;                ///< Recent pings, by sequence number.
     std::int64_t sequence_ = 0;
     std::optional<std::int64_t> listed_since_;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -298,6 +298,10 @@
 }
 
 void gateway::send_pings() {
+    if (leadership_.is_retired()) {
+        // It holds no lease. Promoters would wait for it once its row is removed.
+        return;
+    }
     pinged_at_ = transport::get_boot_time();
     const std::vector<record_promise> promises = leadership_.get_promises();
     const peer_ping ping{settings_.vm, fleet_.get_self().incarnation,
@@ -309,6 +313,9 @@
 
 void gateway::send_hub_requests() {
     const std::int64_t now = transport::get_boot_time();
+    if (leadership_.is_retired()) {
+        return;
+    }
     update_homes(now);
     if (!hubs_.is_enabled()) {
         watcher_.set_source(store_watcher::source::store);
--- a/src/gateway/leadership_manager.h
+++ b/src/gateway/leadership_manager.h
@@ -78,6 +78,8 @@
      */
     void retire();
 
+    bool is_retired() const { return final_promises_.has_value(); }
+
     /** Whether this VM may use the primary of any group. */
     bool has_any_lease() const;
 
--- a/tests/gateway/gateway_test.cpp
+++ b/tests/gateway/gateway_test.cpp
@@ -101,8 +101,16 @@
 TEST_F(successive_processes, a_planned_stop_removes_the_row) {
     const auto process = start_process();
     wait_until_listed();
+    int removals = 0;
+    store_.must_hold = [&](const nlohmann::json& change) {
+        if (!change.at("Remove").empty() && ++removals == 1) {
+            store_.rows.at(key_).version += 100;
+        }
+        return false;
+    };
     ASSERT_EQ(std::raise(SIGTERM), 0);
     loop_.run();
+    EXPECT_EQ(removals, 2);
     EXPECT_FALSE(store_.rows.contains(key_));
 }
 
