Wait for the report of a target that has no free slot for a long time

The better one accepted the connection of the survey, but its slots were taken for longer than the 500 ms after which a report counted as missing; a repeated request then waited at the end of the queue again.

Change: a report is waited for as long as a refused one, 2 s, while the target accepts connections, which another connection every 400 ms shows. If it still does not report, the position of its last answer counts, as it has received at least that much. While a promotion takes effect, one report is outstanding at a time for 400 ms, so that the connections do not add up.

Tests: session_engine_test.a_report_that_waits_for_a_slot_is_waited_for, promotion.promotes_a_busy_target_whose_answers_show_more_commits.

--- a/src/coordination/promotion.cpp
+++ b/src/coordination/promotion.cpp
@@ -22,6 +22,8 @@
 /// Interval between reports of a target that discovery does not list as primary yet; each report
 /// takes a slot and is billed.
 constexpr std::int64_t unlisted_report_interval_ms = 250;
+/// The same while a report is outstanding, which a busy target may delay.
+constexpr std::int64_t unanswered_report_interval_ms = 400;
 /// An accepted promotion takes up to 1 s; after this time it is requested again.
 constexpr std::int64_t promotion_timeout_ms = 2500;
 /// Latest time after the claim was sent for a promotion request, because another VM may take over
@@ -376,7 +378,11 @@
 }
 
 void promotion::handle_refused_report(const report_refused& event, std::int64_t now, actions& out) {
-    if (event.survey != survey_ || phase_ != promotion_phase::surveying) {
+    if (event.survey != survey_) {
+        return;
+    }
+    is_report_outstanding_ = false;
+    if (phase_ != promotion_phase::surveying) {
         return;
     }
     refused_by_.insert(event.target);
@@ -400,6 +406,7 @@
         reports_[event.target] = event.report;
         return;
     }
+    is_report_outstanding_ = false;
     if (phase_ != promotion_phase::awaiting_promotion || !event.report) {
         return;
     }
@@ -457,12 +464,14 @@
     // Wait until no commit would be lost, for a limited time.
     const auto old_report = reports_.find(old_.target);
     const bool is_behind = old_report != reports_.end() && old_report->second &&
-                           old_report->second->received > reports_.at(*best)->received;
+                           old_report->second->received > get_received(input, *best);
     if (is_behind && now - phase_since_ < catch_up_timeout_ms) {
         begin_survey(input, now, out);
         return;
     }
-    if (reports_.at(*best)->held_term != 0) {
+    const auto best_report = reports_.find(*best);
+    if (best_report != reports_.end() && best_report->second &&
+        best_report->second->held_term != 0) {
         out.emplace_back(resume_replica{*best});
     }
     phase_ = promotion_phase::requesting_promotion;
@@ -495,15 +504,27 @@
 
 std::optional<std::string> promotion::choose_candidate(const promotion_input& input) const {
     std::optional<std::string> best;
-    for (const auto& [target, report] : reports_) {
-        const bool is_usable = report && is_candidate(input, target);
-        if (is_usable && (!best || report->received > reports_.at(*best)->received)) {
+    std::optional<state::log_point> most_received;
+    for (const std::string& target : input.targets) {
+        const std::optional<state::log_point> received = get_received(input, target);
+        if (received && is_candidate(input, target) && received > most_received) {
             best = target;
+            most_received = received;
         }
     }
     return best;
 }
 
+std::optional<state::log_point> promotion::get_received(const promotion_input& input,
+                                                        const std::string& target) const {
+    const auto report = reports_.find(target);
+    if (report != reports_.end() && report->second) {
+        return report->second->received;
+    }
+    const auto responsive = input.responsive_targets.find(target);
+    return responsive == input.responsive_targets.end() ? std::nullopt : responsive->second;
+}
+
 void promotion::send_promotion_request(const std::string& target, std::int64_t now, actions& out) {
     if (now - claim_sent_at_ > request_deadline_ms) {
         abandon("the deadline for the promotion request has passed", out);
@@ -530,6 +551,7 @@
         case promotion_outcome::accepted:
             phase_ = promotion_phase::awaiting_promotion;
             phase_since_ = now;
+            is_report_outstanding_ = false;
             sent_at_ = now;
             // Writes in flight to the old primary must not commit there.
             out.emplace_back(step_down{old_.target, old_.term + 1});
@@ -554,8 +576,12 @@
         return;
     }
     const bool is_listed = input.listed_primaries.contains(chosen_);
-    if (now - sent_at_ >= (is_listed ? resend_interval_ms : unlisted_report_interval_ms)) {
+    const std::int64_t interval_ms = is_report_outstanding_ ? unanswered_report_interval_ms
+                                     : is_listed            ? resend_interval_ms
+                                                            : unlisted_report_interval_ms;
+    if (now - sent_at_ >= interval_ms) {
         sent_at_ = now;
+        is_report_outstanding_ = true;
         out.emplace_back(request_report{survey_, chosen_});
     }
 }
--- a/src/coordination/promotion.h
+++ b/src/coordination/promotion.h
@@ -56,8 +56,9 @@
     /// Primary according to discovery, with its term, once this VM has connected to it.
     std::optional<std::pair<std::string, state::term_number>> discovered_primary;
     std::set<std::string> listed_primaries;  ///< Targets that discovery lists as primary.
-    /// Targets that answered this VM recently, on any connection.
-    std::set<std::string> responsive_targets;
+    /// Targets that answered this VM recently, on any connection, with the position that their log
+    /// had reached in the last answer that named one.
+    std::map<std::string, std::optional<state::log_point>> responsive_targets;
 };
 
 /** Time passed or input changed. */
@@ -218,6 +219,10 @@
                            state::term_number term) const;
     bool is_candidate(const promotion_input& input, const std::string& target) const;
     std::optional<std::string> choose_candidate(const promotion_input& input) const;
+    /** The end of the log that the target has received, by its report. Without one, a position that
+     * its log had reached if it is alive. */
+    std::optional<state::log_point> get_received(const promotion_input& input,
+                                                 const std::string& target) const;
     void send_promotion_request(const std::string& target, std::int64_t now, actions& out);
     void continue_recording(std::int64_t now, actions& out);
     void continue_awaiting(const promotion_input& input, std::int64_t now, actions& out);
@@ -261,6 +266,7 @@
     std::string chosen_;
     state::term_number superseded_term_ = 0;  ///< A new primary has a term above this one.
     bool is_request_outstanding_ = false;
+    bool is_report_outstanding_ = false;  ///< Of the target that is to become primary.
     bool may_be_promoted_ = false;    ///< A promotion may have been requested since the old record.
     std::int64_t record_due_at_ = 0;  ///< Next attempt to write the record of the new primary.
     std::int64_t ended_version_ = 0;  ///< Of the last record that this VM wrote.
--- a/src/gateway/leadership_manager.cpp
+++ b/src/gateway/leadership_manager.cpp
@@ -30,7 +30,9 @@
 constexpr std::int64_t demotion_expiry_ms = 2000;
 constexpr std::int64_t discovery_delay_ms = 1500;  ///< Discovery reflects a promotion within this.
 /// A target that answered this VM within this time is alive, even if a report times out.
-constexpr std::int64_t responsive_target_ms = 300;
+constexpr std::int64_t responsive_target_ms = 600;
+/// An older position may be from before a restart that discovery does not show yet.
+constexpr std::int64_t max_position_age_ms = 2000;
 /// Between extra store reads after record notices.
 constexpr std::int64_t min_early_read_interval_ms = 150;
 
@@ -607,7 +609,8 @@
             input.candidates.insert(id);
         }
         if (now - target.last_answer_at < responsive_target_ms) {
-            input.responsive_targets.insert(id);
+            const bool is_recent = now - target.positioned_at < max_position_age_ms;
+            input.responsive_targets[id] = is_recent ? target.position : std::nullopt;
         }
         if (target.entry.is_primary) {
             input.listed_primaries.insert(id);
--- a/src/gateway/session_engine.cpp
+++ b/src/gateway/session_engine.cpp
@@ -110,10 +110,23 @@
       place_(std::move(place)),
       planner_({{}, 1, std::move(place_regions)}),
       homes_(vm_),
-      control_(loop, protocol, log,
+      control_(
+          loop, protocol, log,
+          {.find_idle_link =
                [this](const std::string& group, const std::string& target) {
                    return find_control_link(group, target);
-               }),
+               },
+           .answered =
+               [this](const target_entry& entry, const target_ready& ready, std::int64_t sent_at) {
+                   handle_answer(entry.group, entry.id, ready, sent_at);
+               },
+           .limited =
+               [this](const target_entry& entry) {
+                   if (target_state* target = find_target(entry.group, entry.id)) {
+                       target->last_answer_at = transport::get_boot_time();
+                       target->refused_since = 0;
+                   }
+               }}),
       timer_(loop) {
     timer_.start(tick_ms, tick_ms, [this] { tick(); });
 }
@@ -191,6 +204,7 @@
         close_target_links(entry->group, id);
         target.reconnect_at = 0;
         target.unreachable_until = 0;
+        target.position.reset();
     }
     if (!is_known || is_restarted || is_changed) {
         log_.write(event_target_listed, {{"target", id},
@@ -601,6 +615,8 @@
         return;
     }
     target->term = std::max(target->term, ready.position->term);
+    target->position = ready.position;
+    target->positioned_at = now;
     target_group& group = groups_[group_name];
     const auto record = group.lease.get_usable(now);
     // The lease must have been valid when the request was sent. It was if it is valid now and its
--- a/src/gateway/target_control.cpp
+++ b/src/gateway/target_control.cpp
@@ -9,16 +9,19 @@
 
 namespace {
 
-/// A report needs a free slot and two round trips.
-constexpr std::int64_t report_timeout_ms = 500;
-/// A control statement is repeated for this long while the target refuses to run it.
-constexpr std::int64_t command_timeout_ms = 2000;
+/// A target that accepts no connection within this time does not answer.
+constexpr std::int64_t connect_timeout_ms = 500;
+/// A control statement is repeated for this long while the target refuses to run it; a report of a
+/// target that accepts connections may wait as long for a free slot.
+constexpr std::int64_t answer_timeout_ms = 2000;
 /// Between attempts on an open connection to a target that has no free slot.
 constexpr std::int64_t busy_retry_ms = 40;
 /// Between connections opened to a target that has too many.
 constexpr std::int64_t reconnect_interval_ms = 100;
 /// A connection that opens later than this may be held up; an idle one is used as well.
 constexpr std::int64_t slow_connection_ms = 150;
+/// Without an answer on the last connection, another one shows whether the target is still alive.
+constexpr std::int64_t probe_interval_ms = 400;
 
 }  // namespace
 
@@ -29,12 +32,12 @@
     std::vector<std::function<void(const report_answer&)>> done;
     bool is_report = false;
     std::int64_t started_at = 0;
-    std::int64_t timeout_ms = 0;
-    std::int64_t attempted_at = 0;  ///< Of the newest connection opened for it.
-    std::int64_t retry_at = 0;      ///< Next attempt on its own connection; 0 if none is due.
+    std::int64_t attempted_at = 0;  ///< When its newest connection was opened.
+    std::int64_t accepted_at = 0;   ///< When the target last accepted a connection or refused.
+    std::int64_t retry_at = 0;      ///< Next attempt on a connection of its own; 0 if none is due.
     std::int64_t use_links_at = 0;  ///< Idle connections of the VM are used from then on.
-    std::string refused_code;       ///< Of the newest refusal; empty before the first.
-    std::shared_ptr<target_link> own_link;
+    std::optional<target_refusal> refusal;  ///< The newest one.
+    std::vector<std::shared_ptr<target_link>> own_links;
     int outstanding = 0;  ///< Connections on which it was sent without an answer yet.
     bool is_finished = false;
 
@@ -42,15 +45,15 @@
 };
 
 target_control::target_control(transport::event_loop& loop, const session_protocol& protocol,
-                               bounded_log& log, link_source find_idle_link)
-    : loop_(loop), protocol_(protocol), log_(log), find_idle_link_(std::move(find_idle_link)) {}
+                               bounded_log& log, control_callbacks callbacks)
+    : loop_(loop), protocol_(protocol), log_(log), callbacks_(std::move(callbacks)) {}
 
 target_control::~target_control() {
     // The loop closes handles after this; their callbacks must not reach this object.
     for (const exchange_ptr& entry : exchanges_) {
         entry->is_finished = true;
-        if (entry->own_link) {
-            entry->own_link->abandon();
+        for (const std::shared_ptr<target_link>& link : entry->own_links) {
+            link->abandon();
         }
     }
 }
@@ -61,75 +64,90 @@
     const auto waiting =
         std::find_if(exchanges_.begin(), exchanges_.end(), [&](const exchange_ptr& entry) {
             return entry->is_report && entry->target.id == target.id && entry->is_waiting() &&
-                   !entry->refused_code.empty();
+                   entry->refusal.has_value();
         });
     if (waiting != exchanges_.end()) {
         (*waiting)->done.push_back(std::move(done));
         return;
     }
-    const exchange_ptr started =
-        start(target, protocol_.format_report_request(), report_timeout_ms);
+    const exchange_ptr started = start(target, protocol_.format_report_request());
     started->is_report = true;
     started->done.push_back(std::move(done));
     connect(started);
 }
 
 void target_control::send(const target_entry& target, const std::string& bytes) {
-    connect(start(target, bytes, command_timeout_ms));
+    connect(start(target, bytes));
 }
 
-target_control::exchange_ptr target_control::start(const target_entry& target, std::string bytes,
-                                                   std::int64_t timeout_ms) {
+target_control::exchange_ptr target_control::start(const target_entry& target, std::string bytes) {
     auto started = std::make_shared<exchange>();
     started->target = target;
     started->bytes = std::move(bytes);
     started->started_at = transport::get_boot_time();
-    started->timeout_ms = timeout_ms;
+    started->use_links_at = started->started_at + slow_connection_ms;
     exchanges_.push_back(started);
     return started;
 }
 
-void target_control::connect(const exchange_ptr& started) {
+void target_control::attempt(const exchange_ptr& started) {
     started->retry_at = 0;
-    if (started->own_link && !started->own_link->is_ended()) {
-        if (started->own_link->is_open()) {
-            send_on(started, started->own_link, true);
-        }
+    std::erase_if(started->own_links, [](const auto& link) { return link->is_ended(); });
+    const auto idle = std::find_if(started->own_links.begin(), started->own_links.end(),
+                                   [](const auto& link) { return link->is_idle(); });
+    if (idle != started->own_links.end()) {
+        send_on(started, *idle, true);
         return;
     }
-    const std::int64_t now = transport::get_boot_time();
-    if (started->attempted_at != 0 && now - started->attempted_at < reconnect_interval_ms) {
-        started->retry_at = started->attempted_at + reconnect_interval_ms;
+    const std::int64_t next_at = started->attempted_at + reconnect_interval_ms;
+    if (transport::get_boot_time() < next_at) {
+        started->retry_at = next_at;
         return;
     }
-    started->attempted_at = now;
-    if (started->use_links_at == 0) {
-        started->use_links_at = now + slow_connection_ms;
-    }
+    connect(started);
+}
+
+void target_control::connect(const exchange_ptr& started) {
+    started->attempted_at = transport::get_boot_time();
     const std::weak_ptr<exchange> weak = started;
-    started->own_link = target_link::open(
-        loop_, protocol_, started->target,
-        {.opened =
-             [this, weak] {
-                 const exchange_ptr opened = weak.lock();
-                 if (opened && !opened->is_finished) {
-                     send_on(opened, opened->own_link, true);
-                 }
-             },
-         .ended =
-             [this, weak](const target_link::link_end& end) {
-                 const exchange_ptr ended = weak.lock();
-                 if (!ended || ended->is_finished) {
-                     return;
-                 }
-                 if (end.failure && end.failure->code == failure_code::too_many_connections) {
-                     refuse(ended, end.failure->raw_code, reconnect_interval_ms);
-                     ended->use_links_at = transport::get_boot_time();
-                 } else if (ended->outstanding == 0) {
-                     finish(ended, target_silence{});
-                 }
-             },
-         .answered = {}});
+    const auto opening = std::make_shared<std::weak_ptr<target_link>>();
+    const std::shared_ptr<target_link> link =
+        target_link::open(loop_, protocol_, started->target,
+                          {.opened =
+                               [this, weak, opening] {
+                                   const exchange_ptr opened = weak.lock();
+                                   const std::shared_ptr<target_link> own = opening->lock();
+                                   if (opened && !opened->is_finished && own) {
+                                       send_on(opened, own, true);
+                                   }
+                               },
+                           .ended =
+                               [this, weak](const target_link::link_end& end) {
+                                   const exchange_ptr ended = weak.lock();
+                                   if (ended && !ended->is_finished && !end.is_local) {
+                                       handle_link_end(ended, end);
+                                   }
+                               },
+                           .answered =
+                               [this, weak](const target_ready& ready, std::int64_t sent_at) {
+                                   const exchange_ptr answered = weak.lock();
+                                   if (answered && !answered->is_finished) {
+                                       answered->accepted_at = transport::get_boot_time();
+                                       callbacks_.answered(answered->target, ready, sent_at);
+                                   }
+                               }});
+    *opening = link;
+    started->own_links.push_back(link);
+}
+
+void target_control::handle_link_end(const exchange_ptr& ended, const target_link::link_end& end) {
+    if (end.failure && end.failure->code == failure_code::too_many_connections) {
+        callbacks_.limited(ended->target);
+        refuse(ended, {end.failure->raw_code}, reconnect_interval_ms);
+        ended->use_links_at = transport::get_boot_time();
+    } else if (ended->outstanding == 0) {
+        finish(ended, target_silence{});
+    }
 }
 
 void target_control::send_on(const exchange_ptr& started, const std::shared_ptr<target_link>& link,
@@ -148,13 +166,13 @@
 void target_control::handle_answer(const exchange_ptr& started, const target_answer& answer,
                                    bool is_own_link) {
     --started->outstanding;
-    if (answer.is_lost && !is_own_link) {
-        // The VM closed the connection, for example to the primary that is replaced.
+    if (answer.is_lost && (!is_own_link || started->outstanding > 0)) {
+        // The VM closed a connection that it shares, or another one may still be answered.
         started->retry_at = transport::get_boot_time();
         return;
     }
     if (answer.failure && answer.failure->code == failure_code::busy) {
-        refuse(started, answer.failure->raw_code, busy_retry_ms);
+        refuse(started, {answer.failure->raw_code}, busy_retry_ms);
         return;
     }
     const auto report = answer.rows.empty() ? std::nullopt : protocol_.parse_report(answer.rows[0]);
@@ -165,10 +183,11 @@
     }
 }
 
-void target_control::refuse(const exchange_ptr& started, const std::string& code,
+void target_control::refuse(const exchange_ptr& started, const target_refusal& refusal,
                             std::int64_t retry_ms) {
-    started->refused_code = code;
-    started->retry_at = transport::get_boot_time() + retry_ms;
+    started->refusal = refusal;
+    started->accepted_at = transport::get_boot_time();
+    started->retry_at = started->accepted_at + retry_ms;
     started->use_links_at = started->retry_at;
 }
 
@@ -176,11 +195,12 @@
     started->is_finished = true;
     if (!started->is_report && !std::holds_alternative<target_report>(answer)) {
         const std::int64_t waited_ms = transport::get_boot_time() - started->started_at;
-        log_.write(event_control_failed, {{"target", started->target.id},
-                                          {"refused", started->refused_code},
-                                          {"waited_ms", std::to_string(waited_ms)}});
+        log_.write(event_control_failed,
+                   {{"target", started->target.id},
+                    {"refused", started->refusal ? started->refusal->code : ""},
+                    {"waited_ms", std::to_string(waited_ms)}});
     }
-    if (const auto link = std::exchange(started->own_link, nullptr)) {
+    for (const std::shared_ptr<target_link>& link : std::exchange(started->own_links, {})) {
         link->close();
     }
     for (const auto& done : std::exchange(started->done, {})) {
@@ -198,7 +218,7 @@
         if (!entry->is_waiting() || now < entry->use_links_at) {
             continue;
         }
-        if (const auto link = find_idle_link_(entry->target.group, entry->target.id)) {
+        if (const auto link = callbacks_.find_idle_link(entry->target.group, entry->target.id)) {
             send_on(entry, link, false);
         }
     }
@@ -212,13 +232,14 @@
         if (entry->is_finished) {
             continue;
         }
-        if (now - entry->started_at >= entry->timeout_ms) {
-            if (entry->refused_code.empty()) {
-                finish(entry, target_silence{});
-            } else {
-                finish(entry, target_refusal{entry->refused_code});
-            }
+        const std::int64_t alive_at = std::max(entry->started_at, entry->accepted_at);
+        if (now - alive_at >= connect_timeout_ms) {
+            finish(entry, target_silence{});
+        } else if (now - entry->started_at >= answer_timeout_ms) {
+            finish(entry, entry->refusal.value_or(target_refusal{"no free slot in time"}));
         } else if (entry->retry_at != 0 && now >= entry->retry_at && entry->is_waiting()) {
+            attempt(entry);
+        } else if (entry->outstanding > 0 && now - entry->attempted_at >= probe_interval_ms) {
             connect(entry);
         }
     }
--- a/src/gateway/target_control.h
+++ b/src/gateway/target_control.h
@@ -14,10 +14,12 @@
 
 namespace hornbeamhook::gateway {
 
-/** The target is alive but did not run the statement: it has no free slot, or too many connections.
+/**
+ * The target is alive but did not run the statement in time: it has no free slot, or too many
+ * connections.
  */
 struct target_refusal {
-    std::string code;  ///< As received.
+    std::string code;  ///< As received, or why there is no answer.
 
     auto operator<=>(const target_refusal&) const = default;
 };
@@ -37,19 +39,27 @@
  */
 class target_control {
 public:
-    /** Returns a connection to the target that may carry a statement now; null without one. */
-    using link_source = std::function<std::shared_ptr<target_link>(const std::string& group,
-                                                                   const std::string& target)>;
+    /** Called until the target_control is destroyed. */
+    struct control_callbacks {
+        /// Returns a connection to the target that may carry a statement now; null without one.
+        std::function<std::shared_ptr<target_link>(const std::string& group,
+                                                   const std::string& target)>
+            find_idle_link;
+        /// A target answered on a connection opened here, to something sent at `sent_at`.
+        std::function<void(const target_entry&, const target_ready&, std::int64_t sent_at)>
+            answered;
+        /// A target refused a connection because it has too many.
+        std::function<void(const target_entry&)> limited;
+    };
 
-    /** `find_idle_link` may be called until this object is destroyed. */
     target_control(transport::event_loop& loop, const session_protocol& protocol, bounded_log& log,
-                   link_source find_idle_link);
+                   control_callbacks callbacks);
 
     ~target_control();
     target_control(const target_control&) = delete;
     target_control& operator=(const target_control&) = delete;
 
-    /** Requests a target's report; `done` gets the answer once, within the control timeout. */
+    /** Requests a target's report; `done` gets the answer once, within 2 s. */
     void request_report(const target_entry& target, std::function<void(const report_answer&)> done);
 
     /**
@@ -68,19 +78,21 @@
     struct exchange;
     using exchange_ptr = std::shared_ptr<exchange>;
 
-    exchange_ptr start(const target_entry& target, std::string bytes, std::int64_t timeout_ms);
-    /** Opens a connection for the next attempt. */
+    exchange_ptr start(const target_entry& target, std::string bytes);
+    /** Sends the statement on an idle connection opened for it, or opens one. */
+    void attempt(const exchange_ptr& started);
     void connect(const exchange_ptr& started);
+    void handle_link_end(const exchange_ptr& ended, const target_link::link_end& end);
     void send_on(const exchange_ptr& started, const std::shared_ptr<target_link>& link,
                  bool is_own_link);
     void handle_answer(const exchange_ptr& started, const target_answer& answer, bool is_own_link);
-    void refuse(const exchange_ptr& started, const std::string& code, std::int64_t retry_ms);
+    void refuse(const exchange_ptr& started, const target_refusal& refusal, std::int64_t retry_ms);
     void finish(const exchange_ptr& started, const report_answer& answer);
 
     transport::event_loop& loop_;
     const session_protocol& protocol_;
     bounded_log& log_;
-    link_source find_idle_link_;
+    control_callbacks callbacks_;
     std::vector<exchange_ptr> exchanges_;
 };
 
--- a/src/gateway/target_group.h
+++ b/src/gateway/target_group.h
@@ -3,6 +3,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -34,6 +35,9 @@
     std::int64_t read_only_at = 0;   ///< When it last rejected a write as not the primary.
     double mean_answer_ms = 0;       ///< Moving mean of the response time.
     state::term_number term = 0;     ///< Newest reported term.
+    /// What its log had reached in the last answer that named a position.
+    std::optional<state::log_point> position;
+    std::int64_t positioned_at = 0;  ///< When it answered with that position.
 
     /** Whether new statements may be sent to it. */
     bool is_usable() const { return removed_at == 0 && !entry.is_leaving; }
--- a/tests/coordination/promotion_test.cpp
+++ b/tests/coordination/promotion_test.cpp
@@ -132,7 +132,7 @@
 // answers other statements, timed out.
 TEST(promotion, waits_for_the_report_of_a_responsive_target) {
     claimed_promotion claimed;
-    claimed.input.responsive_targets = {"t3"};
+    claimed.input.responsive_targets["t3"] = std::nullopt;
     claimed.machine.step(claimed.input, lease_released{"vm2", 11}, 1040);
     claimed.machine.step(claimed.input, report_received{1, "t1", std::nullopt}, 1050);
     claimed.machine.step(claimed.input, report_received{1, "t2", make_replica(90)}, 1060);
@@ -161,6 +161,23 @@
     EXPECT_EQ(find<request_promotion>(actions)->target, "t2");
 }
 
+// Guards against the promotion of a lagging replica because the better one is too busy to report
+// for the whole survey; its answers to other statements show what its log has reached.
+TEST(promotion, promotes_a_busy_target_whose_answers_show_more_commits) {
+    claimed_promotion claimed;
+    claimed.input.responsive_targets["t3"] = state::log_point{3, 95};
+    claimed.machine.step(claimed.input, lease_released{"vm2", 11}, 1040);
+    claimed.machine.step(claimed.input, report_received{1, "t1", std::nullopt}, 1050);
+    claimed.machine.step(claimed.input, report_received{1, "t2", make_replica(90)}, 1060);
+    for (std::int64_t now = 1100; now < 3040; now += 40) {
+        const auto actions = claimed.machine.step(claimed.input, report_refused{1, "t3"}, now);
+        EXPECT_EQ(find<request_promotion>(actions), nullptr);
+    }
+    const auto actions = claimed.machine.step(claimed.input, input_changed{}, 3041);
+    ASSERT_NE(find<request_promotion>(actions), nullptr);
+    EXPECT_EQ(find<request_promotion>(actions)->target, "t3");
+}
+
 // Guards against the promotion of a lagging replica because this VM was suspended while the better
 // one was busy, or the deadline came first (found by leadership_exploration, seed 3346566282).
 TEST(promotion, promotes_nothing_when_time_to_hear_a_live_target_was_missing) {
--- a/tests/gateway/session_engine_test.cpp
+++ b/tests/gateway/session_engine_test.cpp
@@ -356,11 +356,31 @@
     engine_.get_control().request_report(entry, [&](const report_answer& got) { answer = got; });
     run_until([&] { return answer.has_value(); });
     ASSERT_TRUE(std::holds_alternative<target_refusal>(*answer));
-    EXPECT_EQ(std::get<target_refusal>(*answer).code, "BUSY");
+    EXPECT_EQ(std::get<target_refusal>(*answer), target_refusal{"BUSY"});
     EXPECT_GE(requests, 3);
     EXPECT_EQ(busy.connections, 1);
 }
 
+// Guards against a target that accepts connections, but has no free slot for a long time, and
+// counts as one that does not answer. Its connections show what its log has reached.
+TEST_F(session_engine_test, a_report_that_waits_for_a_slot_is_waited_for) {
+    scripted_target& busy = add_target("t1", false, [](const std::string& line) {
+        return std::string(line.starts_with("STARTUP") ? "READY I 1.5\r\n" : "");
+    });
+    const target_entry entry = engine_.get_groups()["g"].targets.at("t1").entry;
+    std::optional<report_answer> answer;
+    const std::int64_t started_at = transport::get_boot_time();
+    engine_.get_control().request_report(entry, [&](const report_answer& got) { answer = got; });
+    run_until([&] { return transport::get_boot_time() - started_at > 1500; });
+    EXPECT_FALSE(answer.has_value());
+    const target_state& target = engine_.get_groups()["g"].targets.at("t1");
+    EXPECT_LT(transport::get_boot_time() - target.last_answer_at, 600);
+    EXPECT_EQ(target.position, (state::log_point{1, 5}));
+    busy.write_to_all("DATAROW replica 1 1.7 0 0 0 1\r\nCOMPLETE -\r\nREADY I 1.5\r\n");
+    run_until([&] { return answer.has_value(); });
+    EXPECT_TRUE(std::holds_alternative<target_report>(*answer));
+}
+
 // Guards against a control statement that a busy target refused and nobody repeats.
 TEST_F(session_engine_test, a_refused_control_statement_is_repeated) {
     int requests = 0;
