Probe a busy target often enough to tell it from a silent one

Found when reading the change: a target that is waited for was probed every 400 ms and counted as silent 500 ms after its last sign of life. A probe that opens 50 ms late would have missed that. It is probed every 250 ms now and is silent after 600 ms, as a primary is.

--- a/src/gateway/target_control.cpp
+++ b/src/gateway/target_control.cpp
@@ -9,8 +9,8 @@
 
 namespace {
 
-/// A target that accepts no connection within this time does not answer.
-constexpr std::int64_t connect_timeout_ms = 500;
+/// A target that accepts no connection within this time does not answer. Longer than two probes.
+constexpr std::int64_t connect_timeout_ms = 600;
 /// A control statement is repeated for this long while the target refuses to run it; a report of a
 /// target that accepts connections may wait as long for a free slot.
 constexpr std::int64_t answer_timeout_ms = 2000;
@@ -21,7 +21,7 @@
 /// A connection that opens later than this may be held up; an idle one is used as well.
 constexpr std::int64_t slow_connection_ms = 150;
 /// Without an answer on the last connection, another one shows whether the target is still alive.
-constexpr std::int64_t probe_interval_ms = 400;
+constexpr std::int64_t probe_interval_ms = 250;
 
 }  // namespace
 
