--- a/tests/gateway/store_watcher_test.cpp
+++ b/tests/gateway/store_watcher_test.cpp
@@ -286,6 +286,25 @@
         }
     }
 
+    /** Lists the target as leaving in the pause between two watches, and silences the connections.
+     */
+    void announce_leaving_and_silence() {
+        watcher_.start();
+        tests::run_until(loop_, [&] { return target_watches_ == 1; });
+        leaving_since_ = transport::get_boot_time();
+        silence();
+    }
+
+    /** Ends when the watcher knows that the target leaves, or when the target may not be used. */
+    void wait_until_leaving() {
+        transport::loop_timer wake_up(loop_);
+        wake_up.start(min_leaving_time_ms, 0, [] {});
+        while (!leaving_targets_.contains("t1") &&
+               transport::get_boot_time() - leaving_since_ < min_leaving_time_ms) {
+            uv_run(loop_.get_handle(), UV_RUN_ONCE);
+        }
+    }
+
     std::int64_t leaving_since_ = 0;  ///< The target is listed as leaving from then on.
     int silences_after_watch_ = 0;    ///< Connections that go silent as a failed watch is retried.
     int target_reads_ = 0;
@@ -328,32 +347,16 @@
 // Guards against a leaving target that is used for too long (DRAIN), because the connections go
 // silent in the pause between two watches (review case 5).
 TEST_F(silent_connections_test, a_leaving_target_is_known_although_connections_went_silent) {
-    watcher_.start();
-    tests::run_until(loop_, [&] { return target_watches_ == 1; });
-    leaving_since_ = transport::get_boot_time();
-    silence();
-    transport::loop_timer limit(loop_);
-    limit.start(min_leaving_time_ms, 0, [this] { loop_.stop(); });
-    while (!leaving_targets_.contains("t1") &&
-           transport::get_boot_time() - leaving_since_ < min_leaving_time_ms) {
-        uv_run(loop_.get_handle(), UV_RUN_ONCE);
-    }
+    announce_leaving_and_silence();
+    wait_until_leaving();
     EXPECT_TRUE(leaving_targets_.contains("t1"));
 }
 
 // Guards against the same when the connection of the read after the watch goes silent as well.
 TEST_F(silent_connections_test, a_leaving_target_is_known_although_the_next_connection_is_silent) {
-    watcher_.start();
-    tests::run_until(loop_, [&] { return target_watches_ == 1; });
-    leaving_since_ = transport::get_boot_time();
-    silence();
+    announce_leaving_and_silence();
     silences_after_watch_ = 1;
-    transport::loop_timer limit(loop_);
-    limit.start(min_leaving_time_ms, 0, [this] { loop_.stop(); });
-    while (!leaving_targets_.contains("t1") &&
-           transport::get_boot_time() - leaving_since_ < min_leaving_time_ms) {
-        uv_run(loop_.get_handle(), UV_RUN_ONCE);
-    }
+    wait_until_leaving();
     EXPECT_TRUE(leaving_targets_.contains("t1"));
     EXPECT_EQ(silences_after_watch_, 0);
     EXPECT_LE(transport::get_boot_time() - leaving_since_,
