--- a/src/gateway/caller_session.cpp
+++ b/src/gateway/caller_session.cpp
@@ -549,7 +549,7 @@
     if (pinned_statement_) {
         // Leads to finish_pinned() with a lost answer.
         const std::shared_ptr<target_link> link = link_;
-        link->close();
+        link->close("no answer in time");
     } else {
         drop_link();
         phase_ = phase::failed_transaction;
@@ -560,7 +560,7 @@
     if (pinned_statement_) {
         // Leads to finish_pinned() with a lost answer.
         const std::shared_ptr<target_link> link = link_;
-        link->close();
+        link->close("this VM stops");
     } else if (pending_) {
         const pending_statement_ptr pending = pending_;  // The refusal clears pending_.
         engine_.refuse_for_stop(pending);
--- a/src/gateway/gateway_counters.cpp
+++ b/src/gateway/gateway_counters.cpp
@@ -36,6 +36,8 @@
       hedges(add_counter(*registry, "hedges_total", "Reads sent to a second target")),
       lost_answers(add_counter(*registry, "lost_answers_total", "Answers that never came")),
       opened_links(add_counter(*registry, "opened_links_total", "Connections to targets")),
+      setup_failures(add_counter(*registry, "setup_failures_total",
+                                 "Set-up statements that a target refused")),
       store_calls(add_counter(*registry, "store_calls_total", "Calls to the platform's store")),
       peer_messages(add_counter(*registry, "peer_messages_total", "Datagrams sent to other VMs")),
       promotions(add_counter(*registry, "promotions_total", "Changes of primary by this VM")),
--- a/src/gateway/gateway_counters.h
+++ b/src/gateway/gateway_counters.h
@@ -25,6 +25,7 @@
     prometheus::Counter& hedges;
     prometheus::Counter& lost_answers;
     prometheus::Counter& opened_links;
+    prometheus::Counter& setup_failures;
     prometheus::Counter& store_calls;
     prometheus::Counter& peer_messages;
     prometheus::Counter& promotions;
--- a/src/gateway/gateway_events.h
+++ b/src/gateway/gateway_events.h
@@ -48,5 +48,8 @@
 inline constexpr event_type event_control_failed{7042, "target_control_failed",
                                                  event_severity::warning};
 inline constexpr event_type event_promotion_survey{7043, "promotion_survey"};
+inline constexpr event_type event_setup_failed{7044, "target_setup_failed",
+                                               event_severity::warning};
+inline constexpr event_type event_statement_prepared{7045, "statement_prepared"};
 
 }  // namespace hornbeamhook::gateway
--- a/src/gateway/session_engine.cpp
+++ b/src/gateway/session_engine.cpp
@@ -553,15 +553,10 @@
         {.opened = [this, group] { dispatch(group); },
          .ended =
              [this, id, home](const target_link::link_end& end) {
-                 if (end.is_local) {
-                     return;
+                 log_link_end(id, home, end);
+                 if (!end.is_local) {
+                     homes_.back_off(home, transport::get_boot_time());
                  }
-                 log_.write(event_link_ended,
-                            {{"target", id},
-                             {"home", home},
-                             {"refused", end.is_refused ? "yes" : "no"},
-                             {"reason", end.failure ? end.failure->raw_code : "closed"}});
-                 homes_.back_off(home, transport::get_boot_time());
              },
          .answered =
              [this, group, id, home](const target_ready& ready, std::int64_t sent_at) {
@@ -635,11 +630,7 @@
     const std::int64_t now = transport::get_boot_time();
     const std::optional<target_failure>& failure = end.failure;
     const bool is_limited = failure && failure->code == failure_code::too_many_connections;
-    log_.write(event_link_ended,
-               {{"target", id},
-                {"refused", end.is_refused ? "yes" : "no"},
-                {"limited", is_limited ? "yes" : "no"},
-                {"reason", failure ? failure->raw_code + " " + failure->text : "closed"}});
+    log_link_end(id, {}, end);
     if (end.is_local) {
         return;  // Says nothing about the target.
     }
@@ -657,6 +648,46 @@
     }
 }
 
+void session_engine::log_link_end(const std::string& target, const std::string& home,
+                                  const target_link::link_end& end) {
+    const std::optional<target_failure>& failure = end.failure;
+    const bool is_limited = failure && failure->code == failure_code::too_many_connections;
+    if (failure && end.setup) {
+        counters_.setup_failures.Increment();
+        log_.write(event_setup_failed, {{"target", target},
+                                        {"home", home.empty() ? "none" : home},
+                                        {"link", std::to_string(end.link)},
+                                        {"step", end.setup->kind},
+                                        {"name", end.setup->name},
+                                        {"reason", failure->raw_code},
+                                        {"text", failure->text}});
+    }
+    std::string reason = end.is_local ? end.reason : "closed";
+    if (failure) {
+        reason =
+            failure->raw_code.empty() ? failure->text : failure->raw_code + " " + failure->text;
+    }
+    log_.write(event_link_ended, {{"target", target},
+                                  {"home", home.empty() ? "none" : home},
+                                  {"link", std::to_string(end.link)},
+                                  {"by", end.is_local || failure ? "vm" : "target"},
+                                  {"refused", end.is_refused ? "yes" : "no"},
+                                  {"limited", is_limited ? "yes" : "no"},
+                                  {"reason", reason}});
+}
+
+void session_engine::log_prepared(const target_link& link, const statement_bytes& bytes) {
+    for (const setup_step& step : bytes.setup) {
+        if (step.kind == "prepare") {
+            log_.write(event_statement_prepared,
+                       {{"target", link.get_target()},
+                        {"home", link.is_relayed() ? link.get_home() : "none"},
+                        {"link", std::to_string(link.get_number())},
+                        {"name", step.name}});
+        }
+    }
+}
+
 void session_engine::send(const caller_session& session, const std::shared_ptr<target_link>& link,
                           const caller_statement& statement,
                           const std::optional<caller_statement>& begin,
@@ -664,13 +695,14 @@
                           target_link::answer_callback done, const std::string& prefix) {
     const statement_bytes bytes =
         format_for_link(protocol_, session, *link, statement, begin, required_position);
+    log_prepared(*link, bytes);
     if (bytes.after_begin.empty()) {
-        link->send(prefix + bytes.initial, bytes.setup_count, std::move(done));
+        link->send(prefix + bytes.initial, bytes.setup, std::move(done));
         return;
     }
     // Wait for the answer to BEGIN: if it fails, the statement would run outside a transaction.
     link->send(
-        bytes.initial, bytes.setup_count,
+        bytes.initial, bytes.setup,
         [link, rest = bytes.after_begin, done = std::move(done)](const target_answer& answer) {
             if (answer.is_lost || answer.failure) {
                 done(answer);
@@ -679,7 +711,7 @@
                 lost.is_lost = true;
                 done(lost);
             } else {
-                link->send(rest, 0, done);
+                link->send(rest, {}, done);
             }
         });
 }
@@ -870,9 +902,9 @@
     const std::string name = group == group_of_target_.end() ? "" : group->second;
     if (!link->is_idle()) {
         // A statement is running without its caller; only closing the connection stops it.
-        link->close();
+        link->close("its caller has left");
     } else if (link->get_state() != transaction_state::idle) {
-        link->send(protocol_.format_rollback(), 0,
+        link->send(protocol_.format_rollback(), {},
                    [this, name](const target_answer&) { dispatch(name); });
     }
     dispatch(name);
@@ -918,7 +950,7 @@
     }
     const std::vector<std::shared_ptr<target_link>> links = std::exchange(found->links, {});
     for (const std::shared_ptr<target_link>& link : links) {
-        link->close();
+        link->close("the target is no longer used");
     }
 }
 
@@ -987,7 +1019,7 @@
                 if (link->is_relayed()) {
                     homes_.back_off(link->get_home(), now);
                 }
-                link->close();
+                link->close("no answer in time");
             }
         }
     }
@@ -1075,7 +1107,9 @@
                                           !link->is_pinned() &&
                                           now - link->get_idle_since() > *idle_timeout_ms;
             if (is_opening_timed_out || is_unresponsive || is_idle_too_long) {
-                link->close();
+                link->close(is_opening_timed_out ? "not open in time"
+                            : is_unresponsive    ? "no answer in time"
+                                                 : "idle");
             }
             if (is_opening_timed_out && !link->is_relayed()) {
                 target.reconnect_at = now + reconnect_delay_ms;
--- a/src/gateway/session_engine.h
+++ b/src/gateway/session_engine.h
@@ -16,6 +16,7 @@
 #include "gateway/home_selector.h"
 #include "gateway/pending_statement.h"
 #include "gateway/session_protocol.h"
+#include "gateway/statement_bytes.h"
 #include "gateway/target_control.h"
 #include "gateway/target_group.h"
 #include "transport/event_loop.h"
@@ -161,6 +162,10 @@
                        const target_ready& ready, std::int64_t sent_at);
     void handle_link_end(const std::string& group, const std::string& target,
                          const target_link::link_end& end);
+    /** Logs the end of a connection, direct or through `home`, and a failed set-up before it. */
+    void log_link_end(const std::string& target, const std::string& home,
+                      const target_link::link_end& end);
+    void log_prepared(const target_link& link, const statement_bytes& bytes);
     double get_cost(const target_state& target, bool is_primary, std::int64_t now) const;
     std::int64_t get_round_trip_ms(const std::string& place) const;
     target_state* find_target(const std::string& group, const std::string& target);
--- a/src/gateway/statement_bytes.cpp
+++ b/src/gateway/statement_bytes.cpp
@@ -17,7 +17,7 @@
                     [&](const auto& entry) { return !wanted.contains(entry.first); });
     if (has_foreign_value) {
         bytes.initial += protocol.format_reset();
-        ++bytes.setup_count;
+        bytes.setup.push_back({"reset", {}});
         link.values.clear();
         link.prepared.clear();
     }
@@ -25,7 +25,7 @@
         const auto held = link.values.find(name);
         if (held == link.values.end() || held->second != value) {
             bytes.initial += protocol.format_set(name, value);
-            ++bytes.setup_count;
+            bytes.setup.push_back({"set", name});
             link.values[name] = value;
         }
     }
@@ -38,7 +38,7 @@
     std::string name = (prepared.is_write ? "w" : "r") + prepared.shape;
     if (link.prepared.insert(name).second) {
         bytes.initial += protocol.format_prepare(name, prepared.is_write, prepared.shape);
-        ++bytes.setup_count;
+        bytes.setup.push_back({"prepare", name});
     }
     return name;
 }
@@ -68,7 +68,7 @@
     bytes.initial += protocol.format_statement(begin->id, required_position, begin->text);
     if (link.is_relayed()) {
         // The home itself delays the first statement until BEGIN has succeeded.
-        ++bytes.setup_count;
+        bytes.setup.push_back({"begin", {}});
         bytes.initial += main_bytes;
     } else {
         bytes.after_begin = main_bytes;
--- a/src/gateway/statement_bytes.h
+++ b/src/gateway/statement_bytes.h
@@ -2,18 +2,19 @@
 
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "gateway/session_protocol.h"
+#include "gateway/target_link.h"
 
 namespace hornbeamhook::gateway {
 
 class caller_session;
-class target_link;
 
 /** Bytes to send on a target connection for one statement. */
 struct statement_bytes {
     std::string initial;
-    int setup_count = 0;      ///< Leading statements in `initial` that only set up the connection.
+    std::vector<setup_step> setup;  ///< The leading statements of `initial`.
     std::string after_begin;  ///< Sent once BEGIN, the last statement of `initial`, succeeded.
 };
 
--- a/src/gateway/target_control.cpp
+++ b/src/gateway/target_control.cpp
@@ -154,7 +154,7 @@
                              bool is_own_link) {
     ++started->outstanding;
     link->send(
-        started->bytes, 0,
+        started->bytes, {},
         [this, weak = std::weak_ptr<exchange>(started), is_own_link](const target_answer& answer) {
             const exchange_ptr sent = weak.lock();
             if (sent && !sent->is_finished) {
@@ -201,7 +201,7 @@
                     {"waited_ms", std::to_string(waited_ms)}});
     }
     for (const std::shared_ptr<target_link>& link : std::exchange(started->own_links, {})) {
-        link->close();
+        link->close("the control statement has ended");
     }
     for (const auto& done : std::exchange(started->done, {})) {
         done(answer);
--- a/src/gateway/target_link.cpp
+++ b/src/gateway/target_link.cpp
@@ -9,10 +9,19 @@
 constexpr std::size_t max_line_bytes = 1U << 20;    ///< Limit of the protocol for one message.
 constexpr std::size_t max_answer_bytes = 8U << 20;  ///< Answers are buffered until complete.
 
+std::uint64_t take_link_number() {
+    static std::uint64_t last_number = 0;
+    return ++last_number;
+}
+
 }  // namespace
 
 target_link::target_link(const session_protocol& protocol, const target_entry& target)
-    : protocol_(protocol), group_(target.group), target_(target.id), lines_(max_line_bytes) {}
+    : protocol_(protocol),
+      number_(take_link_number()),
+      group_(target.group),
+      target_(target.id),
+      lines_(max_line_bytes) {}
 
 std::shared_ptr<target_link> target_link::open(transport::event_loop& loop,
                                                const session_protocol& protocol,
@@ -34,15 +43,16 @@
 }
 
 void target_link::end_stream(bool is_refused) {
-    end({std::nullopt, is_refused, false});
+    end({.is_refused = is_refused});
 }
 
-void target_link::send(std::string bytes, int setup_count, answer_callback done) {
+void target_link::send(std::string bytes, const std::vector<setup_step>& setup,
+                       answer_callback done) {
     const std::int64_t now = transport::get_boot_time();
-    for (int i = 0; i < setup_count; ++i) {
-        outstanding_.push_back({true, {}, now});
+    for (const setup_step& step : setup) {
+        outstanding_.push_back({step, {}, now});
     }
-    outstanding_.push_back({false, std::move(done), now});
+    outstanding_.push_back({std::nullopt, std::move(done), now});
     stream_->write(std::move(bytes));
 }
 
@@ -63,8 +73,8 @@
         handle(protocol_.parse_target_line(*line));
     }
     if (lines_.is_overlong()) {
-        end({target_failure{failure_code::malformed, {}, "line exceeds the length limit"}, false,
-             false});
+        end({.failure =
+                 target_failure{failure_code::malformed, {}, "line exceeds the length limit"}});
     }
 }
 
@@ -72,8 +82,8 @@
     if (const auto* row = std::get_if<target_row>(&message)) {
         answer_bytes_ += row->payload.size();
         if (answer_bytes_ > max_answer_bytes) {
-            end({target_failure{failure_code::too_big, {}, "answer exceeds the size limit"}, false,
-                 false});
+            end({.failure =
+                     target_failure{failure_code::too_big, {}, "answer exceeds the size limit"}});
             return;
         }
         answer_.rows.push_back(row->payload);
@@ -81,14 +91,14 @@
         answer_.completion = *completion;
     } else if (const auto* failure = std::get_if<target_failure>(&message)) {
         if (!is_open_) {
-            end({*failure, false, false});
+            end({.failure = *failure});
             return;
         }
         answer_.failure = *failure;
     } else if (const auto* ready = std::get_if<target_ready>(&message)) {
         complete(*ready);
     } else {
-        end({target_failure{failure_code::malformed, {}, "unknown message"}, false, false});
+        end({.failure = target_failure{failure_code::malformed, {}, "unknown message"}});
     }
 }
 
@@ -107,7 +117,7 @@
         return;
     }
     if (outstanding_.empty()) {
-        end({target_failure{failure_code::malformed, {}, "unexpected answer"}, false, false});
+        end({.failure = target_failure{failure_code::malformed, {}, "unexpected answer"}});
         return;
     }
     const outstanding_statement finished = std::move(outstanding_.front());
@@ -116,9 +126,9 @@
     answer_bytes_ = 0;
     answer.ready = ready;
     answer.sent_at = finished.sent_at;
-    if (finished.is_setup) {
+    if (finished.setup) {
         if (answer.failure) {
-            end({answer.failure, false, false});
+            end({.failure = answer.failure, .setup = finished.setup});
         }
         return;
     }
@@ -131,20 +141,21 @@
     finished.done(answer);
 }
 
-void target_link::close() {
-    end({std::nullopt, false, true});
+void target_link::close(const std::string& reason) {
+    end({.is_local = true, .reason = reason});
 }
 
 void target_link::abandon() {
     events_ = {};
     outstanding_.clear();
-    end({std::nullopt, false, true});
+    end({.is_local = true});
 }
 
-void target_link::end(const link_end& cause) {
+void target_link::end(link_end cause) {
     if (is_ended_) {
         return;
     }
+    cause.link = number_;
     const std::shared_ptr<target_link> self = shared_from_this();
     is_ended_ = true;
     is_open_ = false;
@@ -158,7 +169,7 @@
     // A failed setup statement also fails its main statement, which has not run or whose result
     // must not be used.
     for (const outstanding_statement& entry : lost) {
-        if (!entry.is_setup) {
+        if (!entry.setup) {
             target_answer answer;
             answer.sent_at = entry.sent_at;
             answer.is_lost = true;
--- a/src/gateway/target_link.h
+++ b/src/gateway/target_link.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstdint>
 #include <deque>
 #include <functional>
 #include <map>
@@ -7,6 +8,7 @@
 #include <set>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "gateway/session_protocol.h"
 #include "gateway/target_entry.h"
@@ -29,6 +31,12 @@
     bool is_lost = false;      ///< The connection ended or was closed first.
 };
 
+/** One statement that only sets up a connection, as logs name it. */
+struct setup_step {
+    std::string kind;  ///< reset, set, prepare or begin.
+    std::string name;  ///< Of the session value or prepared statement.
+};
+
 /** Another VM through which a target is reached. */
 struct link_home {
     std::string vm;
@@ -44,9 +52,12 @@
 
     /** How a connection ended. */
     struct link_end {
+        std::uint64_t link = 0;                 ///< Number of the connection.
         std::optional<target_failure> failure;  ///< Failure that the target reported or caused.
         bool is_refused = false;                ///< The address refused the connection.
         bool is_local = false;                  ///< This side closed the connection.
+        std::string reason;                     ///< Why this side closed it.
+        std::optional<setup_step> setup;        ///< Set-up statement that `failure` answers.
     };
 
     struct link_events {
@@ -63,19 +74,20 @@
                                              const std::optional<link_home>& home = std::nullopt);
 
     /**
-     * Sends formatted statements together. The first `setup_count` of them only set up the
-     * connection; if one fails the link ends, because the main statement would run with wrong
-     * session state. `done` gets the answer to the last statement, exactly once.
-     * Precondition: is_open().
+     * Sends formatted statements together. The first ones, `setup`, only set up the connection; if
+     * one fails the link ends, because the main statement would run with wrong session state.
+     * `done` gets the answer to the last statement, exactly once. Precondition: is_open().
      */
-    void send(std::string bytes, int setup_count, answer_callback done);
+    void send(std::string bytes, const std::vector<setup_step>& setup, answer_callback done);
 
-    /** Closes the connection; outstanding statements get a lost answer. */
-    void close();
+    /** Closes the connection; outstanding statements get a lost answer. `reason` is logged. */
+    void close(const std::string& reason);
 
     /** Closes the connection without any callback; for use when the owner is destroyed. */
     void abandon();
 
+    /** Numbers the connections of this process, for the log. */
+    std::uint64_t get_number() const { return number_; }
     bool is_open() const { return is_open_; }
     bool is_ended() const { return is_ended_; }
     bool is_idle() const { return is_open_ && outstanding_.empty(); }
@@ -101,7 +113,7 @@
 
 private:
     struct outstanding_statement {
-        bool is_setup = false;
+        std::optional<setup_step> setup;
         answer_callback done;
         std::int64_t sent_at = 0;
     };
@@ -112,9 +124,10 @@
     void receive(std::string_view bytes);
     void handle(const target_message& message);
     void complete(const target_ready& ready);
-    void end(const link_end& cause);
+    void end(link_end cause);
 
     const session_protocol& protocol_;
+    std::uint64_t number_;
     std::string group_;
     std::string target_;
     std::string home_;
--- a/tests/gateway/session_engine_test.cpp
+++ b/tests/gateway/session_engine_test.cpp
@@ -241,7 +241,7 @@
     state.reconnect_at = 0;
     engine_.probe(state);
     run_until([&] { return !state.links.empty() && state.links.back()->is_open(); });
-    state.links.back()->close();
+    state.links.back()->close("test");
     const std::int64_t asked_again_at = transport::get_boot_time();
     ask(*caller, "READ k3");
     EXPECT_LT(transport::get_boot_time() - asked_again_at, 100);
