--- a/tests/gateway/relayed_session_test.cpp
+++ b/tests/gateway/relayed_session_test.cpp
@@ -8,6 +8,7 @@
 #include "support/free_port.h"
 #include "support/scripted_target.h"
 #include "support/test_caller.h"
+#include "support/test_vm.h"
 
 namespace hornbeamhook::gateway {
 namespace {
@@ -16,32 +17,10 @@
 using tests::make_idle_target;
 using tests::scripted_target;
 using tests::test_caller;
+using tests::test_vm;
 
 constexpr std::int64_t wait_limit_ms = 5000;  ///< Far above the time of any exchange here.
 
-/** A VM of the fleet, with its listeners. */
-struct test_vm {
-    test_vm(transport::event_loop& loop, const session_protocol& protocol, const std::string& name,
-            const std::string& place)
-        : log(name),
-          engine(loop, protocol, log, counters, name, place, {{"near", "r"}, {"far", "s"}}),
-          member{name, 1, *transport::parse_endpoint(tests::get_free_address()), {}, place},
-          caller_address(*transport::parse_endpoint(tests::get_free_address())),
-          callers(loop, caller_address,
-                  [this](const auto& stream) { engine.accept(stream, session_origin::caller); }),
-          peers(std::make_unique<transport::tcp_listener>(
-              loop, member.peer_address,
-              [this](const auto& stream) { engine.accept(stream, session_origin::peer); })) {}
-
-    bounded_log log;
-    gateway_counters counters;
-    session_engine engine;
-    fleet_member member;
-    transport::endpoint caller_address;
-    transport::tcp_listener callers;
-    std::unique_ptr<transport::tcp_listener> peers;
-};
-
 /**
  * Five VMs share four connections to a target. Three homes are in the target's place; the tests
  * connect as callers of a VM in another place.
