Number the names of prepared statements on a connection

Cause: the name of a statement on a target connection was its access and shape. A blank in the shape ended the name early, so the target read the rest as access and shape of the PARSE, or as item and data of the EXECUTE. A shape "q22 WRITE tx" also redefined the statement of every session with the shape "q22" on that connection.

Names are now "p" and a number that is never used twice on a connection, so no text of a caller is part of a name. The shape is sent once instead of twice.

--- a/src/gateway/caller_session.h
+++ b/src/gateway/caller_session.h
@@ -15,14 +15,6 @@
 
 class session_engine;
 
-/** A prepared statement of a session. */
-struct prepared_statement {
-    bool is_write = false;
-    std::string shape;
-
-    auto operator<=>(const prepared_statement&) const = default;
-};
-
 /** Who opened a session. */
 enum class session_origin {
     caller,
--- a/src/gateway/statement_bytes.cpp
+++ b/src/gateway/statement_bytes.cpp
@@ -34,12 +34,14 @@
 /** Prepares the statement to execute unless the link holds it; returns its name on the link. */
 std::string add_prepared(const session_protocol& protocol, const prepared_statement& prepared,
                          target_link& link, statement_bytes& bytes) {
-    // The name is derived from access and shape, so that sessions can share the statement.
-    std::string name = (prepared.is_write ? "w" : "r") + prepared.shape;
-    if (link.prepared.insert(name).second) {
-        bytes.initial += protocol.format_prepare(name, prepared.is_write, prepared.shape);
-        bytes.setup.push_back({"prepare", name});
+    const auto held = link.prepared.find(prepared);
+    if (held != link.prepared.end()) {
+        return held->second;
     }
+    std::string name = link.take_statement_name();
+    link.prepared.emplace(prepared, name);
+    bytes.initial += protocol.format_prepare(name, prepared.is_write, prepared.shape);
+    bytes.setup.push_back({"prepare", name});
     return name;
 }
 
--- a/src/gateway/target_link.h
+++ b/src/gateway/target_link.h
@@ -5,7 +5,6 @@
 #include <functional>
 #include <map>
 #include <memory>
-#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -21,6 +20,14 @@
 /** Values set in a session, by name. */
 using session_values = std::map<std::string, std::string>;
 
+/** What a prepared statement runs. */
+struct prepared_statement {
+    bool is_write = false;
+    std::string shape;
+
+    auto operator<=>(const prepared_statement&) const = default;
+};
+
 /** A target's complete answer to one statement, or the loss of the connection before it. */
 struct target_answer {
     std::vector<std::string> rows;
@@ -109,7 +116,10 @@
 
     /** Session state of the connection once all sent statements have run. */
     session_values values;
-    std::set<std::string> prepared;
+    std::map<prepared_statement, std::string> prepared;  ///< With their names there.
+
+    /** A name for a statement to prepare; none is returned twice. */
+    std::string take_statement_name() { return "p" + std::to_string(++last_statement_name_); }
 
 private:
     struct outstanding_statement {
@@ -137,6 +147,7 @@
     std::deque<outstanding_statement> outstanding_;
     target_answer answer_;
     std::size_t answer_bytes_ = 0;
+    std::uint64_t last_statement_name_ = 0;
     transaction_state state_ = transaction_state::idle;
     std::int64_t opened_at_ = 0;
     std::int64_t idle_since_ = 0;
--- a/tests/gateway/relayed_session_test.cpp
+++ b/tests/gateway/relayed_session_test.cpp
@@ -119,8 +119,8 @@
     EXPECT_EQ(ask(*caller, "READ k2").back(), "READY T 1.5");
     EXPECT_EQ(ask(*caller, "COMMIT").back(), "READY I 1.5");
     EXPECT_EQ(target.lines,
-              (std::vector<std::string>{"QUERY - SET mode a", "QUERY - PARSE wshape1 WRITE shape1",
-                                        "QUERY 102 BEGIN", "QUERY 103 EXECUTE wshape1 k1 x",
+              (std::vector<std::string>{"QUERY - SET mode a", "QUERY - PARSE p1 WRITE shape1",
+                                        "QUERY 102 BEGIN", "QUERY 103 EXECUTE p1 k1 x",
                                         "QUERY 104 READ k2", "QUERY 105 COMMIT"}));
     EXPECT_EQ(target.connections, 1);
 }
--- a/tests/gateway/session_engine_test.cpp
+++ b/tests/gateway/session_engine_test.cpp
@@ -130,7 +130,7 @@
 }
 
 // Guards against a clash of two sessions' prepared statements with the same name.
-TEST_F(session_engine_test, names_prepared_statements_by_access_and_shape) {
+TEST_F(session_engine_test, shares_prepared_statements_under_names_of_its_own) {
     scripted_target& target = add_target("t1", true, make_idle_target());
     give_lease("t1");
     const auto first = open_session("strict");
@@ -140,11 +140,10 @@
     ask(*first, "EXECUTE s k1");
     ask(*second, "EXECUTE s k1 data");
     ask(*first, "EXECUTE s k2");
-    EXPECT_EQ(target.lines,
-              (std::vector<std::string>{
-                  "QUERY - PARSE rshape1 READ shape1", "QUERY 102 EXECUTE rshape1 k1",
-                  "QUERY - PARSE wshape2 WRITE shape2", "QUERY 103 EXECUTE wshape2 k1 data",
-                  "QUERY 104 EXECUTE rshape1 k2"}));
+    EXPECT_EQ(target.lines, (std::vector<std::string>{
+                                "QUERY - PARSE p1 READ shape1", "QUERY 102 EXECUTE p1 k1",
+                                "QUERY - PARSE p2 WRITE shape2", "QUERY 103 EXECUTE p2 k1 data",
+                                "QUERY 104 EXECUTE p1 k2"}));
 }
 
 // Guards against a write that runs twice because its answer was lost.
