Send a statement only after the target has accepted its set-up

With one in ten SET, PARSE and DISCARD refused by the target, statements ran with session values that their session was not acknowledged, among them those of other sessions, and callers got INDOUBT although nothing had run.

Cause: values and prepared statements were noted when they were sent, and the statement followed at once, so it ran whatever the target had answered. The connection was then closed, and the target counted as unreachable for all.

coordination::connection_state holds only what the target has acknowledged. On a direct connection the statement, and its BEGIN, wait for the answers to the set-up, which costs one round trip between a home and its target when a connection changes between sessions. A VM sends all at once to a home: the home ends the connection after a step that fails and runs nothing after it. A refused step makes the state unknown; the next use begins with a reset, and the connection is closed only if that is refused too. A statement that was not sent is tried again, or answered with BUSY (ABORTED in a transaction). A set-up without an answer for 300 ms is given up.

--- a/src/gateway/caller_session.cpp
+++ b/src/gateway/caller_session.cpp
@@ -329,7 +329,7 @@
 
 bool caller_session::is_writing(const caller_statement& statement) const {
     if (statement.kind == statement_kind::execute) {
-        const prepared_statement* prepared = find_prepared(statement.name);
+        const coordination::statement_definition* prepared = find_prepared(statement.name);
         return prepared != nullptr && prepared->is_write;
     }
     return statement.kind == statement_kind::write;
@@ -386,7 +386,7 @@
     pinned_statement_ = statement;
     pinned_sent_at_ = last_active_at_;
     const std::weak_ptr<caller_session> weak = weak_from_this();
-    engine_.send(*this, link_, statement, std::nullopt, std::nullopt,
+    engine_.send(*this, link_, statement, std::nullopt, std::nullopt, {},
                  [weak, statement](const target_answer& answer) {
                      if (const auto self = weak.lock()) {
                          self->finish_pinned(statement, answer);
@@ -404,6 +404,13 @@
     const bool is_superseded =
         is_commit && begin_->kind == statement_kind::begin &&
         !engine_.may_acknowledge_commit(route_.group, link->get_target(), pinned_term_);
+    if (!answer.was_sent) {
+        // The transaction cannot go on without the state that its session asked for.
+        drop_link();
+        phase_ = is_commit ? phase::idle : phase::failed_transaction;
+        reply_failure(failure_code::aborted, answer.failure->text);
+        return;
+    }
     if (answer.is_lost || is_superseded) {
         drop_link();
         phase_ = is_commit ? phase::idle : phase::failed_transaction;
@@ -446,7 +453,8 @@
     engine_.release_pinned(link);
 }
 
-const prepared_statement* caller_session::find_prepared(const std::string& name) const {
+const coordination::statement_definition* caller_session::find_prepared(
+    const std::string& name) const {
     const auto entry = prepared_.find(name);
     return entry == prepared_.end() ? nullptr : &entry->second;
 }
--- a/src/gateway/caller_session.h
+++ b/src/gateway/caller_session.h
@@ -5,6 +5,7 @@
 #include <optional>
 #include <string>
 
+#include "coordination/connection_state.h"
 #include "gateway/pending_statement.h"
 #include "gateway/session_protocol.h"
 #include "gateway/target_link.h"
@@ -57,8 +58,8 @@
     void answer_outstanding();
 
     bool is_closed() const { return is_closed_; }
-    const session_values& get_values() const { return values_; }
-    const prepared_statement* find_prepared(const std::string& name) const;
+    const coordination::session_values& get_values() const { return values_; }
+    const coordination::statement_definition* find_prepared(const std::string& name) const;
     const std::string& get_caller() const { return caller_; }
 
 private:
@@ -105,8 +106,8 @@
     std::optional<state::log_point> required_position_;
     std::string database_;
     std::string caller_;
-    session_values values_;
-    std::map<std::string, prepared_statement> prepared_;
+    coordination::session_values values_;
+    std::map<std::string, coordination::statement_definition> prepared_;
     phase phase_ = phase::starting;
     std::optional<caller_statement> begin_;
     route route_;  ///< Of the open transaction.
--- a/src/gateway/pending_statement.h
+++ b/src/gateway/pending_statement.h
@@ -30,8 +30,9 @@
     std::optional<state::log_point> last_commit_position;  ///< Of the session.
     std::int64_t operation_started_at = 0;  ///< Arrival of the statement or of its BEGIN.
     std::int64_t arrived_at = 0;
-    int attempts = 0;                               ///< Number of times it was sent.
-    int in_flight = 0;                              ///< Connections with its answer outstanding.
+    int attempts = 0;   ///< Number of times it was sent.
+    int in_flight = 0;  ///< Connections with its set-up or its answer outstanding.
+    int sent = 0;       ///< Those of them on which it was sent itself.
     std::vector<std::weak_ptr<target_link>> links;  ///< Connections it was sent on.
     std::int64_t last_sent_at = 0;
     bool is_settled = false;                ///< The caller was answered or has disconnected.
@@ -42,6 +43,9 @@
 
     bool is_relayed() const { return target.has_value(); }
 
+    /** Whether a target may have run it, or may still. */
+    bool may_have_run() const { return sent > 0 || is_in_doubt; }
+
     /** Whether it leaves no effect when its connection is lost. The first statement of a
      * transaction leaves none unless it is the commit itself. */
     bool is_safe_to_repeat() const {
--- a/src/gateway/session_engine.cpp
+++ b/src/gateway/session_engine.cpp
@@ -5,7 +5,6 @@
 
 #include "coordination/queue_wait.h"
 #include "gateway/gateway_events.h"
-#include "gateway/statement_bytes.h"
 
 namespace hornbeamhook::gateway {
 
@@ -30,6 +29,9 @@
 /// Between attempts to connect to a failing target.
 constexpr std::int64_t reconnect_delay_ms = 150;
 constexpr std::int64_t connect_timeout_ms = 700;  ///< Connecting takes 12 ms and two round trips.
+/// Setting up a connection takes no slot of the target, so a round trip is enough. Later the
+/// statement, which was not sent yet, is tried on another connection.
+constexpr std::int64_t setup_timeout_ms = 300;
 /// For links to homes above kept_relayed_links, and direct links of a VM that is not a home.
 constexpr std::int64_t fallback_idle_timeout_ms = 1500;
 /// Connections opened concurrently to one target; each takes one of its 2 or 3 slots for 12 ms.
@@ -87,9 +89,9 @@
         result.opening += link->is_open() ? 0 : 1;
         // A link that already holds the session's values needs no setup statements. Among equal
         // ones the first is used, so that the last ones become idle and are closed.
-        const session_values& values = pending.session->get_values();
-        const bool is_better =
-            !result.best || (result.best->values != values && link->values == values);
+        const coordination::session_values& values = pending.session->get_values();
+        const bool is_better = !result.best || (!result.best->get_session_state().holds(values) &&
+                                                link->get_session_state().holds(values));
         if (link->is_idle() && !link->is_pinned() && is_better && may_use(*link)) {
             result.best = link;
         }
@@ -264,9 +266,8 @@
 }
 
 void session_engine::refuse_for_stop(const pending_statement_ptr& pending) {
-    const bool may_have_run = pending->in_flight > 0 || pending->is_in_doubt;
     refuse(groups_[pending->target_route.group], pending,
-           !may_have_run                  ? failure_code::busy
+           !pending->may_have_run()       ? failure_code::busy
            : pending->is_safe_to_repeat() ? failure_code::aborted
                                           : failure_code::in_doubt,
            "this VM stops");
@@ -565,6 +566,11 @@
                  if (ready.position) {
                      handle_answer(group, id, ready, sent_at);
                  }
+             },
+         .setup_failed =
+             [this, id, home](std::uint64_t link, const coordination::setup_step& step,
+                              const target_failure& failure) {
+                 log_setup_failure(id, home, link, step, failure);
              }},
         link_home{home, member->peer_address}));
 }
@@ -580,7 +586,12 @@
                    id](const target_link::link_end& end) { handle_link_end(group, id, end); },
          .answered = [this, group, id](
                          const target_ready& ready,
-                         std::int64_t sent_at) { handle_answer(group, id, ready, sent_at); }}));
+                         std::int64_t sent_at) { handle_answer(group, id, ready, sent_at); },
+         .setup_failed =
+             [this, id](std::uint64_t link, const coordination::setup_step& step,
+                        const target_failure& failure) {
+                 log_setup_failure(id, "none", link, step, failure);
+             }}));
 }
 
 void session_engine::probe(target_state& target) {
@@ -630,7 +641,7 @@
     const std::int64_t now = transport::get_boot_time();
     const std::optional<target_failure>& failure = end.failure;
     const bool is_limited = failure && failure->code == failure_code::too_many_connections;
-    log_link_end(id, {}, end);
+    log_link_end(id, "none", end);
     if (end.is_local) {
         return;  // Says nothing about the target.
     }
@@ -652,23 +663,13 @@
                                   const target_link::link_end& end) {
     const std::optional<target_failure>& failure = end.failure;
     const bool is_limited = failure && failure->code == failure_code::too_many_connections;
-    if (failure && end.setup) {
-        counters_.setup_failures.Increment();
-        log_.write(event_setup_failed, {{"target", target},
-                                        {"home", home.empty() ? "none" : home},
-                                        {"link", std::to_string(end.link)},
-                                        {"step", end.setup->kind},
-                                        {"name", end.setup->name},
-                                        {"reason", failure->raw_code},
-                                        {"text", failure->text}});
-    }
     std::string reason = end.is_local ? end.reason : "closed";
     if (failure) {
         reason =
             failure->raw_code.empty() ? failure->text : failure->raw_code + " " + failure->text;
     }
     log_.write(event_link_ended, {{"target", target},
-                                  {"home", home.empty() ? "none" : home},
+                                  {"home", home},
                                   {"link", std::to_string(end.link)},
                                   {"by", end.is_local || failure ? "vm" : "target"},
                                   {"refused", end.is_refused ? "yes" : "no"},
@@ -676,14 +677,28 @@
                                   {"reason", reason}});
 }
 
-void session_engine::log_prepared(const target_link& link, const statement_bytes& bytes) {
-    for (const setup_step& step : bytes.setup) {
-        if (step.kind == "prepare") {
+void session_engine::log_setup_failure(const std::string& target, const std::string& home,
+                                       std::uint64_t link, const coordination::setup_step& step,
+                                       const target_failure& failure) {
+    counters_.setup_failures.Increment();
+    const step_description description = describe_step(step);
+    log_.write(event_setup_failed, {{"target", target},
+                                    {"home", home},
+                                    {"link", std::to_string(link)},
+                                    {"step", description.kind},
+                                    {"name", description.name},
+                                    {"reason", failure.raw_code},
+                                    {"text", failure.text}});
+}
+
+void session_engine::log_prepared(const target_link& link, const link_request& request) {
+    for (const coordination::setup_step& step : request.setup) {
+        if (const auto* prepare = std::get_if<coordination::prepare_step>(&step)) {
             log_.write(event_statement_prepared,
                        {{"target", link.get_target()},
                         {"home", link.is_relayed() ? link.get_home() : "none"},
                         {"link", std::to_string(link.get_number())},
-                        {"name", step.name}});
+                        {"name", prepare->name}});
         }
     }
 }
@@ -692,28 +707,14 @@
                           const caller_statement& statement,
                           const std::optional<caller_statement>& begin,
                           const std::optional<state::log_point>& required_position,
-                          target_link::answer_callback done, const std::string& prefix) {
-    const statement_bytes bytes =
-        format_for_link(protocol_, session, *link, statement, begin, required_position);
-    log_prepared(*link, bytes);
-    if (bytes.after_begin.empty()) {
-        link->send(prefix + bytes.initial, bytes.setup, std::move(done));
-        return;
-    }
-    // Wait for the answer to BEGIN: if it fails, the statement would run outside a transaction.
-    link->send(
-        bytes.initial, bytes.setup,
-        [link, rest = bytes.after_begin, done = std::move(done)](const target_answer& answer) {
-            if (answer.is_lost || answer.failure) {
-                done(answer);
-            } else if (!link->is_open() || answer.ready.state != transaction_state::open) {
-                target_answer lost = answer;
-                lost.is_lost = true;
-                done(lost);
-            } else {
-                link->send(rest, {}, done);
-            }
-        });
+                          std::function<bool()> may_send, target_link::answer_callback done,
+                          const std::string& limits) {
+    link_request request =
+        make_link_request(protocol_, session, *link, statement, begin, required_position);
+    request.limits = limits;
+    request.may_send = std::move(may_send);
+    log_prepared(*link, request);
+    link->send(std::move(request), std::move(done));
 }
 
 void session_engine::run(target_group& group, const pending_statement_ptr& pending,
@@ -733,18 +734,28 @@
     group.running.push_back(pending);
     const state::term_number term = record ? record->term : 0;
     const std::string name = group.name;
-    std::string prefix;
+    std::string limits;
     if (link->is_relayed()) {
         const std::int64_t left = get_objective(*pending) - (now - pending->arrived_at);
-        prefix = protocol_.format_relay_limits(
+        limits = protocol_.format_relay_limits(
             {std::max(left, min_relayed_wait_ms), pending->target_route.priority});
     }
+    const auto is_sent = std::make_shared<bool>(false);
     send(
         *pending->session, link, pending->statement, pending->begin, required_position,
-        [this, name, pending, link, term](const target_answer& answer) {
+        [pending, is_sent] {
+            if (pending->is_settled) {
+                return false;
+            }
+            *is_sent = true;
+            ++pending->sent;
+            return true;
+        },
+        [this, name, pending, link, term, is_sent](const target_answer& answer) {
+            pending->sent -= *is_sent ? 1 : 0;
             finish(name, pending, link, term, answer);
         },
-        prefix);
+        limits);
 }
 
 void session_engine::finish(const std::string& group_name, const pending_statement_ptr& pending,
@@ -758,7 +769,7 @@
         group.running.erase(entry);
     }
     target_state* target = find_target(group_name, link->get_target());
-    if (target != nullptr && !answer.is_lost) {
+    if (target != nullptr && answer.was_sent && !answer.is_lost) {
         const auto elapsed = static_cast<double>(now - answer.sent_at);
         target->mean_answer_ms =
             target->mean_answer_ms <= 0 || now - target->last_answer_at > answer_time_expiry_ms
@@ -777,7 +788,7 @@
                                !may_acknowledge_commit(group_name, link->get_target(), term);
     pending->is_in_doubt = pending->is_in_doubt || answer.is_lost || is_superseded;
     if (answer.failure && answer.failure->code == failure_code::unknown_prepared) {
-        link->prepared.clear();
+        link->get_session_state().invalidate();
     }
     if (answer.failure && target != nullptr) {
         handle_failure(*target, *answer.failure);
@@ -808,7 +819,9 @@
             log_.write(event_statement_retried,
                        {{"id", pending->statement.id},
                         {"target", link->get_target()},
-                        {"reason", answer.failure ? answer.failure->raw_code : "lost"},
+                        {"reason", !answer.failure   ? "lost"
+                                   : answer.was_sent ? answer.failure->raw_code
+                                                     : answer.failure->text},
                         {"attempt", std::to_string(pending->attempts)}});
             submit(pending);
         } else if (answer.failure) {
@@ -904,7 +917,7 @@
         // A statement is running without its caller; only closing the connection stops it.
         link->close("its caller has left");
     } else if (link->get_state() != transaction_state::idle) {
-        link->send(protocol_.format_rollback(), {},
+        link->send(protocol_.format_rollback(),
                    [this, name](const target_answer&) { dispatch(name); });
     }
     dispatch(name);
@@ -1009,7 +1022,9 @@
         }
         if (!pending->is_settled) {
             refuse(group, pending,
-                   pending->is_safe_to_repeat() ? failure_code::aborted : failure_code::in_doubt,
+                   !pending->may_have_run()       ? failure_code::busy
+                   : pending->is_safe_to_repeat() ? failure_code::aborted
+                                                  : failure_code::in_doubt,
                    "no answer in time");
         }
         // Connections are scarce, and nobody waits for the answer any more.
@@ -1103,12 +1118,16 @@
             const bool is_unresponsive = link->is_open() && !link->is_pinned() &&
                                          unanswered_since != 0 &&
                                          now - unanswered_since > default_timeout_ms / 2;
+            const bool is_setup_overdue = link->is_setting_up() && !link->is_pinned() &&
+                                          unanswered_since != 0 &&
+                                          now - unanswered_since > setup_timeout_ms;
             const bool is_idle_too_long = idle_timeout_ms && link->is_idle() &&
                                           !link->is_pinned() &&
                                           now - link->get_idle_since() > *idle_timeout_ms;
-            if (is_opening_timed_out || is_unresponsive || is_idle_too_long) {
+            if (is_opening_timed_out || is_unresponsive || is_setup_overdue || is_idle_too_long) {
                 link->close(is_opening_timed_out ? "not open in time"
                             : is_unresponsive    ? "no answer in time"
+                            : is_setup_overdue   ? "not set up in time"
                                                  : "idle");
             }
             if (is_opening_timed_out && !link->is_relayed()) {
--- a/src/gateway/session_engine.h
+++ b/src/gateway/session_engine.h
@@ -14,9 +14,9 @@
 #include "gateway/gateway_counters.h"
 #include "gateway/home_planner.h"
 #include "gateway/home_selector.h"
+#include "gateway/link_request.h"
 #include "gateway/pending_statement.h"
 #include "gateway/session_protocol.h"
-#include "gateway/statement_bytes.h"
 #include "gateway/target_control.h"
 #include "gateway/target_group.h"
 #include "transport/event_loop.h"
@@ -81,11 +81,13 @@
     const route* find_route(const std::string& database) const;
     void submit(const pending_statement_ptr& pending);
     /** Sends a statement on a link after setting the session's values and prepared statements
-     * there. `prefix` is sent first and has no answer. */
+     * there, unless `may_send` is set and false by then. `limits` is sent first and has no answer.
+     */
     void send(const caller_session& session, const std::shared_ptr<target_link>& link,
               const caller_statement& statement, const std::optional<caller_statement>& begin,
               const std::optional<state::log_point>& required_position,
-              target_link::answer_callback done, const std::string& prefix = {});
+              std::function<bool()> may_send, target_link::answer_callback done,
+              const std::string& limits = {});
     /** Unpins a link and rolls back its open transaction. */
     void release_pinned(const std::shared_ptr<target_link>& link);
     void remove_session(const caller_session& session);
@@ -162,10 +164,12 @@
                        const target_ready& ready, std::int64_t sent_at);
     void handle_link_end(const std::string& group, const std::string& target,
                          const target_link::link_end& end);
-    /** Logs the end of a connection, direct or through `home`, and a failed set-up before it. */
+    /** Logs the end of a connection, direct or through `home`. */
     void log_link_end(const std::string& target, const std::string& home,
                       const target_link::link_end& end);
-    void log_prepared(const target_link& link, const statement_bytes& bytes);
+    void log_setup_failure(const std::string& target, const std::string& home, std::uint64_t link,
+                           const coordination::setup_step& step, const target_failure& failure);
+    void log_prepared(const target_link& link, const link_request& request);
     double get_cost(const target_state& target, bool is_primary, std::int64_t now) const;
     std::int64_t get_round_trip_ms(const std::string& place) const;
     target_state* find_target(const std::string& group, const std::string& target);
--- a/src/gateway/session_protocol.h
+++ b/src/gateway/session_protocol.h
@@ -197,6 +197,7 @@
     virtual std::string format_set(const std::string& name, const std::string& value) const = 0;
     virtual std::string format_prepare(const std::string& name, bool is_write,
                                        const std::string& shape) const = 0;
+    virtual std::string format_close(const std::string& name) const = 0;
     /** Clears session values and prepared statements of a target connection. */
     virtual std::string format_reset() const = 0;
     virtual std::string format_rollback() const = 0;
--- a/src/gateway/target_control.cpp
+++ b/src/gateway/target_control.cpp
@@ -153,14 +153,13 @@
 void target_control::send_on(const exchange_ptr& started, const std::shared_ptr<target_link>& link,
                              bool is_own_link) {
     ++started->outstanding;
-    link->send(
-        started->bytes, {},
-        [this, weak = std::weak_ptr<exchange>(started), is_own_link](const target_answer& answer) {
-            const exchange_ptr sent = weak.lock();
-            if (sent && !sent->is_finished) {
-                handle_answer(sent, answer, is_own_link);
-            }
-        });
+    link->send(started->bytes, [this, weak = std::weak_ptr<exchange>(started),
+                                is_own_link](const target_answer& answer) {
+        const exchange_ptr sent = weak.lock();
+        if (sent && !sent->is_finished) {
+            handle_answer(sent, answer, is_own_link);
+        }
+    });
 }
 
 void target_control::handle_answer(const exchange_ptr& started, const target_answer& answer,
--- a/src/gateway/target_link.cpp
+++ b/src/gateway/target_link.cpp
@@ -9,6 +9,16 @@
 constexpr std::size_t max_line_bytes = 1U << 20;    ///< Limit of the protocol for one message.
 constexpr std::size_t max_answer_bytes = 8U << 20;  ///< Answers are buffered until complete.
 
+/** What a caller is told when its statement was not sent because a step failed. */
+target_failure make_setup_failure(const target_failure& cause) {
+    if (cause.code == failure_code::malformed || cause.code == failure_code::too_big) {
+        return cause;  // It would fail again elsewhere.
+    }
+    return {failure_code::busy,
+            {},
+            "the connection was not set up: " + cause.raw_code + " " + cause.text};
+}
+
 std::uint64_t take_link_number() {
     static std::uint64_t last_number = 0;
     return ++last_number;
@@ -46,21 +56,64 @@
     end({.is_refused = is_refused});
 }
 
-void target_link::send(std::string bytes, const std::vector<setup_step>& setup,
-                       answer_callback done) {
-    const std::int64_t now = transport::get_boot_time();
-    for (const setup_step& step : setup) {
-        outstanding_.push_back({step, {}, now});
+void target_link::send(link_request request, answer_callback done) {
+    active_ = active_request{std::move(request), std::move(done), false, std::nullopt};
+    send_next();
+}
+
+void target_link::send(std::string statement, answer_callback done) {
+    link_request request;
+    request.statement = std::move(statement);
+    send(std::move(request), std::move(done));
+}
+
+void target_link::send_next() {
+    std::string bytes = std::exchange(active_->request.limits, {});
+    append_setup(bytes);
+    if (is_relayed() || awaited_.empty()) {
+        append_begin(bytes);
+    }
+    if (is_relayed() || awaited_.empty()) {
+        if (!append_statement(bytes)) {
+            return;
+        }
     }
-    outstanding_.push_back({std::nullopt, std::move(done), now});
     stream_->write(std::move(bytes));
 }
 
+void target_link::append_setup(std::string& bytes) {
+    for (const coordination::setup_step& step : std::exchange(active_->request.setup, {})) {
+        bytes += format_step(protocol_, step);
+        awaited_.push_back({answer_role::setup, step, transport::get_boot_time()});
+    }
+}
+
+void target_link::append_begin(std::string& bytes) {
+    const std::string begin = std::exchange(active_->request.begin, {});
+    if (begin.empty()) {
+        return;
+    }
+    bytes += begin;
+    awaited_.push_back({answer_role::begin, std::nullopt, transport::get_boot_time()});
+}
+
+bool target_link::append_statement(std::string& bytes) {
+    if (active_->request.may_send && !active_->request.may_send()) {
+        awaited_.clear();  // Of a request to a home, of which nothing was sent yet.
+        finish_unsent({failure_code::busy, {}, "the statement is no longer wanted"});
+        return false;
+    }
+    bytes += std::exchange(active_->request.statement, {});
+    active_->is_statement_sent = true;
+    awaited_.push_back({answer_role::statement, std::nullopt, transport::get_boot_time()});
+    return true;
+}
+
 std::int64_t target_link::get_oldest_sent_at() const {
     if (!is_open_) {
         return is_ended_ ? 0 : opened_at_;
     }
-    return outstanding_.empty() ? 0 : outstanding_.front().sent_at;
+    return awaited_.empty() ? 0 : awaited_.front().sent_at;
 }
 
 void target_link::receive(std::string_view bytes) {
@@ -116,29 +169,97 @@
         }
         return;
     }
-    if (outstanding_.empty()) {
+    if (awaited_.empty()) {
         end({.failure = target_failure{failure_code::malformed, {}, "unexpected answer"}});
         return;
     }
-    const outstanding_statement finished = std::move(outstanding_.front());
-    outstanding_.pop_front();
+    const awaited_answer finished = std::move(awaited_.front());
+    awaited_.pop_front();
     target_answer answer = std::exchange(answer_, {});
     answer_bytes_ = 0;
     answer.ready = ready;
     answer.sent_at = finished.sent_at;
-    if (finished.setup) {
-        if (answer.failure) {
-            end({.failure = answer.failure, .setup = finished.setup});
-        }
-        return;
-    }
     if (!answer.completion && !answer.failure) {
         answer.failure = target_failure{failure_code::failed, {}, "answer without a result"};
     }
+    switch (finished.role) {
+        case answer_role::setup:
+            finish_step(*finished.step, answer);
+            return;
+        case answer_role::begin:
+            finish_begin(answer);
+            return;
+        case answer_role::statement:
+            break;
+    }
+    const active_request done = std::move(*active_);
+    active_.reset();
     if (events_.answered) {
         events_.answered(ready, finished.sent_at);
     }
-    finished.done(answer);
+    done.done(answer);
+}
+
+void target_link::finish_step(const coordination::setup_step& step, const target_answer& answer) {
+    if (!answer.failure) {
+        session_state_.acknowledge(step);
+    } else {
+        session_state_.invalidate();
+        if (!active_->setup_failure) {
+            active_->setup_failure = answer.failure;
+        }
+        if (events_.setup_failed) {
+            events_.setup_failed(number_, step, *answer.failure);
+        }
+    }
+    if (answer.failure && is_relayed()) {
+        active_->is_statement_sent = false;  // The home has run nothing after this step.
+        end({.is_local = true, .reason = "the home refused a set-up"});
+        return;
+    }
+    if (answer.failure && std::holds_alternative<coordination::reset_step>(step)) {
+        end({.is_local = true, .reason = "the target did not reset the connection"});
+        return;
+    }
+    if (is_relayed() || !awaited_.empty()) {
+        return;
+    }
+    if (active_->setup_failure) {
+        finish_unsent(make_setup_failure(*active_->setup_failure));
+    } else {
+        send_next();
+    }
+}
+
+void target_link::finish_begin(const target_answer& answer) {
+    if (is_relayed()) {
+        if (answer.failure) {
+            active_->is_statement_sent = false;  // The home has run nothing after the BEGIN.
+            active_->setup_failure = answer.failure;
+            end({.is_local = true, .reason = "the home refused a transaction"});
+        }
+        return;
+    }
+    if (answer.failure) {
+        const active_request done = std::move(*active_);
+        active_.reset();
+        done.done(answer);
+    } else if (answer.ready.state != transaction_state::open) {
+        end({.is_local = true, .reason = "BEGIN has opened no transaction"});
+    } else {
+        send_next();
+    }
+}
+
+void target_link::finish_unsent(const target_failure& failure) {
+    const active_request done = std::move(*active_);
+    active_.reset();
+    target_answer answer;
+    answer.sent_at = transport::get_boot_time();
+    answer.ready.state = state_;
+    answer.failure = failure;
+    answer.was_sent = false;
+    done.done(answer);
 }
 
 void target_link::close(const std::string& reason) {
@@ -147,7 +268,8 @@
 
 void target_link::abandon() {
     events_ = {};
-    outstanding_.clear();
+    active_.reset();
+    awaited_.clear();
     end({.is_local = true});
 }
 
@@ -164,17 +286,18 @@
         // that they do not run later.
         stream_->reset();
     }
-    std::deque<outstanding_statement> lost;
-    lost.swap(outstanding_);
-    // A failed setup statement also fails its main statement, which has not run or whose result
-    // must not be used.
-    for (const outstanding_statement& entry : lost) {
-        if (!entry.setup) {
-            target_answer answer;
-            answer.sent_at = entry.sent_at;
-            answer.is_lost = true;
-            entry.done(answer);
-        }
+    const std::int64_t sent_at = awaited_.empty() ? 0 : awaited_.back().sent_at;
+    awaited_.clear();
+    if (active_ && !active_->is_statement_sent) {
+        finish_unsent(make_setup_failure(active_->setup_failure.value_or(
+            target_failure{failure_code::other, {}, "the connection ended"})));
+    } else if (active_) {
+        const active_request lost = std::move(*active_);
+        active_.reset();
+        target_answer answer;
+        answer.sent_at = sent_at;
+        answer.is_lost = true;
+        lost.done(answer);
     }
     if (const auto ended = std::exchange(events_.ended, {})) {
         ended(cause);
--- a/src/gateway/target_link.h
+++ b/src/gateway/target_link.h
@@ -3,12 +3,12 @@
 #include <cstdint>
 #include <deque>
 #include <functional>
-#include <map>
 #include <memory>
 #include <string>
 #include <string_view>
 #include <vector>
 
+#include "gateway/link_request.h"
 #include "gateway/session_protocol.h"
 #include "gateway/target_entry.h"
 #include "transport/event_loop.h"
@@ -17,17 +17,6 @@
 
 namespace hornbeamhook::gateway {
 
-/** Values set in a session, by name. */
-using session_values = std::map<std::string, std::string>;
-
-/** What a prepared statement runs. */
-struct prepared_statement {
-    bool is_write = false;
-    std::string shape;
-
-    auto operator<=>(const prepared_statement&) const = default;
-};
-
 /** A target's complete answer to one statement, or the loss of the connection before it. */
 struct target_answer {
     std::vector<std::string> rows;
@@ -36,12 +25,7 @@
     target_ready ready;
     std::int64_t sent_at = 0;  ///< Boot time at which the statement was sent.
     bool is_lost = false;      ///< The connection ended or was closed first.
-};
-
-/** One statement that only sets up a connection, as logs name it. */
-struct setup_step {
-    std::string kind;  ///< reset, set, prepare or begin.
-    std::string name;  ///< Of the session value or prepared statement.
+    bool was_sent = true;      ///< If not, the statement has not run; `failure` tells why.
 };
 
 /** Another VM through which a target is reached. */
@@ -64,7 +48,6 @@
         bool is_refused = false;                ///< The address refused the connection.
         bool is_local = false;                  ///< This side closed the connection.
         std::string reason;                     ///< Why this side closed it.
-        std::optional<setup_step> setup;        ///< Set-up statement that `failure` answers.
     };
 
     struct link_events {
@@ -72,6 +55,10 @@
         std::function<void(const link_end&)> ended;
         /// Called for each complete answer, with the log position that the target reported.
         std::function<void(const target_ready&, std::int64_t sent_at)> answered;
+        /// The target refused a step that sets up the connection with this number.
+        std::function<void(std::uint64_t link, const coordination::setup_step&,
+                           const target_failure&)>
+            setup_failed;
     };
 
     /** Connects to the target, or to `home`, which forwards the statements to it. */
@@ -81,11 +68,15 @@
                                              const std::optional<link_home>& home = std::nullopt);
 
     /**
-     * Sends formatted statements together. The first ones, `setup`, only set up the connection; if
-     * one fails the link ends, because the main statement would run with wrong session state.
-     * `done` gets the answer to the last statement, exactly once. Precondition: is_open().
+     * Sends a statement after the set-up that it needs. `done` gets its answer, or learns that it
+     * was not sent because the set-up failed, exactly once. On a direct connection each part waits
+     * for the answers to the one before. A home gets all parts at once, because it ends the
+     * connection after a step that fails and runs nothing that follows. Precondition: is_idle().
      */
-    void send(std::string bytes, const std::vector<setup_step>& setup, answer_callback done);
+    void send(link_request request, answer_callback done);
+
+    /** Sends one formatted statement without a set-up. Precondition: is_idle(). */
+    void send(std::string statement, answer_callback done);
 
     /** Closes the connection; outstanding statements get a lost answer. `reason` is logged. */
     void close(const std::string& reason);
@@ -97,7 +88,7 @@
     std::uint64_t get_number() const { return number_; }
     bool is_open() const { return is_open_; }
     bool is_ended() const { return is_ended_; }
-    bool is_idle() const { return is_open_ && outstanding_.empty(); }
+    bool is_idle() const { return is_open_ && !active_; }
     bool is_pinned() const { return is_pinned_; }
 
     /** Reserves the link for one session's transaction. */
@@ -114,26 +105,45 @@
     /** When the oldest outstanding statement was sent; 0 if there is none. */
     std::int64_t get_oldest_sent_at() const;
 
-    /** Session state of the connection once all sent statements have run. */
-    session_values values;
-    std::map<prepared_statement, std::string> prepared;  ///< With their names there.
+    /** Whether a statement waits for the answers to its set-up. */
+    bool is_setting_up() const { return active_ && !active_->is_statement_sent; }
 
-    /** A name for a statement to prepare; none is returned twice. */
-    std::string take_statement_name() { return "p" + std::to_string(++last_statement_name_); }
+    /** What the target holds for this connection. */
+    coordination::connection_state& get_session_state() { return session_state_; }
+    const coordination::connection_state& get_session_state() const { return session_state_; }
 
 private:
-    struct outstanding_statement {
-        std::optional<setup_step> setup;
-        answer_callback done;
+    enum class answer_role { setup, begin, statement };
+
+    struct awaited_answer {
+        answer_role role = answer_role::statement;
+        std::optional<coordination::setup_step> step;  ///< For setup.
         std::int64_t sent_at = 0;
     };
 
+    struct active_request {
+        link_request request;  ///< Parts that were sent are empty.
+        answer_callback done;
+        bool is_statement_sent = false;
+        std::optional<target_failure> setup_failure;  ///< The first one.
+    };
+
     target_link(const session_protocol& protocol, const target_entry& target);
     void start_session();
     void end_stream(bool is_refused);
     void receive(std::string_view bytes);
     void handle(const target_message& message);
     void complete(const target_ready& ready);
+    /** Sends the next part of the active request, or all parts to a home. */
+    void send_next();
+    void append_setup(std::string& bytes);
+    void append_begin(std::string& bytes);
+    /** False if the statement is no longer wanted; the request has then ended. */
+    bool append_statement(std::string& bytes);
+    void finish_step(const coordination::setup_step& step, const target_answer& answer);
+    void finish_begin(const target_answer& answer);
+    /** Ends the active request, whose statement was not sent. */
+    void finish_unsent(const target_failure& failure);
     void end(link_end cause);
 
     const session_protocol& protocol_;
@@ -144,10 +154,11 @@
     link_events events_;
     std::shared_ptr<transport::tcp_stream> stream_;
     transport::line_buffer lines_;
-    std::deque<outstanding_statement> outstanding_;
+    std::optional<active_request> active_;
+    std::deque<awaited_answer> awaited_;  ///< Of the active request.
+    coordination::connection_state session_state_;
     target_answer answer_;
     std::size_t answer_bytes_ = 0;
-    std::uint64_t last_statement_name_ = 0;
     transaction_state state_ = transaction_state::idle;
     std::int64_t opened_at_ = 0;
     std::int64_t idle_since_ = 0;
