Bound the statements that stay prepared on a connection

Each shape that a session executed stayed prepared on the connections that ran it, on the VM and at the target, for as long as the connection lived: callers with ever new shapes grow the memory of both without an end.

A connection keeps at most 200 statements and 256 KiB of shapes; the least recently used ones are closed with the set-up of the next statement.

session_engine_test.closes_prepared_statements_beyond_the_limit_of_a_connection fails before the change (220 prepared, none closed).

--- a/src/coordination/connection_state.cpp
+++ b/src/coordination/connection_state.cpp
@@ -1,6 +1,7 @@
 #include "coordination/connection_state.h"
 
 #include <algorithm>
+#include <numeric>
 
 namespace hornbeamhook::coordination {
 
@@ -27,6 +28,9 @@
         result.statement_name = use(*prepared);
     }
     if (result.statement_name.empty()) {
+        if (!is_reset) {
+            plan_closes(*prepared, result.steps);
+        }
         result.statement_name = "p" + std::to_string(++last_name_);
         result.steps.emplace_back(prepare_step{result.statement_name, *prepared});
     }
@@ -44,6 +48,22 @@
     return prepared_.back().name;
 }
 
+void connection_state::plan_closes(const statement_definition& definition,
+                                   std::vector<setup_step>& steps) const {
+    std::size_t count = prepared_.size() + 1;
+    std::size_t bytes = std::accumulate(
+        prepared_.begin(), prepared_.end(), definition.shape.size(),
+        [](std::size_t sum, const auto& entry) { return sum + entry.definition.shape.size(); });
+    for (const prepared_entry& entry : prepared_) {
+        if (count <= max_prepared_statements && bytes <= max_prepared_bytes) {
+            return;
+        }
+        steps.emplace_back(close_step{entry.name});
+        --count;
+        bytes -= entry.definition.shape.size();
+    }
+}
+
 void connection_state::acknowledge(const setup_step& step) {
     if (std::holds_alternative<reset_step>(step)) {
         values_.clear();
--- a/src/coordination/connection_state.h
+++ b/src/coordination/connection_state.h
@@ -60,6 +60,11 @@
     auto operator<=>(const setup_plan&) const = default;
 };
 
+/** Statements that stay prepared on one connection. */
+inline constexpr std::size_t max_prepared_statements = 200;
+/** Shapes that stay prepared on one connection; a single larger one is prepared alone. */
+inline constexpr std::size_t max_prepared_bytes = 256 * 1024;
+
 /**
  * Session state that the target is known to hold for one connection: only what it acknowledged
  * counts. Names of prepared statements are numbered, not derived from callers' texts, and none is
@@ -71,7 +76,8 @@
     /**
      * Plans how to bring the connection in line with a session before its next statement, which
      * executes `prepared` if that is set. All steps must succeed before the statement is sent.
-     * Takes a name for each statement to prepare.
+     * Takes a name for each statement to prepare; closes the least recently used ones that exceed
+     * the limits.
      */
     setup_plan plan(const session_values& values,
                     const std::optional<statement_definition>& prepared);
@@ -98,6 +104,8 @@
 
     /** Marks the statement as the most recently used one; returns its name, empty if unknown. */
     std::string use(const statement_definition& definition);
+    /** Adds steps that close statements until `definition` fits. */
+    void plan_closes(const statement_definition& definition, std::vector<setup_step>& steps) const;
 
     bool is_known_ = true;
     session_values values_;
--- a/tests/coordination/connection_state_test.cpp
+++ b/tests/coordination/connection_state_test.cpp
@@ -76,5 +76,31 @@
     EXPECT_NE(written.statement_name, first.statement_name);
 }
 
+// Guards against statements that pile up on a connection and on its target.
+TEST(connection_state, closes_the_least_recently_used_statement_at_the_limit) {
+    connection_state state;
+    std::vector<std::string> names;
+    for (std::size_t i = 0; i < max_prepared_statements; ++i) {
+        names.push_back(
+            apply(state, {}, statement_definition{false, std::to_string(i)}).statement_name);
+    }
+    apply(state, {}, statement_definition{false, "0"});
+    const setup_plan plan = apply(state, {}, statement_definition{false, "new"});
+    EXPECT_EQ(plan.steps,
+              (steps{close_step{names[1]}, prepare_step{plan.statement_name, {false, "new"}}}));
+    EXPECT_EQ(state.get_prepared_count(), max_prepared_statements);
+    EXPECT_TRUE(apply(state, {}, statement_definition{false, "0"}).steps.empty());
+}
+
+// Guards against long shapes that exceed the memory of a VM or target.
+TEST(connection_state, closes_statements_until_a_long_shape_fits) {
+    connection_state state;
+    apply(state, {}, statement_definition{false, std::string(max_prepared_bytes / 2, 'a')});
+    apply(state, {}, statement_definition{false, std::string(max_prepared_bytes / 2, 'b')});
+    apply(state, {}, statement_definition{false, std::string(max_prepared_bytes + 1, 'c')});
+    EXPECT_EQ(state.get_prepared_count(), 1U);
+    EXPECT_EQ(state.get_bytes(), max_prepared_bytes + 1);
+}
+
 }  // namespace
 }  // namespace hornbeamhook::coordination
--- a/tests/gateway/session_engine_test.cpp
+++ b/tests/gateway/session_engine_test.cpp
@@ -2,6 +2,7 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <map>
 
 #include "platform/wire_codec.h"
@@ -146,6 +147,25 @@
                                 "QUERY 104 EXECUTE p1 k2"}));
 }
 
+// Guards against statements that stay prepared on a connection and at its target for good.
+TEST_F(session_engine_test, closes_prepared_statements_beyond_the_limit_of_a_connection) {
+    scripted_target& target = add_target("t1", true, make_idle_target());
+    give_lease("t1");
+    const auto caller = open_session("strict");
+    for (std::size_t i = 0; i < coordination::max_prepared_statements + 20; ++i) {
+        ask(*caller, "PARSE s READ shape" + std::to_string(i));
+        ASSERT_EQ(ask(*caller, "EXECUTE s k1").back(), "COMPLETE proof");
+    }
+    const auto count = [&](const std::string& part) {
+        return static_cast<std::size_t>(std::count_if(
+            target.lines.begin(), target.lines.end(),
+            [&](const std::string& line) { return line.find(part) != std::string::npos; }));
+    };
+    EXPECT_EQ(target.connections, 1);
+    EXPECT_EQ(count("PARSE") - count("CLOSE"), coordination::max_prepared_statements);
+    EXPECT_TRUE(contains(target.lines, "QUERY - CLOSE p1"));
+}
+
 // Guards against a write that runs twice because its answer was lost.
 TEST_F(session_engine_test, never_retries_an_unanswered_write) {
     scripted_target& target = add_target("t1", true, [](const std::string& line) {
