Share a connection only when no transaction is open on it

After a ROLLBACK that the target refused, or a statement that left a transaction open unasked, the connection was lent to other sessions: their statements ran inside the transaction of another caller.

Cause: a connection counted as free when nothing was outstanding; what the target said of its transaction was not looked at. Only connections in the idle state are shared now, an open transaction is rolled back, and the connection is closed if it is still open then.

--- a/src/gateway/session_engine.cpp
+++ b/src/gateway/session_engine.cpp
@@ -92,7 +92,9 @@
         const coordination::session_values& values = pending.session->get_values();
         const bool is_better = !result.best || (!result.best->get_session_state().holds(values) &&
                                                 link->get_session_state().holds(values));
-        if (link->is_idle() && !link->is_pinned() && is_better && may_use(*link)) {
+        const bool is_free =
+            link->is_idle() && !link->is_pinned() && link->get_state() == transaction_state::idle;
+        if (is_free && is_better && may_use(*link)) {
             result.best = link;
         }
     }
@@ -777,9 +779,7 @@
                 : target->mean_answer_ms + (elapsed - target->mean_answer_ms) * answer_time_weight;
     }
     if (pending->is_settled) {
-        if (link->is_open() && link->get_state() != transaction_state::idle) {
-            release_pinned(link);
-        }
+        roll_back_unpinned(link);
         dispatch(group_name);
         return;
     }
@@ -804,14 +804,13 @@
         counters_.statement_seconds.Observe(static_cast<double>(now - pending->arrived_at) / 1000);
         settle(group, pending);
         pending->session->complete(pending, answer, link);
+        roll_back_unpinned(link);
     } else {
         pending->avoided_targets.insert(link->get_target());
         if (link->is_relayed()) {
             pending->avoided_homes.insert(link->get_home());
         }
-        if (link->is_open() && link->get_state() != transaction_state::idle) {
-            release_pinned(link);
-        }
+        roll_back_unpinned(link);
         if (pending->in_flight > 0) {
             // The other target may still answer.
         } else if (may_retry(*pending, answer)) {
@@ -825,10 +824,11 @@
                         {"attempt", std::to_string(pending->attempts)}});
             submit(pending);
         } else if (answer.failure) {
-            log_.write(event_statement_failed, {{"id", pending->statement.id},
-                                                {"target", link->get_target()},
-                                                {"reason", answer.failure->raw_code},
-                                                {"text", answer.failure->text}});
+            log_.write(event_statement_failed,
+                       {{"id", pending->statement.id},
+                        {"target", link->get_target()},
+                        {"reason", answer.was_sent ? answer.failure->raw_code : "not_sent"},
+                        {"text", answer.failure->text}});
             settle(group, pending);
             target_answer failed = answer;
             if (pending->begin) {
@@ -906,6 +906,12 @@
     pending->session->refuse(pending, {code, {}, reason});
 }
 
+void session_engine::roll_back_unpinned(const std::shared_ptr<target_link>& link) {
+    if (link->is_idle() && !link->is_pinned() && link->get_state() != transaction_state::idle) {
+        release_pinned(link);
+    }
+}
+
 void session_engine::release_pinned(const std::shared_ptr<target_link>& link) {
     link->set_pinned(false);
     if (!link->is_open()) {
@@ -917,8 +923,12 @@
         // A statement is running without its caller; only closing the connection stops it.
         link->close("its caller has left");
     } else if (link->get_state() != transaction_state::idle) {
-        link->send(protocol_.format_rollback(),
-                   [this, name](const target_answer&) { dispatch(name); });
+        link->send(protocol_.format_rollback(), [this, name, link](const target_answer&) {
+            if (link->get_state() != transaction_state::idle) {
+                link->close("its transaction was not rolled back");
+            }
+            dispatch(name);
+        });
     }
     dispatch(name);
 }
--- a/src/gateway/session_engine.h
+++ b/src/gateway/session_engine.h
@@ -156,6 +156,8 @@
                 const std::shared_ptr<target_link>& link, state::term_number term,
                 const target_answer& answer);
     bool may_retry(const pending_statement& pending, const target_answer& answer) const;
+    /** Rolls back what is open on a connection that no session has pinned. */
+    void roll_back_unpinned(const std::shared_ptr<target_link>& link);
     void handle_failure(target_state& target, const target_failure& failure);
     void refuse(target_group& group, const pending_statement_ptr& pending, failure_code code,
                 const std::string& reason);
--- a/tests/gateway/session_engine_test.cpp
+++ b/tests/gateway/session_engine_test.cpp
@@ -147,6 +147,47 @@
                                 "QUERY 104 EXECUTE p1 k2"}));
 }
 
+// Guards against a statement that runs inside the transaction of another session, which its target
+// did not roll back.
+TEST_F(session_engine_test, does_not_share_a_connection_whose_transaction_is_still_open) {
+    scripted_target& target = add_target("t1", true, [](const std::string& line) {
+        if (line.ends_with(" ROLLBACK")) {
+            return std::string("ERROR FAILED no\r\nREADY T 1.5\r\n");
+        }
+        if (line.find(" BEGIN") != std::string::npos || line.ends_with("WRITE k1 x")) {
+            return std::string("COMPLETE proof\r\nREADY T 1.5\r\n");
+        }
+        return std::string(line.starts_with("STARTUP") ? "" : "COMPLETE proof\r\n") +
+               "READY I 1.5\r\n";
+    });
+    give_lease("t1");
+    auto first = open_session("strict");
+    ask(*first, "BEGIN");
+    ASSERT_EQ(ask(*first, "WRITE k1 x").back(), "COMPLETE proof");
+    first.reset();
+    run_until([&] { return contains(target.lines, "ROLLBACK"); });
+    const auto second = open_session("strict");
+    ASSERT_EQ(ask(*second, "WRITE k2 y").back(), "COMPLETE proof");
+    EXPECT_EQ(target.connections, 2);
+}
+
+// Guards against a statement that runs inside a transaction that the target opened unasked.
+TEST_F(session_engine_test, rolls_back_a_transaction_that_nobody_opened) {
+    scripted_target& target = add_target("t1", true, [](const std::string& line) {
+        if (line.ends_with("WRITE k1 x")) {
+            return std::string("COMPLETE proof\r\nREADY T 1.5\r\n");
+        }
+        return std::string(line.starts_with("STARTUP") ? "" : "COMPLETE proof\r\n") +
+               "READY I 1.5\r\n";
+    });
+    give_lease("t1");
+    const auto caller = open_session("strict");
+    ask(*caller, "WRITE k1 x");
+    ASSERT_EQ(ask(*caller, "WRITE k2 y").back(), "COMPLETE proof");
+    ASSERT_EQ(target.lines.size(), 3U);
+    EXPECT_EQ(target.lines[1], "QUERY - ROLLBACK");
+}
+
 // Guards against statements that stay prepared on a connection and at its target for good.
 TEST_F(session_engine_test, closes_prepared_statements_beyond_the_limit_of_a_connection) {
     scripted_target& target = add_target("t1", true, make_idle_target());
