Bound the memory of session values, prepared statements and waiting input

A session holds at most 256 KiB (TOOBIG beyond it), all sessions of a VM 32 MiB (BUSY, as another VM may take it). A VM stops reading from a caller that sends more than 64 KiB behind an outstanding statement. An idle connection that holds more than 64 KiB is reset before its next use. The limit of 1,000 entries no longer refuses to change an entry that exists.

session_engine_test.bounds_the_bytes_of_a_session, bounds_the_bytes_of_all_ sessions and stops_reading_from_a_caller_that_sends_ahead are new; the code before has no such limits.

--- a/src/gateway/caller_session.cpp
+++ b/src/gateway/caller_session.cpp
@@ -8,20 +8,36 @@
 
 namespace {
 
-constexpr std::size_t max_line_bytes = 1U << 20;  ///< Message limit of the protocol.
+/// Names, values and shapes of a session. Each statement on a connection that another session has
+/// used sends them again.
+constexpr std::size_t max_session_bytes = 256 * 1024;
+/// As much for the values, as much for the statements prepared for several sessions, and the rest
+/// for the bookkeeping of both.
+constexpr std::size_t max_peer_session_bytes = 1024 * 1024;
+constexpr std::size_t entry_overhead_bytes = 128;  ///< Memory of an entry beside its texts.
+/// Input that waits for the outstanding statement; more is left to the caller's send queue.
+constexpr std::size_t max_waiting_input_bytes = 64 * 1024;
 /// A caller that leaves more answers unread is disconnected.
 constexpr std::size_t max_unread_output_bytes = 4U << 20;
-constexpr std::size_t max_session_entries = 1000;  ///< Values and prepared statements.
+constexpr std::size_t max_session_entries = 1000;  ///< Values and statements of a caller.
 /// Part of the route's timeout after which an unanswered statement of a transaction is given up. As
 /// it can still be rolled back, the caller is told so and has time to repeat the transaction.
 constexpr double statement_timeout_fraction = 0.75;
 constexpr std::int64_t default_statement_timeout_ms = 5000;  ///< For routes without a timeout.
 
+std::size_t get_entry_bytes(const std::string& name, const std::string& text) {
+    return name.size() + text.size() + entry_overhead_bytes;
+}
+
 }  // namespace
 
 caller_session::caller_session(session_engine& engine,
                                std::shared_ptr<transport::tcp_stream> stream, session_origin origin)
-    : engine_(engine), stream_(std::move(stream)), lines_(max_line_bytes), origin_(origin) {}
+    : engine_(engine),
+      stream_(std::move(stream)),
+      lines_(max_message_bytes),
+      origin_(origin),
+      held_bytes_(origin == session_origin::peer ? max_peer_session_bytes : max_session_bytes) {}
 
 void caller_session::start() {
     stream_->start(transport::make_weak_events<caller_session>(
@@ -39,6 +55,10 @@
     }
     lines_.append(bytes);
     handle_lines();
+    if (is_busy_ && !is_closed_ && lines_.get_buffered_bytes() > max_waiting_input_bytes) {
+        stream_->set_reading(false);
+        is_paused_ = true;
+    }
 }
 
 void caller_session::handle_lines() {
@@ -56,6 +76,10 @@
         handle_line(*line);
     }
     is_handling_ = false;
+    if (is_paused_ && !is_closed_ && !is_busy_) {
+        is_paused_ = false;
+        stream_->set_reading(true);
+    }
     if (lines_.is_overlong() && !is_closed_) {
         engine_.log_bad_input(caller_, "line exceeds the length limit");
         stream_->write(
@@ -253,10 +277,7 @@
         reply_failure(failure_code::malformed, "the transaction has failed");
         return;
     }
-    if (values_.size() + prepared_.size() >= max_session_entries &&
-        statement.kind != statement_kind::close_prepared &&
-        statement.kind != statement_kind::reset) {
-        reply_failure(failure_code::too_big, "too many values and prepared statements");
+    if (!hold_entry(statement)) {
         return;
     }
     if (statement.kind == statement_kind::set_value) {
@@ -272,6 +293,45 @@
     reply_completion();
 }
 
+bool caller_session::hold_entry(const caller_statement& statement) {
+    std::size_t removed = 0;
+    if (statement.kind == statement_kind::reset) {
+        removed = held_bytes_.get_used();
+    } else if (statement.kind == statement_kind::set_value) {
+        const auto entry = values_.find(statement.name);
+        removed = entry == values_.end() ? 0 : get_entry_bytes(statement.name, entry->second);
+    } else if (const auto* entry = find_prepared(statement.name)) {
+        removed = get_entry_bytes(statement.name, entry->shape);
+    }
+    const bool is_adding =
+        statement.kind == statement_kind::set_value || statement.kind == statement_kind::prepare;
+    const std::size_t added = is_adding ? get_entry_bytes(statement.name, statement.argument) : 0;
+    const bool has_too_many = origin_ == session_origin::caller && is_adding && removed == 0 &&
+                              values_.size() + prepared_.size() >= max_session_entries;
+    if (has_too_many || !held_bytes_.replace(removed, added)) {
+        refuse_entry(failure_code::too_big,
+                     "the values and prepared statements of the session are too large");
+        return false;
+    }
+    if (!engine_.get_session_bytes().replace(removed, added)) {
+        held_bytes_.release(added);
+        static_cast<void>(held_bytes_.replace(0, removed));
+        refuse_entry(failure_code::busy,
+                     "the values and prepared statements of this VM's sessions are too large");
+        return false;
+    }
+    return true;
+}
+
+void caller_session::refuse_entry(failure_code code, const std::string& reason) {
+    engine_.log_bad_input(caller_, reason);
+    reply_failure(code, reason);
+    if (origin_ == session_origin::peer) {
+        // The other VM has sent the statement that needs the entry behind it, which must not run.
+        close();
+    }
+}
+
 void caller_session::handle_data(const caller_statement& statement) {
     if (phase_ == phase::failed_transaction) {
         reply_failure(failure_code::malformed, "the transaction has failed");
@@ -532,6 +592,7 @@
     pinned_statement_.reset();
     drop_link();
     stream_->close();
+    engine_.get_session_bytes().release(held_bytes_.get_used());
     engine_.remove_session(*this);
 }
 
--- a/src/gateway/caller_session.h
+++ b/src/gateway/caller_session.h
@@ -5,6 +5,7 @@
 #include <optional>
 #include <string>
 
+#include "coordination/byte_budget.h"
 #include "coordination/connection_state.h"
 #include "gateway/pending_statement.h"
 #include "gateway/session_protocol.h"
@@ -82,6 +83,10 @@
     void handle_rollback();
     void handle_commit(const caller_statement& statement);
     void handle_local(const caller_statement& statement);
+    /** Counts the session value or prepared statement against the limits; false if it was refused.
+     */
+    bool hold_entry(const caller_statement& statement);
+    void refuse_entry(failure_code code, const std::string& reason);
     void handle_data(const caller_statement& statement);
     void submit(const caller_statement& statement);
     void run_pinned(const caller_statement& statement);
@@ -100,6 +105,7 @@
     std::shared_ptr<transport::tcp_stream> stream_;
     transport::line_buffer lines_;
     session_origin origin_;
+    coordination::byte_budget held_bytes_;  ///< Of values_ and prepared_.
     // For sessions of another VM: the target, and limits and position of the next statement.
     relay_start relay_;
     relay_limits limits_;
@@ -122,6 +128,7 @@
     bool is_busy_ = false;  ///< A statement is outstanding.
     bool is_closed_ = false;
     bool is_handling_ = false;
+    bool is_paused_ = false;  ///< No input is read until the outstanding statement is answered.
 };
 
 }  // namespace hornbeamhook::gateway
--- a/src/gateway/session_engine.cpp
+++ b/src/gateway/session_engine.cpp
@@ -29,6 +29,8 @@
 /// Between attempts to connect to a failing target.
 constexpr std::int64_t reconnect_delay_ms = 150;
 constexpr std::int64_t connect_timeout_ms = 700;  ///< Connecting takes 12 ms and two round trips.
+/// A connection whose session held more is reset before its next use.
+constexpr std::size_t max_idle_state_bytes = 64 * 1024;
 /// Setting up a connection takes no slot of the target, so a round trip is enough. Later the
 /// statement, which was not sent yet, is tried on another connection.
 constexpr std::int64_t setup_timeout_ms = 300;
@@ -1134,6 +1136,10 @@
             const bool is_idle_too_long = idle_timeout_ms && link->is_idle() &&
                                           !link->is_pinned() &&
                                           now - link->get_idle_since() > *idle_timeout_ms;
+            if (link->is_idle() && !link->is_pinned() &&
+                link->get_session_state().get_bytes() > max_idle_state_bytes) {
+                link->get_session_state().invalidate();
+            }
             if (is_opening_timed_out || is_unresponsive || is_setup_overdue || is_idle_too_long) {
                 link->close(is_opening_timed_out ? "not open in time"
                             : is_unresponsive    ? "no answer in time"
--- a/src/gateway/session_engine.h
+++ b/src/gateway/session_engine.h
@@ -8,6 +8,7 @@
 #include <set>
 #include <string>
 
+#include "coordination/byte_budget.h"
 #include "gateway/bounded_log.h"
 #include "gateway/caller_session.h"
 #include "gateway/configuration.h"
@@ -23,6 +24,9 @@
 
 namespace hornbeamhook::gateway {
 
+/** Values and prepared statements of all sessions of a VM, which has 160 MB or more. */
+inline constexpr std::size_t max_vm_session_bytes = 32 * 1024 * 1024;
+
 /**
  * Runs callers' statements on target connections: routing, connection sharing, read freshness,
  * retries and refusals. The owner sets each group's primary and this VM's lease on it. Loop thread
@@ -78,6 +82,8 @@
     const session_protocol& get_protocol() const { return protocol_; }
     bool is_configured() const { return configuration_.version > 0; }
     bool is_stopping() const { return is_stopping_; }
+    /** What all sessions hold in values and prepared statements. */
+    coordination::byte_budget& get_session_bytes() { return session_bytes_; }
     const route* find_route(const std::string& database) const;
     void submit(const pending_statement_ptr& pending);
     /** Sends a statement on a link after setting the session's values and prepared statements
@@ -192,6 +198,7 @@
     transport::loop_timer timer_;
     std::int64_t started_at_ = transport::get_boot_time();
     bool is_stopping_ = false;
+    coordination::byte_budget session_bytes_{max_vm_session_bytes};
 };
 
 }  // namespace hornbeamhook::gateway
--- a/src/gateway/session_protocol.h
+++ b/src/gateway/session_protocol.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -9,6 +10,9 @@
 
 namespace hornbeamhook::gateway {
 
+/** Limit of the protocol for one message, with its line end. */
+inline constexpr std::size_t max_message_bytes = 1U << 20;
+
 /** Transaction state of a session or a target connection between statements. */
 enum class transaction_state { idle, open, failed };
 
--- a/src/gateway/target_link.cpp
+++ b/src/gateway/target_link.cpp
@@ -6,7 +6,6 @@
 
 namespace {
 
-constexpr std::size_t max_line_bytes = 1U << 20;    ///< Limit of the protocol for one message.
 constexpr std::size_t max_answer_bytes = 8U << 20;  ///< Answers are buffered until complete.
 
 /** What a caller is told when its statement was not sent because a step failed. */
@@ -31,7 +30,7 @@
       number_(take_link_number()),
       group_(target.group),
       target_(target.id),
-      lines_(max_line_bytes) {}
+      lines_(max_message_bytes) {}
 
 std::shared_ptr<target_link> target_link::open(transport::event_loop& loop,
                                                const session_protocol& protocol,
--- a/src/transport/line_buffer.h
+++ b/src/transport/line_buffer.h
@@ -17,6 +17,9 @@
     /** The next complete line without its end; valid until append(). */
     std::optional<std::string_view> take_line();
 
+    /** Bytes that were received and not returned. */
+    std::size_t get_buffered_bytes() const { return bytes_.size() - begin_; }
+
     /** Whether a line without end has grown beyond the limit; the stream cannot be continued. */
     bool is_overlong() const { return is_overlong_; }
 
--- a/tests/gateway/session_engine_test.cpp
+++ b/tests/gateway/session_engine_test.cpp
@@ -147,6 +147,59 @@
                                 "QUERY 104 EXECUTE p1 k2"}));
 }
 
+// Guards against a session whose values exhaust the memory of the VM.
+TEST_F(session_engine_test, bounds_the_bytes_of_a_session) {
+    const auto caller = open_session("strict");
+    constexpr std::size_t value_bytes = 100'000;
+    const std::string value(value_bytes, 'x');
+    EXPECT_EQ(ask(*caller, "SET a " + value).back(), "COMPLETE -");
+    EXPECT_EQ(ask(*caller, "SET b " + value).back(), "COMPLETE -");
+    EXPECT_TRUE(ask(*caller, "SET c " + value).back().starts_with("ERROR TOOBIG"));
+    EXPECT_TRUE(ask(*caller, "PARSE c READ " + value).back().starts_with("ERROR TOOBIG"));
+    EXPECT_EQ(ask(*caller, "SET b " + value).back(), "COMPLETE -");
+    EXPECT_EQ(ask(*caller, "SET b ").back(), "COMPLETE -");
+    EXPECT_EQ(ask(*caller, "PARSE c READ " + value).back(), "COMPLETE -");
+    EXPECT_EQ(ask(*caller, "CLOSE c").back(), "COMPLETE -");
+    EXPECT_EQ(ask(*caller, "SET c " + value).back(), "COMPLETE -");
+    EXPECT_GT(engine_.get_session_bytes().get_used(), 2 * value_bytes);
+}
+
+// Guards against many sessions whose values exhaust the memory of the VM, and against bytes that
+// stay counted after their session has ended.
+TEST_F(session_engine_test, bounds_the_bytes_of_all_sessions) {
+    const std::string value(200'000, 'x');
+    std::vector<std::unique_ptr<test_caller>> callers;
+    std::string answer;
+    while (callers.size() < 500 && !answer.starts_with("ERROR")) {
+        callers.push_back(open_session("strict"));
+        answer = ask(*callers.back(), "SET a " + value).back();
+    }
+    EXPECT_TRUE(answer.starts_with("ERROR BUSY")) << answer;
+    EXPECT_LE(engine_.get_session_bytes().get_used(), max_vm_session_bytes);
+    callers.clear();
+    run_until([&] { return engine_.get_session_bytes().get_used() == 0; });
+}
+
+// Guards against input that is buffered without a limit while a statement is outstanding.
+TEST_F(session_engine_test, stops_reading_from_a_caller_that_sends_ahead) {
+    bool is_answering = false;
+    add_target("t1", true, [&](const std::string& line) {
+        return line.starts_with("QUERY") && !is_answering ? std::string()
+                                                          : make_idle_target()(line);
+    });
+    give_lease("t1");
+    const auto caller = open_session("strict");
+    caller->lines.clear();
+    caller->send("QUERY 1 READ k1");
+    constexpr int ahead_count = 32;
+    for (int i = 0; i < ahead_count; ++i) {
+        caller->send("QUERY 2 SET a " + std::string(1'000'000, 'x'));
+    }
+    run_until([&] { return !caller->lines.empty(); });  // The statement has run out of time.
+    EXPECT_GT(caller->get_queued_bytes(), 8'000'000U);
+    run_until([&] { return caller->lines.size() >= 2 * ahead_count; });
+}
+
 // Guards against a statement that runs inside the transaction of another session, which its target
 // did not roll back.
 TEST_F(session_engine_test, does_not_share_a_connection_whose_transaction_is_still_open) {
--- a/tests/support/test_caller.h
+++ b/tests/support/test_caller.h
@@ -36,6 +36,9 @@
 
     void send(const std::string& line) { stream_->write(line + "\r\n"); }
 
+    /** Bytes that the VM has not read. */
+    std::size_t get_queued_bytes() const { return stream_->get_queued_bytes(); }
+
     std::vector<std::string> lines;
     bool is_ended = false;
 
