Refuse a statement that would be too long for a target

A statement just below the limit of 1 MiB could exceed it on the way to the target, with the position and the name that the VM adds. The target ended the connection, and callers, also others, got INDOUBT.

Such a statement is answered with TOOBIG at once and not sent. Writes and commits are forwarded as received and need no room.

session_engine_test.refuses_a_statement_that_would_be_too_long_for_a_target fails before the change (the message reached the target).

--- a/src/gateway/caller_session.cpp
+++ b/src/gateway/caller_session.cpp
@@ -8,6 +8,9 @@
 
 namespace {
 
+/// What a message to a target may be longer than the caller's: the required position, and the name
+/// of a prepared statement.
+constexpr std::size_t max_added_bytes = 128;
 /// Names, values and shapes of a session. Each statement on a connection that another session has
 /// used sends them again.
 constexpr std::size_t max_session_bytes = 256 * 1024;
@@ -197,6 +200,13 @@
 }
 
 void caller_session::handle_statement(const caller_statement& statement) {
+    const bool is_sent_unchanged =
+        statement.kind == statement_kind::write || statement.kind == statement_kind::commit;
+    if (!is_sent_unchanged &&
+        statement.id.size() + statement.text.size() + max_added_bytes > max_message_bytes) {
+        reply_failure(failure_code::too_big, "the statement is too long");
+        return;
+    }
     switch (statement.kind) {
         case statement_kind::unknown:
             reply_failure(failure_code::malformed, "unknown statement");
--- a/tests/gateway/session_engine_test.cpp
+++ b/tests/gateway/session_engine_test.cpp
@@ -180,6 +180,20 @@
     run_until([&] { return engine_.get_session_bytes().get_used() == 0; });
 }
 
+// Guards against a message to a target that is longer than the protocol allows.
+TEST_F(session_engine_test, refuses_a_statement_that_would_be_too_long_for_a_target) {
+    scripted_target& target = add_target("t1", true, make_idle_target());
+    give_lease("t1");
+    const auto caller = open_session("strict");
+    ask(*caller, "PARSE s WRITE q");
+    const std::string head = "QUERY 101 EXECUTE s k ";
+    const std::string data(max_message_bytes - head.size() - 2, 'x');
+    EXPECT_TRUE(ask(*caller, "EXECUTE s k " + data).back().starts_with("ERROR TOOBIG"));
+    EXPECT_TRUE(target.lines.empty());
+    EXPECT_EQ(ask(*caller, "WRITE k " + data).back(), "COMPLETE proof");
+    EXPECT_EQ(target.lines.size(), 1U);
+}
+
 // Guards against input that is buffered without a limit while a statement is outstanding.
 TEST_F(session_engine_test, stops_reading_from_a_caller_that_sends_ahead) {
     bool is_answering = false;
