Limit only the time of the steps that set up a connection

A BEGIN without an answer for 300 ms was given up as well, although it follows the set-up and may wait like other statements.

--- a/src/gateway/target_link.h
+++ b/src/gateway/target_link.h
@@ -105,8 +105,10 @@
     /** When the oldest outstanding statement was sent; 0 if there is none. */
     std::int64_t get_oldest_sent_at() const;
 
-    /** Whether a statement waits for the answers to its set-up. */
-    bool is_setting_up() const { return active_ && !active_->is_statement_sent; }
+    /** Whether a statement waits for the answers to its set-up. Never on a connection to a home. */
+    bool is_setting_up() const {
+        return !is_relayed() && !awaited_.empty() && awaited_.front().role == answer_role::setup;
+    }
 
     /** What the target holds for this connection. */
     coordination::connection_state& get_session_state() { return session_state_; }
