Close only connections that owe the answer to an overdue statement

A write was answered with INDOUBT because another caller's read had run out of time: the read had been refused on a connection, was waiting elsewhere, and at its time limit every connection that it had ever been sent on was closed, also one that ran the write by then.

A statement now knows the connections whose answers are outstanding, and only these are closed. The count of statements in flight is that list's size.

session_engine_test.a_timeout_closes_only_connections_that_owe_the_answer failed before (INDOUBT for the write) and passes. Found by reading for callers that are told less than what is known.

--- a/src/gateway/pending_statement.h
+++ b/src/gateway/pending_statement.h
@@ -30,10 +30,11 @@
     std::optional<state::log_point> last_commit_position;  ///< Of the session.
     std::int64_t operation_started_at = 0;  ///< Arrival of the statement or of its BEGIN.
     std::int64_t arrived_at = 0;
-    int attempts = 0;   ///< Number of times it was sent.
-    int in_flight = 0;  ///< Connections with its set-up or its answer outstanding.
-    int sent = 0;       ///< Those of them on which it was sent itself.
-    std::vector<std::weak_ptr<target_link>> links;  ///< Connections it was sent on.
+    int attempts = 0;  ///< Number of times it was sent.
+    int sent = 0;      ///< Outstanding connections on which it was sent itself.
+    std::vector<std::weak_ptr<target_link>> links;  ///< Connections it was assigned to.
+    /// Those of them with its set-up or its answer outstanding.
+    std::vector<std::weak_ptr<target_link>> outstanding_links;
     std::int64_t last_sent_at = 0;
     bool is_settled = false;                ///< The caller was answered or has disconnected.
     bool is_in_doubt = false;               ///< A connection was lost after the statement was sent.
--- a/src/gateway/session_engine.cpp
+++ b/src/gateway/session_engine.cpp
@@ -732,9 +732,9 @@
                             : counters_.reads_at_replicas)
         .Increment();
     ++pending->attempts;
-    ++pending->in_flight;
     pending->last_sent_at = now;
     pending->links.push_back(link);
+    pending->outstanding_links.push_back(link);
     group.running.push_back(pending);
     const state::term_number term = record ? record->term : 0;
     const std::string name = group.name;
@@ -767,7 +767,8 @@
                             const target_answer& answer) {
     target_group& group = groups_[group_name];
     const std::int64_t now = transport::get_boot_time();
-    --pending->in_flight;
+    std::erase_if(pending->outstanding_links,
+                  [&](const std::weak_ptr<target_link>& entry) { return entry.lock() == link; });
     const auto entry = std::find(group.running.begin(), group.running.end(), pending);
     if (entry != group.running.end()) {
         group.running.erase(entry);
@@ -813,7 +814,7 @@
             pending->avoided_homes.insert(link->get_home());
         }
         roll_back_unpinned(link);
-        if (pending->in_flight > 0) {
+        if (!pending->outstanding_links.empty()) {
             // The other target may still answer.
         } else if (may_retry(*pending, answer)) {
             counters_.retries.Increment();
@@ -1039,10 +1040,12 @@
                                                   : failure_code::in_doubt,
                    "no answer in time");
         }
-        // Connections are scarce, and nobody waits for the answer any more.
-        for (const std::weak_ptr<target_link>& weak : pending->links) {
+        // Connections are scarce, and nobody waits for the answer any more. Closing one changes the
+        // list.
+        const std::vector<std::weak_ptr<target_link>> unanswered = pending->outstanding_links;
+        for (const std::weak_ptr<target_link>& weak : unanswered) {
             const std::shared_ptr<target_link> link = weak.lock();
-            if (link && !link->is_pinned() && !link->is_idle()) {
+            if (link && !link->is_pinned()) {
                 if (link->is_relayed()) {
                     homes_.back_off(link->get_home(), now);
                 }
@@ -1092,13 +1095,13 @@
     const std::vector<pending_statement_ptr> running = group.running;
     for (const pending_statement_ptr& pending : running) {
         const bool is_due =
-            pending->is_idempotent && !pending->is_settled && pending->in_flight == 1 &&
-            pending->attempts < 2 &&
+            pending->is_idempotent && !pending->is_settled &&
+            pending->outstanding_links.size() == 1 && pending->attempts < 2 &&
             now - pending->last_sent_at >= scale(get_objective(*pending), hedge_delay_fraction);
         if (!is_due) {
             continue;
         }
-        if (const std::shared_ptr<target_link> silent = pending->links.back().lock()) {
+        if (const std::shared_ptr<target_link> silent = pending->outstanding_links.back().lock()) {
             pending->avoided_targets.insert(silent->get_target());
         }
         if (assign(group, pending) == assignment::sent) {
--- a/tests/gateway/session_engine_test.cpp
+++ b/tests/gateway/session_engine_test.cpp
@@ -147,6 +147,37 @@
                                 "QUERY 104 EXECUTE p1 k2"}));
 }
 
+// Guards against a statement that is lost because another one, which ran on its connection before,
+// gets no answer elsewhere.
+TEST_F(session_engine_test, a_timeout_closes_only_connections_that_owe_the_answer) {
+    scripted_target& primary = add_target("t1", true, [](const std::string& line) {
+        if (line.starts_with("STARTUP")) {
+            return std::string("READY I 1.5\r\n");
+        }
+        return std::string(
+            line.find("READ") != std::string::npos ? "ERROR BUSY t1\r\nREADY I 1.5\r\n" : "");
+    });
+    scripted_target& replica = add_target("t2", false, [](const std::string& line) {
+        return std::string(line.starts_with("STARTUP") ? "READY I 1.5\r\n" : "");
+    });
+    give_lease("t1");
+    engine_.get_groups()["g"].history.add({1, 5}, transport::get_boot_time());
+    const auto reader = open_session("bounded");
+    const auto writer = open_session("strict");
+    reader->lines.clear();
+    reader->send("QUERY 1 READ k1");
+    run_until([&] { return contains(primary.lines, "READ") && contains(replica.lines, "READ"); });
+    writer->lines.clear();
+    writer->send("QUERY 2 WRITE k1 x");
+    run_until([&] { return contains(primary.lines, "WRITE"); });
+    EXPECT_EQ(primary.connections, 1);
+    run_until([&] { return !reader->lines.empty(); });
+    EXPECT_TRUE(reader->lines[0].starts_with("ERROR ABORTED")) << reader->lines[0];
+    primary.write_to_all("COMPLETE proof\r\nREADY I 1.6\r\n");
+    run_until([&] { return !writer->lines.empty(); });
+    EXPECT_EQ(writer->lines[0], "COMPLETE proof");
+}
+
 // Guards against a session whose values exhaust the memory of the VM.
 TEST_F(session_engine_test, bounds_the_bytes_of_a_session) {
     const auto caller = open_session("strict");
