Bound the input that the sessions of a VM leave incomplete

Each session may hold a message of up to 1 MiB that is not complete, and kept the memory of its longest message until the next one: some hundred callers could exhaust a VM of 160 MB, none of them beyond its own limit.

The input of all sessions together is bounded by 32 MiB. Beyond it a session with an outstanding statement is not read, and another one is ended with BUSY. The memory of handled lines is freed at once.

session_engine_test.bounds_the_incomplete_input_of_all_sessions and line_buffer.frees_the_memory_of_returned_lines are new; the code before has no such limit.

--- a/src/gateway/caller_session.cpp
+++ b/src/gateway/caller_session.cpp
@@ -58,9 +58,26 @@
     }
     lines_.append(bytes);
     handle_lines();
-    if (is_busy_ && !is_closed_ && lines_.get_buffered_bytes() > max_waiting_input_bytes) {
+    count_input();
+}
+
+void caller_session::count_input() {
+    if (is_closed_) {
+        return;
+    }
+    const std::size_t buffered = lines_.get_buffered_bytes();
+    const bool is_within_limit = engine_.get_input_bytes().replace(counted_input_bytes_, buffered);
+    if (is_within_limit) {
+        counted_input_bytes_ = buffered;
+    }
+    if (is_busy_ && (buffered > max_waiting_input_bytes || !is_within_limit)) {
         stream_->set_reading(false);
         is_paused_ = true;
+    } else if (!is_within_limit) {
+        engine_.log_bad_input(caller_, "the incomplete input of this VM's sessions is too large");
+        stream_->write(engine_.get_protocol().format_failure(
+            {failure_code::busy, {}, "this VM buffers too much input"}));
+        close();
     }
 }
 
@@ -79,8 +96,10 @@
         handle_line(*line);
     }
     is_handling_ = false;
+    lines_.release_returned();
     if (is_paused_ && !is_closed_ && !is_busy_) {
         is_paused_ = false;
+        count_input();
         stream_->set_reading(true);
     }
     if (lines_.is_overlong() && !is_closed_) {
@@ -603,6 +622,7 @@
     drop_link();
     stream_->close();
     engine_.get_session_bytes().release(held_bytes_.get_used());
+    engine_.get_input_bytes().release(counted_input_bytes_);
     engine_.remove_session(*this);
 }
 
--- a/src/gateway/caller_session.h
+++ b/src/gateway/caller_session.h
@@ -69,6 +69,8 @@
     void receive(std::string_view bytes);
     void end_stream(bool is_refused);
     void handle_lines();
+    /** Counts the buffered input against the limits: pauses reading or ends the session. */
+    void count_input();
     void handle_line(std::string_view line);
     void handle(const caller_message& message);
     void handle(const relay_message& message);
@@ -128,6 +130,7 @@
     bool is_busy_ = false;  ///< A statement is outstanding.
     bool is_closed_ = false;
     bool is_handling_ = false;
+    std::size_t counted_input_bytes_ = 0;
     bool is_paused_ = false;  ///< No input is read until the outstanding statement is answered.
 };
 
--- a/src/gateway/session_engine.h
+++ b/src/gateway/session_engine.h
@@ -26,6 +26,8 @@
 
 /** Values and prepared statements of all sessions of a VM, which has 160 MB or more. */
 inline constexpr std::size_t max_vm_session_bytes = 32 * 1024 * 1024;
+/** Input of all sessions of a VM that is not handled yet. */
+inline constexpr std::size_t max_vm_input_bytes = 32 * 1024 * 1024;
 
 /**
  * Runs callers' statements on target connections: routing, connection sharing, read freshness,
@@ -84,6 +86,8 @@
     bool is_stopping() const { return is_stopping_; }
     /** What all sessions hold in values and prepared statements. */
     coordination::byte_budget& get_session_bytes() { return session_bytes_; }
+    /** Input of all sessions that is incomplete or waits for an outstanding statement. */
+    coordination::byte_budget& get_input_bytes() { return input_bytes_; }
     const route* find_route(const std::string& database) const;
     void submit(const pending_statement_ptr& pending);
     /** Sends a statement on a link after setting the session's values and prepared statements
@@ -199,6 +203,7 @@
     std::int64_t started_at_ = transport::get_boot_time();
     bool is_stopping_ = false;
     coordination::byte_budget session_bytes_{max_vm_session_bytes};
+    coordination::byte_budget input_bytes_{max_vm_input_bytes};
 };
 
 }  // namespace hornbeamhook::gateway
--- a/src/transport/line_buffer.cpp
+++ b/src/transport/line_buffer.cpp
@@ -5,6 +5,11 @@
 namespace hornbeamhook::transport {
 
 void line_buffer::append(std::string_view bytes) {
+    release_returned();
+    bytes_.append(bytes);
+}
+
+void line_buffer::release_returned() {
     if (begin_ == bytes_.size()) {
         bytes_.clear();
         // Long sessions are mostly idle, so a buffer does not keep the size of its largest line.
@@ -15,9 +20,8 @@
     } else {
         bytes_.erase(0, begin_);
     }
+    scanned_ -= std::min(scanned_, begin_);
     begin_ = 0;
-    scanned_ = 0;
-    bytes_.append(bytes);
 }
 
 std::optional<std::string_view> line_buffer::take_line() {
--- a/src/transport/line_buffer.h
+++ b/src/transport/line_buffer.h
@@ -17,6 +17,12 @@
     /** The next complete line without its end; valid until append(). */
     std::optional<std::string_view> take_line();
 
+    /** Frees the memory of lines that were returned. Invalidates earlier results of take_line(). */
+    void release_returned();
+
+    /** Memory that the buffer occupies, in bytes. */
+    std::size_t get_capacity() const { return bytes_.capacity(); }
+
     /** Bytes that were received and not returned. */
     std::size_t get_buffered_bytes() const { return bytes_.size() - begin_; }
 
--- a/tests/gateway/session_engine_test.cpp
+++ b/tests/gateway/session_engine_test.cpp
@@ -211,6 +211,28 @@
     run_until([&] { return engine_.get_session_bytes().get_used() == 0; });
 }
 
+// Guards against many sessions whose incomplete input exhausts the memory of the VM.
+TEST_F(session_engine_test, bounds_the_incomplete_input_of_all_sessions) {
+    const std::string part = "QUERY 1 SET a " + std::string(1'000'000, 'x');
+    std::vector<std::unique_ptr<test_caller>> callers;
+    bool is_refused = false;
+    while (callers.size() < 100 && !is_refused) {
+        callers.push_back(open_session("strict"));
+        callers.back()->lines.clear();
+        callers.back()->send_part(part);
+        const std::size_t before = engine_.get_input_bytes().get_used();
+        run_until([&] {
+            is_refused = callers.back()->is_ended;
+            return is_refused || engine_.get_input_bytes().get_used() >= before + part.size();
+        });
+    }
+    EXPECT_TRUE(is_refused);
+    EXPECT_TRUE(contains(callers.back()->lines, "ERROR BUSY"));
+    EXPECT_LE(engine_.get_input_bytes().get_used(), max_vm_input_bytes);
+    callers.clear();
+    run_until([&] { return engine_.get_input_bytes().get_used() == 0; });
+}
+
 // Guards against a message to a target that is longer than the protocol allows.
 TEST_F(session_engine_test, refuses_a_statement_that_would_be_too_long_for_a_target) {
     scripted_target& target = add_target("t1", true, make_idle_target());
--- a/tests/support/test_caller.h
+++ b/tests/support/test_caller.h
@@ -36,6 +36,9 @@
 
     void send(const std::string& line) { stream_->write(line + "\r\n"); }
 
+    /** Sends bytes without a line end. */
+    void send_part(const std::string& bytes) { stream_->write(bytes); }
+
     /** Bytes that the VM has not read. */
     std::size_t get_queued_bytes() const { return stream_->get_queued_bytes(); }
 
--- a/tests/transport/line_buffer_test.cpp
+++ b/tests/transport/line_buffer_test.cpp
@@ -29,6 +29,20 @@
     EXPECT_EQ(lines, (std::vector<std::string>{"one", "", "two words"}));
 }
 
+// Guards against idle sessions that each keep the memory of their longest line.
+TEST(line_buffer, frees_the_memory_of_returned_lines) {
+    constexpr std::size_t line_bytes = 100'000;
+    line_buffer buffer(line_bytes);
+    buffer.append(std::string(line_bytes, 'x') + "\r\nab");
+    EXPECT_EQ(take_all(buffer).size(), 1U);
+    buffer.release_returned();
+    EXPECT_EQ(buffer.get_buffered_bytes(), 2U);
+    buffer.append("c\r\n");
+    EXPECT_EQ(take_all(buffer), (std::vector<std::string>{"abc"}));
+    buffer.release_returned();
+    EXPECT_LT(buffer.get_capacity(), line_bytes / 10);
+}
+
 // Guards against the rest of a line being lost when several lines arrive at once.
 TEST(line_buffer, keeps_the_incomplete_rest) {
     line_buffer buffer(100);
