Send no line that is read back with other fields

A line was the concatenation of its fields. Callers' words cannot hold blanks as they are parsed today; the ids and groups of the store's entries can.

A failure is always a line, its text is cut.

Rows, proofs and codes of targets are forwarded as before.

--- a/src/gateway/link_request.cpp
+++ b/src/gateway/link_request.cpp
@@ -58,6 +58,9 @@
     if (begin) {
         request.begin = protocol.format_statement(begin->id, required_position, begin->text);
     }
+    if (begin && request.begin.empty()) {
+        return request;
+    }
     const auto statement_wait = begin ? std::nullopt : required_position;
     request.statement =
         prepared ? protocol.format_execute(statement.id, statement_wait, plan.statement_name,
--- a/src/gateway/link_request.h
+++ b/src/gateway/link_request.h
@@ -18,7 +18,7 @@
     std::string limits;                           ///< To a home, before all else; has no answer.
     std::vector<coordination::setup_step> setup;  ///< All must succeed before the rest is sent.
     std::string begin;      ///< Must succeed before the statement is sent; empty without a BEGIN.
-    std::string statement;  ///< As sent.
+    std::string statement;  ///< As sent; empty if it or its BEGIN cannot be sent.
     /// Asked right before the statement is sent; if false, it is not. May be null.
     std::function<bool()> may_send;
 };
--- a/src/gateway/session_protocol.h
+++ b/src/gateway/session_protocol.h
@@ -173,6 +173,10 @@
 /**
  * Wire format of sessions between callers, the gateway and targets. Each message is one line. All
  * functions are pure and thread safe; returned text ends with the line terminator.
+ *
+ * A format function returns an empty text, which must not be sent, if the reader of the line would
+ * not get the same fields: a word that is empty or holds a blank, a line end in any field, or a
+ * line over the limit. format_failure() always returns a line; it cuts a text that does not fit.
  */
 class session_protocol {
 public:
--- a/src/gateway/target_link.cpp
+++ b/src/gateway/target_link.cpp
@@ -48,7 +48,12 @@
 }
 
 void target_link::start_session() {
-    stream_->write(protocol_.format_start(group_, target_));
+    std::string line = protocol_.format_start(group_, target_);
+    if (line.empty()) {
+        end({.failure = target_failure{failure_code::malformed, {}, "its name cannot be sent"}});
+        return;
+    }
+    stream_->write(std::move(line));
 }
 
 void target_link::end_stream(bool is_refused) {
@@ -68,7 +73,11 @@
 
 void target_link::send_next() {
     std::string bytes = std::exchange(active_->request.limits, {});
-    append_setup(bytes);
+    if (active_->request.statement.empty() || !append_setup(bytes)) {
+        awaited_.clear();  // Nothing of this part was sent.
+        finish_unsent({failure_code::malformed, {}, "a field of the statement cannot be sent"});
+        return;
+    }
     if (is_relayed() || awaited_.empty()) {
         append_begin(bytes);
     }
@@ -80,11 +89,16 @@
     stream_->write(std::move(bytes));
 }
 
-void target_link::append_setup(std::string& bytes) {
+bool target_link::append_setup(std::string& bytes) {
     for (const coordination::setup_step& step : std::exchange(active_->request.setup, {})) {
-        bytes += format_step(protocol_, step);
+        const std::string line = format_step(protocol_, step);
+        if (line.empty()) {
+            return false;
+        }
+        bytes += line;
         awaited_.push_back({answer_role::setup, step, transport::get_boot_time()});
     }
+    return true;
 }
 
 void target_link::append_begin(std::string& bytes) {
--- a/src/gateway/target_link.h
+++ b/src/gateway/target_link.h
@@ -138,7 +138,8 @@
     void complete(const target_ready& ready);
     /** Sends the next part of the active request, or all parts to a home. */
     void send_next();
-    void append_setup(std::string& bytes);
+    /** False if a step cannot be formatted; nothing may be sent then. */
+    bool append_setup(std::string& bytes);
     void append_begin(std::string& bytes);
     /** False if the statement is no longer wanted; the request has then ended. */
     bool append_statement(std::string& bytes);
