--- a/tests/platform/store_codec_test.cpp
+++ b/tests/platform/store_codec_test.cpp
@@ -99,28 +99,64 @@
 
 INSTANTIATE_TEST_SUITE_P(
     store_codec, odd_target_test,
-    testing::Values(odd_target{"nested_lists", nest("[", "]")},
-                    odd_target{"nested_objects", nest("{\"a\":", "}")},
-                    odd_target{"nested_field", replace_field("Zone", nest("[", "]"))},
-                    odd_target{"slots_overflow", replace_field("Slots", "1e999")},
-                    odd_target{"slots_too_large", replace_field("Slots", "99999999999999999999")},
-                    odd_target{"slots_above_int", replace_field("Slots", "4294967299")},
-                    odd_target{"slots_max", replace_field("Slots", "2147483647")},
-                    odd_target{"slots_zero", replace_field("Slots", "0")},
-                    odd_target{"slots_fraction", replace_field("Slots", "2.5")},
-                    odd_target{"start_above_int64", replace_field("born", "18446744073709551615")},
-                    odd_target{"start_negative", replace_field("born", "-1")},
-                    odd_target{"start_text", replace_field("born", "\"1700\"")},
-                    odd_target{"port_out_of_range", replace_field("Addr", "\"10.0.0.1:65536\"")},
-                    odd_target{"port_zero", replace_field("Addr", "\"10.0.0.1:0\"")},
-                    odd_target{"port_overflow",
-                               replace_field("Addr", "\"10.0.0.1:99999999999999999999\"")},
-                    odd_target{"host_name", replace_field("Addr", "\"server:80\"")},
-                    odd_target{"host_out_of_range", replace_field("Addr", "\"10.0.0.256:80\"")},
-                    odd_target{"zone_missing", replace_field("Zone", "\"\"")},
-                    odd_target{"not_utf8", replace_field("Zone", "\"\xff\"")}),
+    testing::Values(
+        odd_target{"nested_lists", nest("[", "]")},
+        odd_target{"nested_objects", nest("{\"a\":", "}")},
+        odd_target{"nested_field", replace_field("Zone", nest("[", "]"))},
+        odd_target{"slots_overflow", replace_field("Slots", "1e999")},
+        odd_target{"slots_too_large", replace_field("Slots", "99999999999999999999")},
+        odd_target{"slots_above_int", replace_field("Slots", "4294967299")},
+        odd_target{"slots_max", replace_field("Slots", "2147483647")},
+        odd_target{"slots_zero", replace_field("Slots", "0")},
+        odd_target{"slots_fraction", replace_field("Slots", "2.5")},
+        odd_target{"start_above_int64", replace_field("born", "18446744073709551615")},
+        odd_target{"start_negative", replace_field("born", "-1")},
+        odd_target{"start_text", replace_field("born", "\"1700\"")},
+        odd_target{"port_out_of_range", replace_field("Addr", "\"10.0.0.1:65536\"")},
+        odd_target{"port_zero", replace_field("Addr", "\"10.0.0.1:0\"")},
+        odd_target{"port_overflow", replace_field("Addr", "\"10.0.0.1:99999999999999999999\"")},
+        odd_target{"host_name", replace_field("Addr", "\"server:80\"")},
+        odd_target{"host_out_of_range", replace_field("Addr", "\"10.0.0.256:80\"")},
+        odd_target{"zone_missing", replace_field("Zone", "\"\"")},
+        odd_target{"service_with_blank", replace_field("Service", "\"s x\"")},
+        odd_target{"service_with_line_end", replace_field("Service", "\"s\\r\\nQUERY - RESUME\"")},
+        odd_target{"service_with_tab", replace_field("Service", "\"s\\tx\"")},
+        odd_target{"service_too_long",
+                   replace_field("Service", "\"" + std::string(129, 's') + "\"")},
+        odd_target{"zone_with_blank", replace_field("Zone", "\"z \"")},
+        odd_target{"zone_with_zero_byte", replace_field("Zone", "\"z\\u0000\"")},
+        odd_target{"not_utf8", replace_field("Zone", "\"\xff\"")}),
     [](const testing::TestParamInfo<odd_target>& tested) { return tested.param.name; });
 
+// Guards against the id of an entry of another writer that a target reads as other fields of the
+// line that opens a session: "i-1 x" was used, and expected as instance "i-1 x" or "i-1".
+TEST(store_codec, an_id_that_is_no_word_names_no_target) {
+    for (const char* id :
+         {"", "i-1 x", " i-1", "i-1 ", "i-1\r\nQUERY - STEPDOWN 9", "i\t1", "\x7f"}) {
+        const auto decoded =
+            store_codec().decode(platform_table::targets, {make_row(id, make_target())});
+        EXPECT_FALSE(decoded.targets.at(id).has_value()) << id;
+        EXPECT_EQ(decoded.errors.size(), 1U) << id;
+    }
+}
+
+// Guards against a route to a group whose name is read as other fields.
+TEST(store_codec, a_route_with_a_field_that_is_no_word_is_skipped) {
+    const auto decode = [](const std::string& database, const std::string& group) {
+        const nlohmann::json value{
+            {"Version", 7},
+            {"Routes", {{{"Hostname", database}, {"Service", group}, {"RouteType", "primary"}}}}};
+        const auto rows = store_codec().decode(platform_table::configuration,
+                                               {{"op", "config", value.dump(), 9, false}});
+        return rows.newest_configuration->routes.size();
+    };
+    EXPECT_EQ(decode("db1", "s"), 1U);
+    for (const char* odd : {"s x", " s", "s\r\n", "s\t", ""}) {
+        EXPECT_EQ(decode("db1", odd), 0U) << odd;
+        EXPECT_EQ(decode(odd, "s"), 0U) << odd;
+    }
+}
+
 // Guards against a page of rows that is asked for with a key of another writer which ends the
 // query.
 TEST(store_codec, a_key_is_escaped_in_the_request_of_the_next_page) {
