Escape the values of log lines so that they are read back

A value with a control character or with bytes that are not ASCII was written as it is, a line end became a blank, and the name of the VM was never quoted: a name with a blank was read as other fields. Texts of callers and targets could act on the operator's terminal.

Such values are quoted, with \xHH for each byte that is not printable ASCII. ctl/gateway_log reads them back and quotes them again in its explanations.

--- a/src/ctl/gateway_log.cpp
+++ b/src/ctl/gateway_log.cpp
@@ -1,9 +1,12 @@
 #include "ctl/gateway_log.h"
 
 #include <algorithm>
+#include <charconv>
 #include <functional>
 #include <set>
 
+#include "transport/format_event.h"
+
 namespace hornbeamhook::ctl {
 
 namespace {
@@ -17,6 +20,23 @@
 
 using line_filter = std::function<bool(const gateway_log_line&)>;
 
+/** The byte of an escape "xHH"; empty if the text begins with none. */
+std::optional<char> parse_escaped_byte(std::string_view text) {
+    constexpr std::size_t escape_length = 3;
+    constexpr int base = 16;
+    if (text.size() < escape_length || text.front() != 'x') {
+        return std::nullopt;
+    }
+    unsigned char byte = 0;
+    const char* const begin = text.data() + 1;
+    const char* const end = text.data() + escape_length;
+    const auto [parsed, error] = std::from_chars(begin, end, byte, base);
+    if (error != std::errc() || parsed != end) {
+        return std::nullopt;
+    }
+    return static_cast<char>(byte);
+}
+
 /** Takes "key=value" or a word from the front; quoted values may hold blanks. */
 std::string take_item(std::string_view& rest) {
     rest.remove_prefix(std::min(rest.find_first_not_of(' '), rest.size()));
@@ -26,7 +46,9 @@
     for (; used < rest.size(); ++used) {
         const char c = rest[used];
         if (c == '\\' && is_quoted && used + 1 < rest.size()) {
-            item += rest[++used];
+            const std::optional<char> byte = parse_escaped_byte(rest.substr(used + 1));
+            item += byte.value_or(rest[used + 1]);
+            used += byte ? 3 : 1;
         } else if (c == '"') {
             is_quoted = !is_quoted;
         } else if (c == ' ' && !is_quoted) {
@@ -40,9 +62,9 @@
 }
 
 std::string format_line(const gateway_log_line& line) {
-    std::string text = line.time + " " + line.vm + " " + line.event;
+    std::string text = line.time + " " + transport::format_event_value(line.vm) + " " + line.event;
     for (const auto& [name, value] : line.fields) {
-        text += " " + name + "=" + (value.empty() ? "\"\"" : value);
+        text += " " + name + "=" + transport::format_event_value(value);
     }
     return text;
 }
--- a/src/gateway/bounded_log.cpp
+++ b/src/gateway/bounded_log.cpp
@@ -20,7 +20,7 @@
 
 }  // namespace
 
-bounded_log::bounded_log(std::string vm) : vm_(std::move(vm)) {
+bounded_log::bounded_log(const std::string& vm) : vm_(transport::format_event_value(vm)) {
     const int flags = fcntl(STDOUT_FILENO, F_GETFL);
     if (flags >= 0) {
         fcntl(STDOUT_FILENO, F_SETFL, flags | O_NONBLOCK);
--- a/src/gateway/bounded_log.h
+++ b/src/gateway/bounded_log.h
@@ -16,7 +16,7 @@
  */
 class bounded_log {
 public:
-    explicit bounded_log(std::string vm);
+    explicit bounded_log(const std::string& vm);
 
     void write(const transport::event_type& type,
                std::initializer_list<transport::event_field> fields);
--- a/tests/ctl/gateway_log_test.cpp
+++ b/tests/ctl/gateway_log_test.cpp
@@ -2,6 +2,14 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
+#include <map>
+
+#include "gateway/bounded_log.h"
+#include "support/hostile_text.h"
+#include "support/seed.h"
+#include "transport/format_event.h"
+
 namespace hornbeamhook::ctl {
 namespace {
 
@@ -118,5 +126,54 @@
     EXPECT_TRUE(explain_request(parse_gateway_log(sample), "other").empty());
 }
 
+constexpr transport::event_type drawn_event{7000, "drawn", transport::event_severity::info};
+
+std::string format_drawn(const std::string& first, const std::string& second) {
+    return "boot_ms=1 vm=a " +
+           transport::format_event(drawn_event, {{"first", first}, {"second", second}});
+}
+
+// Guards against a value that ends its line, starts another field, or is read as another value:
+// control characters and bytes that are no ASCII were written as they are, line ends as blanks.
+TEST(gateway_log, values_are_read_back_as_written) {
+    tests::hostile_text text(tests::get_seed());
+    constexpr int rounds = 5000;
+    for (int i = 0; i < rounds && !testing::Test::HasFailure(); ++i) {
+        const std::string first = text.draw();
+        const std::string second = text.draw();
+        const std::string line = format_drawn(first, second);
+        EXPECT_TRUE(std::all_of(line.begin(), line.end(), [](char c) {
+            return c >= ' ' && c <= '~';
+        })) << line;
+        const auto log = parse_gateway_log(line + "\n");
+        ASSERT_EQ(log.size(), 1U) << line;
+        EXPECT_EQ(log[0].event, "drawn");
+        EXPECT_EQ(log[0].vm, "a");
+        EXPECT_EQ(log[0].fields,
+                  (std::map<std::string, std::string>{{"first", first}, {"second", second}}));
+    }
+}
+
+// Guards against log texts that reach the operator's terminal as control characters.
+TEST(gateway_log, an_explanation_holds_no_control_characters) {
+    const auto log = parse_gateway_log(
+        "boot_ms=1 vm=a event=7030 statement_refused id=aa reason=\"\\x1b[2J\\n\"\n");
+    EXPECT_EQ(join(explain_request(log, "aa")).find('\x1b'), std::string::npos);
+}
+
+// Guards against the name of a VM that is read as other fields of the line.
+TEST(gateway_log, the_name_of_a_vm_is_read_back_as_written) {
+    const std::string name = "a b event=1 x\n";
+    testing::internal::CaptureStdout();
+    gateway::bounded_log log(name);
+    log.write(drawn_event, {{"first", "1"}});
+    log.flush();
+    const auto lines = parse_gateway_log(testing::internal::GetCapturedStdout());
+    ASSERT_EQ(lines.size(), 1U);
+    EXPECT_EQ(lines[0].vm, name);
+    EXPECT_EQ(lines[0].event, "drawn");
+    EXPECT_EQ(lines[0].get("first"), "1");
+}
+
 }  // namespace
 }  // namespace hornbeamhook::ctl
