Send no HTTP request whose fields are read as other fields

Method, path and headers were written as given. A header value with CR LF became two headers, and a path with CR LF a second request; a VM also sends paths that another VM asks it to pass on to the store.

http_channel sends nothing if the method, path or a header name is not printable ASCII without blanks, or a header value not printable ASCII. The call fails as invalid and not sent, from the loop as any other failure.

http_channel_test.a_request_with_a_field_that_ends_its_line_is_not_sent fails before (the first odd request is sent) and passes with the change.

--- a/src/transport/http_channel.cpp
+++ b/src/transport/http_channel.cpp
@@ -15,6 +15,27 @@
 constexpr milliseconds_count max_idle_age_ms = 10000;  ///< Older ones may have gone silent.
 constexpr std::size_t max_answer_bytes = 4U << 20;     ///< A full page of rows is 1 MB.
 
+/** Whether the text stays one word of the request line, or one name of a header. */
+bool is_word(std::string_view text) {
+    return !text.empty() &&
+           std::all_of(text.begin(), text.end(), [](char c) { return c > ' ' && c <= '~'; });
+}
+
+/** Whether the text stays the value of one header. */
+bool is_header_value(std::string_view text) {
+    return std::all_of(text.begin(), text.end(), [](char c) { return c >= ' ' && c <= '~'; });
+}
+
+/** Whether the other end reads the same fields. */
+bool is_sendable(const http_exchange_request& request) {
+    return is_word(request.method) && is_word(request.path) &&
+           std::all_of(
+               request.headers.begin(), request.headers.end(), [](const http_header& header) {
+                   return is_word(header.name) && header.name.find(':') == std::string::npos &&
+                          is_header_value(header.value);
+               });
+}
+
 }  // namespace
 
 class http_channel::connection : public std::enable_shared_from_this<connection> {
@@ -80,6 +101,17 @@
         }
     }
 
+    /** Ends an exchange that was never begun, from the loop. */
+    void refuse(callback done) {
+        done_ = std::move(done);
+        const std::weak_ptr<connection> weak = weak_from_this();
+        timer_.start(0, 0, [weak] {
+            if (const auto self = weak.lock()) {
+                self->fail(transport_failure::invalid, "a field of the request cannot be sent");
+            }
+        });
+    }
+
     bool is_usable() const {
         return stream_->is_open() && get_boot_time() - idle_since_ < max_idle_age_ms;
     }
@@ -88,10 +120,16 @@
         channel_ = nullptr;
         done_ = nullptr;
         timer_.stop();
-        stream_->reset();
+        reset_stream();
     }
 
 private:
+    void reset_stream() {
+        if (stream_) {
+            stream_->reset();
+        }
+    }
+
     void send_pending() {
         is_connected_ = true;
         stream_->write(std::exchange(pending_, {}));
@@ -119,7 +157,7 @@
     void fail(transport_failure failure, std::string message) {
         answer_ = {};
         answer_.error = {failure, is_connected_, std::move(message)};
-        stream_->reset();
+        reset_stream();
         finish(false);
     }
 
@@ -172,6 +210,11 @@
 }
 
 void http_channel::send(const http_exchange_request& request, callback done) {
+    if (!is_sendable(request)) {
+        busy_.push_back(std::make_shared<connection>(loop_, *this));
+        busy_.back()->refuse(std::move(done));
+        return;
+    }
     std::string bytes = request.method + " " + request.path +
                         " HTTP/1.1\r\nHost: " + format_endpoint(address_) + "\r\n";
     for (const http_header& header : request.headers) {
--- a/src/transport/http_channel.h
+++ b/src/transport/http_channel.h
@@ -45,7 +45,9 @@
     /**
      * Sends a request and calls `done` once, never from within this function. A connection whose
      * exchange timed out is reset, so that bytes still on the way are not delivered later,
-     * and the idle ones are closed.
+     * and the idle ones are closed. A request whose method, path or headers the other end would
+     * read as other fields (line ends, control characters, a blank in the path) is not sent and
+     * fails as invalid.
      * Loop thread only; `done` is dropped when the channel is destroyed.
      */
     void send(const http_exchange_request& request, callback done);
--- a/src/transport/transport_error.h
+++ b/src/transport/transport_error.h
@@ -10,7 +10,7 @@
     unreachable,  ///< No connection in time, or none possible.
     timeout,      ///< Connected, but no complete answer in time.
     closed,       ///< The connection ended before a complete answer.
-    invalid,      ///< The answer was not valid for the protocol.
+    invalid,      ///< The answer or the request was not valid for the protocol.
 };
 
 /** Failure of one exchange. `was_sent` is false only when no byte of the request left. */
--- a/tests/transport/http_channel_test.cpp
+++ b/tests/transport/http_channel_test.cpp
@@ -96,5 +96,39 @@
     EXPECT_EQ(connections_, 3);
 }
 
+// Guards against a field of a request that the other end reads as further headers or requests.
+TEST_F(http_channel_test, a_request_with_a_field_that_ends_its_line_is_not_sent) {
+    const http_exchange_request valid{.method = "POST",
+                                      .path = "/v1/rows-tx?a=b",
+                                      .headers = {{"X-Name", "a b"}},
+                                      .body = "a\r\n",
+                                      .timeout_ms = call_timeout_ms};
+    std::vector<http_exchange_request> odd(9, valid);
+    odd[0].path = "/ HTTP/1.1\r\n\r\nPOST /v1/rows-tx";
+    odd[1].path = "/a b";
+    odd[2].path = "";
+    odd[3].method = "GET / HTTP/1.1\r\n\r\nPOST";
+    odd[4].headers[0].value = "a\r\nX-Fencing-Token: 9";
+    odd[5].headers[0].value = "a\n";
+    odd[6].headers[0].value = std::string("a\0b", 3);
+    odd[7].headers[0].name = "X-Name: a\r\nX-Other";
+    odd[8].headers[0].name = "";
+    std::vector<http_exchange_answer> answers;
+    for (const http_exchange_request& request : odd) {
+        const std::size_t count = answers.size();
+        channel_.send(request,
+                      [&](const http_exchange_answer& answer) { answers.push_back(answer); });
+        EXPECT_EQ(answers.size(), count);
+        tests::run_until(loop_, [&] { return answers.size() == count + 1; });
+        EXPECT_EQ(answers.back().status, 0);
+        EXPECT_EQ(answers.back().error.failure, transport_failure::invalid);
+        EXPECT_FALSE(answers.back().error.was_sent);
+    }
+    EXPECT_EQ(connections_, 0);
+    channel_.send(valid, [&](const http_exchange_answer& answer) { answers.push_back(answer); });
+    tests::run_until(loop_, [&] { return answers.size() == odd.size() + 1; });
+    EXPECT_EQ(answers.back().status, 200);
+}
+
 }  // namespace
 }  // namespace hornbeamhook::transport
