--- a/tests/platform/settings_reader_test.cpp
+++ b/tests/platform/settings_reader_test.cpp
@@ -49,5 +49,20 @@
     EXPECT_EQ(get_error(sample), "");
 }
 
+// Guards against the name of a VM that ends a header of the platform, cannot be a key of the store,
+// or is read as other fields of a log line; bytes that are no UTF-8 ended the process.
+TEST(settings_reader, refuses_names_that_are_no_word) {
+    for (const char* odd : {"a b", " a", "a\rX-Fencing-Token: 9", "a\tb", "\xff", "\xc3\xa4"}) {
+        for (const std::string field : {"Node=front-1", "Zone=z1", "Region=r1"}) {
+            const std::string name = field.substr(0, field.find('='));
+            EXPECT_EQ(get_error(replace(sample, field, name + "=" + odd)),
+                      name + ": not 1 to 128 printable ASCII characters without blanks")
+                << odd;
+        }
+    }
+    EXPECT_NE(get_error(replace(sample, "front-1", std::string(129, 'a'))), "");
+    EXPECT_EQ(get_error(replace(sample, "front-1", std::string(128, 'a'))), "");
+}
+
 }  // namespace
 }  // namespace hornbeamhook::platform
