Test messages between VMs with drawn texts and numbers

peer_message.messages_with_any_text_round_trip formats and parses each type of message with texts of the hostile alphabet.

--- a/tests/gateway/peer_message_test.cpp
+++ b/tests/gateway/peer_message_test.cpp
@@ -4,6 +4,7 @@
 
 #include <random>
 
+#include "support/hostile_text.h"
 #include "support/seed.h"
 
 namespace hornbeamhook::gateway {
@@ -36,6 +37,49 @@
     }
 }
 
+/** A message of each type with drawn texts and numbers. */
+std::vector<peer_message> draw_messages(tests::hostile_text& text) {
+    const auto number = [&text] { return static_cast<std::int64_t>(text.draw_number()); };
+    const auto flag = [&text] { return text.draw_number() % 2 == 0; };
+    const auto draw_promises = [&] {
+        return std::vector<record_promise>{{text.draw(), number()}, {text.draw(), number()}};
+    };
+    const auto draw_positions = [&] {
+        return std::vector<known_position>{
+            {text.draw(), {text.draw_number(), text.draw_number()}, number()}};
+    };
+    return {peer_ping{text.draw(), number(), number(), text.draw_number()},
+            peer_pong{text.draw(), number(), number(), number(), flag(), flag(), flag(),
+                      draw_promises(), draw_positions()},
+            departure_notice{text.draw(), number(), draw_promises()},
+            revoke_request{text.draw(), number(), flag()},
+            revoke_answer{text.draw(), text.draw(), number(), flag()},
+            reachability_request{text.draw(), text.draw()},
+            reachability_answer{text.draw(), text.draw(), text.draw(), number(), flag()},
+            record_notice{text.draw(), number()},
+            hub_request{text.draw(), number(), number(), flag()},
+            hub_answer{text.draw(),
+                       number(),
+                       number(),
+                       flag(),
+                       flag(),
+                       {text.draw_number(), text.draw_number(), text.draw_number()},
+                       number(),
+                       {{text.draw(), number(), {text.draw(), text.draw()}, {text.draw()}}},
+                       draw_positions()}};
+}
+
+// Guards against a name that is read back as another name or as another field.
+TEST(peer_message, messages_with_any_text_round_trip) {
+    tests::hostile_text text(tests::get_seed());
+    constexpr int rounds = 2000;
+    for (int i = 0; i < rounds && !testing::Test::HasFailure(); ++i) {
+        for (const peer_message& message : draw_messages(text)) {
+            EXPECT_EQ(parse_peer_message(format_peer_message(message)), message);
+        }
+    }
+}
+
 // Guards against a stray or corrupted datagram that terminates the process.
 TEST(peer_message, rejects_corrupted_datagrams) {
     std::mt19937_64 random(tests::get_seed());
