--- a/src/coordination/connection_state.h
+++ b/src/coordination/connection_state.h
@@ -63,7 +63,7 @@
 /** Statements that stay prepared on one connection. */
 inline constexpr std::size_t max_prepared_statements = 200;
 /** Shapes that stay prepared on one connection; a single larger one is prepared alone. */
-inline constexpr std::size_t max_prepared_bytes = 256 * 1024;
+inline constexpr std::size_t max_prepared_bytes = std::size_t{256} * 1024;
 
 /**
  * Session state that the target is known to hold for one connection: only what it acknowledged
--- a/src/gateway/caller_session.cpp
+++ b/src/gateway/caller_session.cpp
@@ -13,13 +13,13 @@
 constexpr std::size_t max_added_bytes = 128;
 /// Names, values and shapes of a session. Each statement on a connection that another session has
 /// used sends them again.
-constexpr std::size_t max_session_bytes = 256 * 1024;
+constexpr std::size_t max_session_bytes = std::size_t{256} * 1024;
 /// As much for the values, as much for the statements prepared for several sessions, and the rest
 /// for the bookkeeping of both.
-constexpr std::size_t max_peer_session_bytes = 1024 * 1024;
+constexpr std::size_t max_peer_session_bytes = std::size_t{1024} * 1024;
 constexpr std::size_t entry_overhead_bytes = 128;  ///< Memory of an entry beside its texts.
 /// Input that waits for the outstanding statement; more is left to the caller's send queue.
-constexpr std::size_t max_waiting_input_bytes = 64 * 1024;
+constexpr std::size_t max_waiting_input_bytes = std::size_t{64} * 1024;
 /// A caller that leaves more answers unread is disconnected.
 constexpr std::size_t max_unread_output_bytes = 4U << 20;
 constexpr std::size_t max_session_entries = 1000;  ///< Values and statements of a caller.
--- a/src/gateway/session_engine.cpp
+++ b/src/gateway/session_engine.cpp
@@ -30,7 +30,7 @@
 constexpr std::int64_t reconnect_delay_ms = 150;
 constexpr std::int64_t connect_timeout_ms = 700;  ///< Connecting takes 12 ms and two round trips.
 /// A connection whose session held more is reset before its next use.
-constexpr std::size_t max_idle_state_bytes = 64 * 1024;
+constexpr std::size_t max_idle_state_bytes = std::size_t{64} * 1024;
 /// Setting up a connection takes no slot of the target, so a round trip is enough. Later the
 /// statement, which was not sent yet, is tried on another connection.
 constexpr std::int64_t setup_timeout_ms = 300;
--- a/src/gateway/session_engine.h
+++ b/src/gateway/session_engine.h
@@ -25,9 +25,9 @@
 namespace hornbeamhook::gateway {
 
 /** Values and prepared statements of all sessions of a VM, which has 160 MB or more. */
-inline constexpr std::size_t max_vm_session_bytes = 32 * 1024 * 1024;
+inline constexpr std::size_t max_vm_session_bytes = std::size_t{32} * 1024 * 1024;
 /** Input of all sessions of a VM that is not handled yet. */
-inline constexpr std::size_t max_vm_input_bytes = 32 * 1024 * 1024;
+inline constexpr std::size_t max_vm_input_bytes = std::size_t{32} * 1024 * 1024;
 
 /**
  * Runs callers' statements on target connections: routing, connection sharing, read freshness,
