Refuse writes at a home that cannot reach the primary

Cause: all writes of a group go to the first home of its primary. When the answers of the primary to that home were lost, the home kept the writes in its queue and tried each on a new connection (300 ms), and the entries sent keyed writes to the same home again: a failed attempt left the primary itself among the avoided targets, which made both homes equal. All callers ended up in this queue although the other home reached the primary.

Change: a home whose last 2 polls of the primary failed answers writes and begins, also those that wait, with not_home, and asks for a poll. Routing places an avoided home after the other home of an avoided primary.

The new unit tests of routing and home_service fail without the change. proxy_tests (88) passed; test_half_open_links, test_failover, test_silent_counted_connections, test_link_faults and test_home_duties passed once each.

--- a/src/coordination/admission_queue.cpp
+++ b/src/coordination/admission_queue.cpp
@@ -206,4 +206,12 @@
     return expired;
 }
 
+std::vector<admission_entry> admission_queue::clear(request_kind kind) {
+    std::vector<admission_entry> removed;
+    while (std::optional<admission_entry> entry = pop(get_queue(kind))) {
+        removed.push_back(std::move(*entry));
+    }
+    return removed;
+}
+
 }  // namespace hornbeamhook::coordination
--- a/src/coordination/admission_queue.h
+++ b/src/coordination/admission_queue.h
@@ -93,6 +93,9 @@
     std::vector<admission_entry> expire(request_kind kind, const service_rate& rate,
                                         state::time_point now);
 
+    /** Removes and returns all requests of a kind. */
+    std::vector<admission_entry> clear(request_kind kind);
+
     /** Waiting requests of a kind. */
     std::size_t get_size(request_kind kind) const { return get_queue(kind).size; }
 
--- a/src/coordination/routing.cpp
+++ b/src/coordination/routing.cpp
@@ -11,7 +11,7 @@
 namespace {
 
 /** Sort key of a candidate; lower is better. */
-using route_rank = std::tuple<bool, bool, bool, int, std::uint64_t, std::size_t>;
+using route_rank = std::tuple<bool, bool, bool, bool, int, std::uint64_t, std::size_t>;
 
 int get_distance(const state::member& from, const state::member& to) {
     if (from.vm == to.vm) {
@@ -110,7 +110,8 @@
             if (!is_usable_home(view, home)) {
                 continue;
             }
-            const bool is_avoided = is_target_avoided || request.avoided.contains(home.vm);
+            const bool is_home_avoided = request.avoided.contains(home.vm);
+            const bool is_avoided = is_target_avoided || is_home_avoided;
             // Homes of one target share its reads. Writes all go to the first home, because only a
             // single queue knows how many writes wait for the locks of the target.
             const bool is_ordered = is_primary && request.is_write;
@@ -118,7 +119,8 @@
             const std::uint64_t tie_break =
                 is_ordered ? 0 : hash_with_seed(request.tie_break_seed, target.name + home.vm);
             ranked.emplace_back(
-                route_rank{is_avoided, is_primary, is_behind, distance, tie_break, i},
+                route_rank{is_avoided, is_primary, is_behind, is_home_avoided, distance, tie_break,
+                           i},
                 route_candidate{target.name, is_primary, home, home.vm == view.self.vm});
         }
     }
--- a/src/proxy/home_runtime.cpp
+++ b/src/proxy/home_runtime.cpp
@@ -28,11 +28,19 @@
 // Acknowledgements vary with the poll that happens to be under way.
 constexpr int acknowledgement_safety = 2;
 constexpr std::chrono::milliseconds max_acknowledgement_reserve{500};
+// A single failed poll may be a pause of this process.
+constexpr int min_failed_polls = 2;
 
 bool is_new_work(execute_operation operation) {
     return operation == execute_operation::statements || operation == execute_operation::begin;
 }
 
+/** Whether the last polls of a target failed, so that exchanges with it would be lost too. */
+bool is_unreachable(const state::group_view& group, const std::string& target) {
+    const auto it = group.targets.find(target);
+    return it != group.targets.end() && it->second.consecutive_failures >= min_failed_polls;
+}
+
 /** The answer to a request whose commit was judged; `pending` means that time is over. */
 execute_answer conclude(execute_answer done, coordination::acknowledgement verdict) {
     if (verdict == coordination::acknowledgement::acknowledged) {
@@ -145,6 +153,11 @@
         view->paused_pools.end()) {
         return make_refusal(request, error_code::no_primary, "the primary is being changed");
     }
+    if (is_unreachable(*group->second, request.target)) {
+        // The other home may still reach the primary. The poll shows when this one does again.
+        groups_.request_poll(request.pool);
+        return make_refusal(request, error_code::not_home, "this home cannot reach the target");
+    }
     return std::nullopt;
 }
 
@@ -175,13 +188,27 @@
 }
 
 void home_runtime::expire_queues(state::time_point now) {
+    const std::shared_ptr<const state::fleet_view> view = groups_.get_view();
     std::vector<std::shared_ptr<target_lane>> lanes;
+    std::vector<std::shared_ptr<target_lane>> unreachable;
     {
         const std::scoped_lock lock(mutex_);
+        for (const auto& [pool, group] : view->polled_groups) {
+            if (!group || !group->primary || !is_unreachable(*group, group->primary->target)) {
+                continue;
+            }
+            const auto lane = lanes_.find(pool + "/" + group->primary->target);
+            if (lane != lanes_.end()) {
+                unreachable.push_back(lane->second);
+            }
+        }
         for (const auto& [name, lane] : lanes_) {
             lanes.push_back(lane);
         }
     }
+    for (const std::shared_ptr<target_lane>& lane : unreachable) {
+        lane->refuse_unreachable();
+    }
     for (const std::shared_ptr<target_lane>& lane : lanes) {
         lane->expire(now);
         dispatch(lane);
--- a/src/proxy/home_runtime.h
+++ b/src/proxy/home_runtime.h
@@ -63,7 +63,8 @@
     /** Starts what the lane allows. Thread safe. */
     void dispatch(const std::shared_ptr<target_lane>& lane);
 
-    /** Refuses waiting requests past their deadline. Thread safe. */
+    /** Refuses waiting requests past their deadline, and waiting writes and transactions at a
+     * primary that this home cannot reach. Thread safe. */
     void expire_queues(state::time_point now);
 
     /**
--- a/src/proxy/home_service.cpp
+++ b/src/proxy/home_service.cpp
@@ -21,7 +21,14 @@
 constexpr std::chrono::seconds prune_timeout{10};
 
 error_code get_refusal_code(lane_refusal reason) {
-    return reason == lane_refusal::expired ? error_code::deadline : error_code::overloaded;
+    switch (reason) {
+        case lane_refusal::expired:
+            return error_code::deadline;
+        case lane_refusal::unreachable:
+            return error_code::not_home;
+        default:
+            return error_code::overloaded;
+    }
 }
 
 const char* get_refusal_text(lane_refusal reason) {
@@ -30,6 +37,8 @@
             return "the queue of the target is full";
         case lane_refusal::too_late:
             return "the request would wait past its deadline";
+        case lane_refusal::unreachable:
+            return "this home cannot reach the target";
         case lane_refusal::expired:
             break;
     }
--- a/src/proxy/target_lane.cpp
+++ b/src/proxy/target_lane.cpp
@@ -170,6 +170,21 @@
     }
 }
 
+void target_lane::refuse_unreachable() {
+    std::vector<refuse_function> refused;
+    {
+        const std::scoped_lock lock(mutex_);
+        for (const request_kind kind : {request_kind::write, request_kind::transaction}) {
+            for (refuse_function& each : remove(queue_.clear(kind))) {
+                refused.push_back(std::move(each));
+            }
+        }
+    }
+    for (const refuse_function& refuse : refused) {
+        refuse(lane_refusal::unreachable);
+    }
+}
+
 std::vector<target_lane::refuse_function> target_lane::remove(
     const std::vector<admission_entry>& entries) {
     std::vector<refuse_function> refused;
--- a/src/proxy/target_lane.h
+++ b/src/proxy/target_lane.h
@@ -18,7 +18,12 @@
 namespace hornbeamhook::proxy {
 
 /** Why a request was not given to a target. */
-enum class lane_refusal { full, too_late, expired };
+enum class lane_refusal {
+    full,
+    too_late,
+    expired,
+    unreachable,  ///< This home cannot reach the target.
+};
 
 /** A place at a target that a started request holds. */
 struct lane_place {
@@ -59,6 +64,9 @@
     /** Refuses requests that can no longer meet their deadline. */
     void expire(state::time_point now);
 
+    /** Refuses waiting writes and transactions because this home cannot reach the target. */
+    void refuse_unreachable();
+
     /** Follows the configuration and the quota of connections. */
     void update(std::size_t queue_length, int quota);
 
--- a/src/proxy/transaction_service.cpp
+++ b/src/proxy/transaction_service.cpp
@@ -224,8 +224,13 @@
                                               "too many statements of transactions wait"));
             }
         },
-        [this, request, respond](lane_refusal /*reason*/) {
+        [this, request, respond](lane_refusal reason) {
             // not_run: a begin that waits was given to no target.
+            if (reason == lane_refusal::unreachable) {
+                respond(runtime_.make_refusal(request, error_code::not_home,
+                                              "this home cannot reach the target"));
+                return;
+            }
             respond(runtime_.make_refusal(request, error_code::overloaded,
                                           "the transaction would wait past its deadline"));
         },
--- a/tests/coordination/routing_test.cpp
+++ b/tests/coordination/routing_test.cpp
@@ -123,6 +123,17 @@
     EXPECT_EQ(get_targets({.pool = "p", .avoided = {"t_a", "t_b", "t_c"}}).size(), 3U);
 }
 
+// Guards against a write that is sent again and again to the first home, which cannot reach the
+// primary, because an earlier attempt left the primary itself among the avoided.
+TEST_F(routing, avoided_home_of_an_avoided_primary_comes_after_the_other_home) {
+    view.homes["p/t_a"].push_back(view.self);
+    const std::string first = view.homes["p/t_a"].front().vm;
+    const std::vector<route_candidate> route =
+        plan_route(view, {.pool = "p", .is_write = true, .avoided = {"t_a", first}});
+    ASSERT_EQ(route.size(), 2U);
+    EXPECT_EQ(route.front().home.vm, view.self.vm);
+}
+
 // Guards against a replica that is known to be behind the session, or known to fail.
 TEST_F(routing, replicas_known_to_be_behind_come_after_others) {
     auto group = std::make_shared<state::group_view>();
--- a/tests/proxy/home_service_test.cpp
+++ b/tests/proxy/home_service_test.cpp
@@ -236,6 +236,27 @@
     EXPECT_EQ(target.exchanges, 0);
 }
 
+// Guards against a home whose link to the primary is broken and that keeps the writes of all
+// entries until their deadlines although the other home reaches the primary.
+TEST_F(home_service_test, writes_are_refused_while_the_polls_of_the_primary_fail) {
+    const auto set_failures = [&](int failures) {
+        groups.set_group("p", [&](state::group_view& view) {
+            view.targets["primary"].consecutive_failures = failures;
+        });
+    };
+    set_failures(2);
+    const execute_answer answer = call(make_request("INSERT <a>", true));
+    EXPECT_EQ(answer.outcome, outcome::not_run);
+    EXPECT_EQ(answer.code, error_code::not_home);
+    EXPECT_EQ(call(make_step(execute_operation::begin, 0)).code, error_code::not_home);
+    EXPECT_EQ(target.exchanges, 0);
+    set_failures(1);
+    std::future<execute_answer> later = start(make_request("INSERT <a>", true));
+    set_positions(11);
+    ASSERT_EQ(later.wait_for(answer_timeout), std::future_status::ready);
+    EXPECT_EQ(later.get().outcome, outcome::ok);
+}
+
 // Guards against a strict read served without a proof from after its arrival.
 TEST_F(home_service_test, strict_read_waits_for_a_proof) {
     execute_request request = make_request("SELECT", false);
--- a/tests/proxy/target_lane_test.cpp
+++ b/tests/proxy/target_lane_test.cpp
@@ -54,6 +54,24 @@
     EXPECT_EQ(lane.get_queued(request_kind::write), 8U);
 }
 
+// Guards against writes that wait behind lost exchanges while another home could run them.
+TEST_F(target_lane_test, unreachable_target_refuses_waiting_writes_and_transactions) {
+    for (int i = 0; i < 10; ++i) {
+        offer(request_kind::write);
+        offer(request_kind::transaction);
+        offer(request_kind::read);
+    }
+    const std::size_t reads = lane.get_queued(request_kind::read);
+    const std::size_t refused =
+        lane.get_queued(request_kind::write) + lane.get_queued(request_kind::transaction);
+    ASSERT_GT(refused, 0U);
+    lane.refuse_unreachable();
+    EXPECT_EQ(refusals, std::vector<lane_refusal>(refused, lane_refusal::unreachable));
+    EXPECT_EQ(lane.get_queued(request_kind::write), 0U);
+    EXPECT_EQ(lane.get_queued(request_kind::transaction), 0U);
+    EXPECT_EQ(lane.get_queued(request_kind::read), reads);
+}
+
 // Guards against reads that wait inside the target on connections that writes need.
 TEST_F(target_lane_test, reads_beyond_the_slots_leave_the_connections_of_writes) {
     lane.update(100, 5);
