--- a/tests/protocol/caller_request_test.cpp
+++ b/tests/protocol/caller_request_test.cpp
@@ -163,6 +163,47 @@
     }
 }
 
+// Guards against statements that the target reads differently, because it nests comments, ends a
+// line comment at a carriage return, and knows escape strings and dollar quotes.
+TEST(caller_request, reads_comments_and_strings_as_the_target_does) {
+    const std::vector<sql_case> cases{
+        {"/* /* */ SELECT */ COMMIT", false, false},
+        {"/* /* */ SELECT */ SET search_path = x", false, false},
+        {"/* a /* b */ c */ SELECT 1", true, true},
+        {"/* a */ /* b */ SELECT 1", true, true},
+        {"--\rROLLBACK /*\nSELECT 1 --*/", false, false},
+        {"-- note\r\nSELECT 1", true, true},
+        {"WITH a AS (SELECT E'\\''), b AS (DELETE FROM t RETURNING 1) SELECT 1 --'", false, true},
+        {"SELECT 1e'\\' , (WITH b AS (DELETE FROM t RETURNING 1) SELECT 1) --'", true, true},
+        {"SELECT E'a'\n'\\'' INTO n --'", false, true},
+        {"SELECT E'it\\'s; delete'", true, true},
+        {"SELECT E'a''delete'", true, true},
+        {"SELECT fe'\\', (WITH b AS (DELETE FROM t RETURNING 1) SELECT 1) --'", false, true},
+        {"SELECT \xc3\xa9"
+         "e'\\', (WITH b AS (DELETE FROM t RETURNING 1) SELECT 1) --'",
+         false, true},
+        {"WITH a AS (SELECT $$'$$), b AS (DELETE FROM t RETURNING 1) SELECT 1 --'", false, true},
+        {"SELECT $x$ $$ delete; $y$ commit $x$", true, true},
+        {"SELECT $1, $2 FROM t", true, true},
+        {"SELECT a$$ FROM t; DELETE FROM t --$$", false, false},
+        {"SELECT $x$ $X$; DELETE FROM t --$x$", true, true},
+        {"SELECT U&\"hornbeamhoo\\006B_fence\"('9','me')", false, false},
+        {"SELECT u&\"hornbeamhoo\\006B_fence\"('9','me')", false, false},
+        {"SELECT a & \"b\", au&\"b\" FROM t", true, true},
+        {"SELECT U&'d\\0061t'", true, true},
+    };
+    for (const sql_case& each : cases) {
+        const nlohmann::json statements = {{{"sql", each.sql}}};
+        for (const bool is_write : {false, true}) {
+            const nlohmann::json body{{"statements", statements},
+                                      {"kind", is_write ? "write" : "read"}};
+            const bool is_allowed = is_write ? each.is_write_allowed : each.is_read_allowed;
+            EXPECT_EQ(get_statement_error(body.dump()).empty(), is_allowed)
+                << each.sql << (is_write ? " as write" : " as read");
+        }
+    }
+}
+
 // Guards against a parser that crashes or accepts on damaged input.
 TEST(caller_request, damaged_input_is_refused_or_valid) {
     const std::string valid =
