Discard the session state of a request before its connection is lent again

A caller's statement can leave state on the pooled connection that it ran on: SELECT set_config('search_path', 'x', false), an advisory lock, a temporary table, or any of these inside a function. The next request, of any caller of the pool, ran with it; only transactions of several requests were followed by DISCARD ALL. There, a refused DISCARD ALL was ignored and the connection was lent all the same.

Cause: a session was given back as clean when no transaction was open. Now every read, write, commit and statement on the table of keys ends with DISCARD ALL in the same exchange, behind a synchronisation point of its own, so it costs no round trip; a session that did not end so is reset when it is given back, and closed when that fails. A refused reset closes the connection and leaves the results of the statements before it as they were, so that it makes no outcome unknown. The commit of a transaction saves the separate exchange for DISCARD ALL that it had.

The load of DISCARD ALL on a target was not measured.

--- a/src/protocol/target_calls.cpp
+++ b/src/protocol/target_calls.cpp
@@ -35,6 +35,10 @@
     return {"SET LOCAL idle_in_transaction_session_timeout = " + std::to_string(limit.count()), {}};
 }
 
+target_statement make_reset_statement() {
+    return {"DISCARD ALL", {}};
+}
+
 target_statement make_status_statement() {
     return {"SELECT hornbeamhook_status()", {}};
 }
--- a/src/protocol/target_calls.h
+++ b/src/protocol/target_calls.h
@@ -24,6 +24,12 @@
  */
 transport::target_statement make_idle_limit_statement(std::chrono::milliseconds limit);
 
+/**
+ * Ends an exchange after which the connection goes to another request: discards settings, temporary
+ * tables, prepared statements and locks of the session. No transaction may be open.
+ */
+transport::target_statement make_reset_statement();
+
 /** The statement whose single cell parse_status_cell() reads. */
 transport::target_statement make_status_statement();
 
--- a/src/proxy/execution.cpp
+++ b/src/proxy/execution.cpp
@@ -90,11 +90,13 @@
     std::vector<target_statement> statements{protocol::make_status_statement()};
     statements.insert(statements.end(), request.statements.begin(), request.statements.end());
     statements.push_back(protocol::make_status_statement());
+    statements.push_back(protocol::make_reset_statement());
     exchange_result answer = session.run(statements, deadline);
     if (const auto* error = std::get_if<target_error>(&answer)) {
         return make_failure(exchange_phase::read, *error);
     }
     auto& results = std::get<std::vector<target_result>>(answer);
+    results.pop_back();
     const std::optional<state::target_status> before = read_status_result(results.front());
     const std::optional<state::target_status> after = read_status_result(results.back());
     if (!before || !after) {
@@ -119,12 +121,14 @@
                                   std::size_t commit_index, state::time_point deadline) {
     statements.push_back({"COMMIT", {}});
     statements.push_back(protocol::make_last_commit_statement());
+    statements.push_back(protocol::make_reset_statement());
     exchange_result answer = session.run(statements, deadline);
     if (const auto* error = std::get_if<target_error>(&answer)) {
         return make_failure(exchange_phase::commit, *error, commit_index);
     }
-    const std::optional<state::log_point> point =
-        read_commit_result(std::get<std::vector<target_result>>(answer).back());
+    auto& results = std::get<std::vector<target_result>>(answer);
+    results.pop_back();
+    const std::optional<state::log_point> point = read_commit_result(results.back());
     if (!point) {
         return make_end(outcome::unknown, error_code::outcome_unknown,
                         "the target committed without naming a position", true);
@@ -200,8 +204,8 @@
         failure = make_failure(exchange_phase::opening, *error);
         return false;
     }
-    exchange_result answer =
-        std::get<0>(acquired)->run({protocol::make_create_request_table()}, deadline);
+    exchange_result answer = std::get<0>(acquired)->run(
+        {protocol::make_create_request_table(), protocol::make_reset_statement()}, deadline);
     if (const auto* error = std::get_if<target_error>(&answer)) {
         // not_run: only the table of keys was being created; nothing of the request was kept.
         failure = make_failure(exchange_phase::statements, *error);
@@ -224,7 +228,7 @@
     }
     exchange_result answer = std::get<0>(acquired)->run(
         {protocol::make_select_request(request.caller, request.idempotency_key),
-         protocol::make_status_statement()},
+         protocol::make_status_statement(), protocol::make_reset_statement()},
         deadline);
     if (std::holds_alternative<target_error>(answer)) {
         return unknown;
--- a/src/proxy/session_pool.cpp
+++ b/src/proxy/session_pool.cpp
@@ -4,6 +4,8 @@
 #include <utility>
 #include <vector>
 
+#include "protocol/target_calls.h"
+
 namespace hornbeamhook::proxy {
 
 namespace leaf = boost::leaf;
@@ -20,13 +22,19 @@
 
     ~leased_session() override {
         // Only the target's own word that no transaction is open makes a connection usable again.
-        const bool is_clean = !lease_.get().is_broken() &&
-                              get_transaction_state() == transport::transaction_state::idle;
-        lease_.release(is_clean ? release_kind::clean : release_kind::broken);
+        const bool is_usable = !lease_.get().is_broken() &&
+                               get_transaction_state() == transport::transaction_state::idle;
+        if (!is_usable) {
+            lease_.release(release_kind::broken);
+        } else {
+            lease_.release(is_reset_ ? release_kind::clean : release_kind::after_transaction);
+        }
     }
 
     exchange_result run(const std::vector<transport::target_statement>& statements,
                         state::time_point deadline) override {
+        // A reset that the target refused leaves a broken connection.
+        is_reset_ = !statements.empty() && statements.back() == protocol::make_reset_statement();
         return leaf::try_handle_all(
             [&]() -> leaf::result<exchange_result> {
                 BOOST_LEAF_AUTO(results, lease_.get().run(statements, deadline));
@@ -48,6 +56,7 @@
 
 private:
     mutable target_pool::lease lease_;
+    bool is_reset_ = true;  // The session holds nothing of this user.
 };
 
 target_error make_error(const pool_error& error) {
--- a/src/proxy/target_pool.h
+++ b/src/proxy/target_pool.h
@@ -25,8 +25,8 @@
 
 /** What happened on a connection that is given back. */
 enum class release_kind {
-    clean,              ///< Only reads or statements outside transactions, all answered.
-    after_transaction,  ///< A transaction ended on it; its session state is discarded.
+    clean,              ///< The session holds no state of its last user.
+    after_transaction,  ///< Statements ran on it; its session state is discarded first.
     broken,             ///< It failed or may be in use by an unanswered exchange.
 };
 
--- a/src/proxy/transaction_service.cpp
+++ b/src/proxy/transaction_service.cpp
@@ -36,7 +36,7 @@
     if (needs_rollback) {
         statements.push_back({"ROLLBACK", {}});
     }
-    statements.push_back({"DISCARD ALL", {}});
+    statements.push_back(protocol::make_reset_statement());
     static_cast<void>(session->run(statements, deadline));
 }
 
@@ -252,7 +252,7 @@
         return false;
     }
     exchange_result answer = std::get<std::unique_ptr<target_session>>(acquired)->run(
-        {protocol::make_create_request_table()}, deadline);
+        {protocol::make_create_request_table(), protocol::make_reset_statement()}, deadline);
     if (std::holds_alternative<target_error>(answer)) {
         return false;
     }
@@ -437,10 +437,8 @@
     }
     close(request.transaction);
     runtime_.report_failure(request, result);
-    const bool is_clean = result.outcome == outcome::ok && result.needs_acknowledgement &&
-                          !entry->session->is_broken();
-    if (is_clean || !entry->is_write) {
-        reset_session(std::move(entry->session), !entry->is_write);
+    if (!entry->is_write) {
+        reset_session(std::move(entry->session), true);
     }
     entry->session.reset();
     end_place(entry->held);
--- a/src/transport/target_connection.cpp
+++ b/src/transport/target_connection.cpp
@@ -194,6 +194,11 @@
            starts_with_word(statement.sql, "ABORT");
 }
 
+/** PostgreSQL refuses DISCARD ALL when another statement ran since the synchronisation point. */
+bool needs_own_synchronisation(const target_statement& statement) {
+    return starts_with_word(statement.sql, "DISCARD");
+}
+
 /** Collects the results of one exchange in the order of its statements. */
 class exchange_reader {
 public:
@@ -211,7 +216,7 @@
         }
         switch (PQresultStatus(result)) {
             case PGRES_PIPELINE_SYNC:
-                ++syncs_;
+                take_synchronisation();
                 return true;
             case PGRES_FATAL_ERROR:
                 take_error(result);
@@ -233,11 +238,43 @@
     bool is_complete() const { return is_id_confirmed_ && results_.size() == statements_.size(); }
     const std::optional<target_error>& get_error() const { return error_; }
     bool is_id_confirmed() const { return is_id_confirmed_; }
+    bool is_reset_refused() const { return is_reset_refused_; }
     std::vector<target_result> take_results() { return std::move(results_); }
 
 private:
+    void take_synchronisation() {
+        ++syncs_;
+        // An error at a synchronisation point counts as an answer of its own, so the count of
+        // answers is set anew.
+        std::size_t found = 0;
+        for (std::size_t i = 0; i < statements_.size(); ++i) {
+            found += needs_own_synchronisation(statements_[i]) ? 1 : 0;
+            if (found == syncs_) {
+                current_ = i + (id_index_ <= i ? 1 : 0);
+                has_result_ = false;
+                return;
+            }
+        }
+    }
+
+    /** Whether the answer being read is that of a reset behind other statements. */
+    bool is_at_reset() const {
+        return statements_.size() > 1 && needs_own_synchronisation(statements_.back()) &&
+               get_statement_index() + 1 == statements_.size();
+    }
+
+    bool is_own_synchronisation_over() const {
+        return syncs_ == static_cast<std::size_t>(std::count_if(
+                             statements_.begin(), statements_.end(), &needs_own_synchronisation));
+    }
+
     void take_error(const PGresult* result) {
         has_result_ = true;
+        if (is_at_reset() && is_own_synchronisation_over()) {
+            is_reset_refused_ = true;
+            results_.emplace_back();
+            return;
+        }
         if (error_) {
             return;
         }
@@ -254,7 +291,8 @@
 
     void set_error(std::string sqlstate, std::string message) {
         // An error at the synchronisation point belongs to the commit of the last statement.
-        const std::size_t last = statements_.empty() ? 0 : statements_.size() - 1;
+        std::size_t last = statements_.empty() ? 0 : statements_.size() - 1;
+        last -= is_at_reset() ? 1 : 0;
         error_ = target_error{.kind = target_failure_kind::sql_error,
                               .was_sent = true,
                               .sqlstate = std::move(sqlstate),
@@ -294,13 +332,9 @@
     std::size_t syncs_ = 0;
     bool has_result_ = false;
     bool is_id_confirmed_ = false;
+    bool is_reset_refused_ = false;
 };
 
-/** PostgreSQL refuses DISCARD ALL when another statement ran since the synchronisation point. */
-bool needs_own_synchronisation(const target_statement& statement) {
-    return starts_with_word(statement.sql, "DISCARD");
-}
-
 }  // namespace
 
 leaf::result<void> target_connection::implementation::check_before_sending(
@@ -466,6 +500,10 @@
         return implementation_->fail(target_failure_kind::invalid, true,
                                      "an answer follows the end of the exchange");
     }
+    if (reader.is_reset_refused()) {
+        implementation_->is_broken = true;
+        implementation_->connection.reset();
+    }
     if (reader.get_error()) {
         if (!reader.is_id_confirmed()) {
             return implementation_->fail(
--- a/src/transport/target_connection.h
+++ b/src/transport/target_connection.h
@@ -73,6 +73,9 @@
      * Runs statements as one pipelined exchange with a single synchronisation point, so that one
      * round trip carries all of them. The target skips what follows a failing statement.
      * An exchange id travels as the first statement and is compared with the answer.
+     * A DISCARD ALL at the end runs after a synchronisation point of its own, also when a statement
+     * before it failed. When the target refuses it, the connection is closed and the other
+     * statements keep their results.
      * Returns one result per statement. Fails with target_error.
      */
     boost::leaf::result<std::vector<target_result>> run(
--- a/tests/transport/target_connection_test.cpp
+++ b/tests/transport/target_connection_test.cpp
@@ -161,6 +161,32 @@
     EXPECT_FALSE(run(*connection, {{"SELECT 1", {}}}).error);
 }
 
+// Guards against statements that ran being reported as failed because the reset after them did.
+TEST(target_connection, refused_reset_closes_the_connection_and_keeps_the_results) {
+    target_group group(1);
+    const auto connection = connect(group.get_address(0));
+    const exchange_outcome outcome =
+        run(*connection, {{"BEGIN", {}}, {"SELECT 1", {}}, {"DISCARD ALL", {}}});
+    ASSERT_FALSE(outcome.error) << outcome.error->message;
+    ASSERT_EQ(outcome.results.size(), 3U);
+    EXPECT_EQ(outcome.results[1].rows[0][0], "1");
+    EXPECT_TRUE(connection->is_broken());
+}
+
+// Guards against a reset that hides the failure of a statement before it.
+TEST(target_connection, reset_follows_a_failed_statement) {
+    target_group group(1);
+    const auto connection = connect(group.get_address(0));
+    EXPECT_FALSE(run(*connection, {{"BEGIN", {}}, {"COMMIT", {}}}).error);
+    const exchange_outcome outcome =
+        run(*connection, {{"SELECT * FROM missing", {}}, {"DISCARD ALL", {}}});
+    EXPECT_EQ(outcome.get_sqlstate(), "42P01");
+    EXPECT_EQ(outcome.error->failed_statement, 0U);
+    EXPECT_FALSE(connection->is_broken());
+    EXPECT_EQ(run(*connection, {{"SELECT hornbeamhook_last_commit()", {}}}).get_sqlstate(),
+              "55000");
+}
+
 // Guards against a deadlock when both sides of an exchange exceed the socket buffers.
 TEST(target_connection, large_exchange_passes_in_both_directions) {
     target_group group(1);
