Shorten the text of an error in an answer between proxies

A target quotes the value that it refuses, so the text of its error can be as long as a parameter. Above 64 KiB the entry could not parse the answer of the home and took it as lost: a write whose statement had failed, and which had not run, was told as an unknown outcome. With the home in the entry's own process the same request got statement_failed.

Cause: to_text(execute_answer) wrote texts that parse_execute_answer() refuses. The text is now cut at 16 KiB, which the reader takes also when each byte is replaced because it is not UTF-8.

execute_message.long_error_text_does_not_hide_the_answer failed for the texts tried ("answer.message: ... allowed: a string of at most 65536 bytes") and passes now. protocol_tests: 45 passed.

--- a/src/protocol/execute_message.cpp
+++ b/src/protocol/execute_message.cpp
@@ -17,6 +17,8 @@
 
 constexpr std::int64_t max_counter = std::numeric_limits<std::int64_t>::max();
 constexpr std::int64_t max_deadline_ms = 600'000;
+/// A reader takes 64 KiB, and a byte that is not UTF-8 is written as three.
+constexpr std::size_t max_message_bytes = 16U << 10U;
 
 constexpr std::array<std::pair<execute_operation, const char*>, 7> operation_names{{
     {execute_operation::statements, "statements"},
@@ -116,14 +118,19 @@
 }
 
 std::string to_text(const execute_answer& answer) {
-    nlohmann::json object{
-        {"exchange_id", answer.exchange_id},  {"outcome", state::to_string(answer.outcome)},
-        {"code", to_string(answer.code)},     {"message", answer.message},
-        {"was_sent", answer.was_sent},        {"is_behind", answer.is_behind},
-        {"results", to_json(answer.results)}, {"term", answer.point.term},
-        {"position", answer.point.position},  {"target", answer.target},
-        {"is_primary", answer.is_primary},    {"incarnation", answer.incarnation},
-        {"transaction", answer.transaction}};
+    nlohmann::json object{{"exchange_id", answer.exchange_id},
+                          {"outcome", state::to_string(answer.outcome)},
+                          {"code", to_string(answer.code)},
+                          {"message", answer.message.substr(0, max_message_bytes)},
+                          {"was_sent", answer.was_sent},
+                          {"is_behind", answer.is_behind},
+                          {"results", to_json(answer.results)},
+                          {"term", answer.point.term},
+                          {"position", answer.point.position},
+                          {"target", answer.target},
+                          {"is_primary", answer.is_primary},
+                          {"incarnation", answer.incarnation},
+                          {"transaction", answer.transaction}};
     if (answer.primary) {
         object["primary"] = {{"target", answer.primary->target}, {"term", answer.primary->term}};
     }
--- a/src/protocol/execute_message.h
+++ b/src/protocol/execute_message.h
@@ -75,7 +75,7 @@
 /** The inverse of to_text(). Fails with state_error. */
 boost::leaf::result<execute_request> parse_execute_request(std::string_view text);
 
-/** Serialises an answer. */
+/** Serialises an answer; the text of an error is cut at 16 KiB. */
 std::string to_text(const execute_answer& answer);
 
 /** The inverse of to_text(). Fails with state_error. */
--- a/tests/protocol/execute_message_test.cpp
+++ b/tests/protocol/execute_message_test.cpp
@@ -72,6 +72,30 @@
         [] { ADD_FAILURE() << "a message cannot be read back"; });
 }
 
+// Guards against an unknown outcome when the target refuses a statement with a long error text.
+TEST(execute_message, long_error_text_does_not_hide_the_answer) {
+    for (const std::string part : {"x", "\x01", "\xff", "\xc3\xa9"}) {
+        execute_answer answer = make_answer();
+        answer.outcome = state::outcome::not_run;
+        answer.code = error_code::statement_failed;
+        answer.message.clear();
+        while (answer.message.size() < 1'000'000) {
+            answer.message += part;
+        }
+        leaf::try_handle_all(
+            [&]() -> leaf::result<void> {
+                BOOST_LEAF_AUTO(parsed, parse_execute_answer(to_text(answer)));
+                EXPECT_EQ(parsed.outcome, answer.outcome);
+                EXPECT_EQ(parsed.code, answer.code);
+                EXPECT_EQ(parsed.results, answer.results);
+                EXPECT_FALSE(parsed.message.empty());
+                return {};
+            },
+            [](const state::state_error& error) { ADD_FAILURE() << error.message; },
+            [] { ADD_FAILURE() << "the answer cannot be read back"; });
+    }
+}
+
 // Guards against messages that are half understood.
 TEST(execute_message, incomplete_and_foreign_messages_are_refused) {
     const nlohmann::json request = nlohmann::json::parse(to_text(make_request()));
