Prepare again after an unknown statement inside a transaction

Cause: after NOSTMT to a statement inside a transaction the connection kept the name, so every later transaction that used it there failed as well. Only the first statement of a transaction and statements outside of one made the state unknown. Change: NOSTMT makes the state of the connection unknown on this path too, and fails the transaction, because a reset inside of it may not be possible.

--- a/src/gateway/caller_session.cpp
+++ b/src/gateway/caller_session.cpp
@@ -508,7 +508,13 @@
                       "no answer from the target");
         return;
     }
-    if (answer.ready.state == transaction_state::open) {
+    const bool is_unknown =
+        answer.failure && answer.failure->code == failure_code::unknown_prepared;
+    if (is_unknown) {
+        link->get_session_state().invalidate();
+    }
+    // Bringing the state in line again may not be possible inside the transaction.
+    if (answer.ready.state == transaction_state::open && !is_unknown) {
         phase_ = phase::open_transaction;
     } else {
         // COMMIT ends the transaction regardless of the target's answer.
--- a/tests/gateway/session_engine_test.cpp
+++ b/tests/gateway/session_engine_test.cpp
@@ -178,6 +178,39 @@
     EXPECT_EQ(writer->lines[0], "COMPLETE proof");
 }
 
+// Guards against a transaction that fails again and again because the VM goes on using a name that
+// the target does not know.
+TEST_F(session_engine_test, prepares_again_after_an_unknown_statement_in_a_transaction) {
+    std::string known;
+    scripted_target& target = add_target(
+        "t1", true, [&, idle = make_idle_target()](const std::string& line) {
+            const std::size_t parse = line.find("PARSE ");
+            const std::size_t execute = line.find("EXECUTE ");
+            if (parse != std::string::npos) {
+                known = line.substr(parse + 6, 2);
+            }
+            if (execute != std::string::npos && line.substr(execute + 8, 2) != known) {
+                return std::string("ERROR NOSTMT unknown\r\nREADY E 1.5\r\n");
+            }
+            return idle(line);
+        });
+    give_lease("t1");
+    const auto caller = open_session("strict");
+    ask(*caller, "PARSE s WRITE q");
+    ask(*caller, "EXECUTE s k1 x");
+    known.clear();
+    for (int i = 0; i < 2; ++i) {
+        ask(*caller, "BEGIN");
+        ask(*caller, "WRITE k2 x");
+        ask(*caller, "EXECUTE s k1 x");
+        if (last_ready_.starts_with("READY E")) {
+            ask(*caller, "ROLLBACK");
+        }
+    }
+    EXPECT_EQ(last_ready_.substr(0, 7), "READY T");
+    EXPECT_TRUE(contains(target.lines, "PARSE p2"));
+}
+
 // Guards against a session whose values exhaust the memory of the VM.
 TEST_F(session_engine_test, bounds_the_bytes_of_a_session) {
     const auto caller = open_session("strict");
