End a relayed connection after a set-up or BEGIN that is too long

Cause: a home answered a too long SET, PARSE or BEGIN of another VM with TOOBIG and went on with the statement behind it, which then ran without the value or outside of its transaction. VMs with limits on session values send no such message; VMs of the release before do. Change: the home closes the connection, as it does when it refuses an entry. Result: the new test failed before (WRITE ran without the SET before it) and passes.

--- a/src/gateway/caller_session.cpp
+++ b/src/gateway/caller_session.cpp
@@ -224,6 +224,12 @@
     if (!is_sent_unchanged &&
         statement.id.size() + statement.text.size() + max_added_bytes > max_message_bytes) {
         reply_failure(failure_code::too_big, "the statement is too long");
+        const bool is_last =
+            statement.kind == statement_kind::read || statement.kind == statement_kind::execute;
+        if (origin_ == session_origin::peer && !is_last) {
+            // The other VM has sent a statement behind it, which must not run.
+            close();
+        }
         return;
     }
     switch (statement.kind) {
--- a/tests/gateway/relayed_session_test.cpp
+++ b/tests/gateway/relayed_session_test.cpp
@@ -242,6 +242,23 @@
     }));
 }
 
+// Guards against a statement of another VM that runs without a session value because the home has
+// refused the value as too long.
+TEST_F(relayed_session_test, runs_nothing_after_a_step_that_is_too_long) {
+    scripted_target& target = add_target("t1", true, make_idle_target());
+    give_lease_to_all("t1");
+    test_caller peer(loop_, vms_[0]->member.peer_address);
+    peer.send("STARTUP g hornbeamhook t1");
+    run_until([&] { return !peer.lines.empty(); });
+    const std::string head = "QUERY - SET a ";
+    peer.send(head + std::string(max_message_bytes - head.size() - 2, 'x'));
+    peer.send("LIMITS 400 1");
+    peer.send("QUERY 1 WRITE k1 x");
+    run_until([&] { return peer.is_ended || peer.lines.size() >= 5; });
+    EXPECT_TRUE(contains(peer.lines, "ERROR TOOBIG"));
+    EXPECT_FALSE(contains(target.lines, "WRITE k1 x"));
+}
+
 // Guards against running work that is given up because its home was silent for a while and is not a
 // home any more.
 TEST_F(relayed_session_test, an_answer_of_a_former_home_is_delivered) {
--- a/tests/gateway/session_engine_test.cpp
+++ b/tests/gateway/session_engine_test.cpp
@@ -182,8 +182,8 @@
 // the target does not know.
 TEST_F(session_engine_test, prepares_again_after_an_unknown_statement_in_a_transaction) {
     std::string known;
-    scripted_target& target = add_target(
-        "t1", true, [&, idle = make_idle_target()](const std::string& line) {
+    scripted_target& target =
+        add_target("t1", true, [&, idle = make_idle_target()](const std::string& line) {
             const std::size_t parse = line.find("PARSE ");
             const std::size_t execute = line.find("EXECUTE ");
             if (parse != std::string::npos) {
