Answer what has arrived before a stopping home closes a connection

Cause: a stopping VM closes an idle session after each answer. Another VM sends set-up and statement together, so a home closed between the two, and a write that had not run was answered with INDOUBT. Change: a session with unread input is not closed by an answer. Result: the new test failed before (INDOUBT) and passes; session_engine_test, relayed_session_test and statement_integrity_test pass (49 tests).

--- a/src/gateway/caller_session.cpp
+++ b/src/gateway/caller_session.cpp
@@ -603,7 +603,8 @@
         close();
         return;
     }
-    if (engine_.is_stopping() && close_if_idle()) {
+    // What has arrived is answered first: another VM sends set-up and statement together.
+    if (engine_.is_stopping() && lines_.get_buffered_bytes() == 0 && close_if_idle()) {
         return;
     }
     handle_lines();
--- a/tests/gateway/relayed_session_test.cpp
+++ b/tests/gateway/relayed_session_test.cpp
@@ -259,6 +259,24 @@
     EXPECT_FALSE(contains(target.lines, "WRITE k1 x"));
 }
 
+// Guards against a statement that is lost because its home stops between the session value before
+// it and the statement, although both had arrived.
+TEST_F(relayed_session_test, a_stopping_home_answers_what_has_arrived) {
+    add_target("t1", true, make_idle_target());
+    give_lease_to_all("t1");
+    const auto caller = open_session("strict");
+    ask(*caller, "READ k1");
+    const std::string home =
+        get_entry().engine.get_groups()["g"].targets["t1"].links[0]->get_home();
+    for (const auto& vm : vms_) {
+        if (vm->member.vm == home) {
+            vm->engine.set_stopping();
+        }
+    }
+    ask(*caller, "SET mode a");
+    EXPECT_EQ(ask(*caller, "WRITE k1 x")[0], "COMPLETE proof");
+}
+
 // Guards against running work that is given up because its home was silent for a while and is not a
 // home any more.
 TEST_F(relayed_session_test, an_answer_of_a_former_home_is_delivered) {
