Report a commit as in doubt after a home refused a value as too large

Cause: a home of the release before answers a SET or PARSE beyond 1,000 entries with TOOBIG and goes on with the statement behind it. The VM took its statement as not run, so a COMMIT that had run was answered with ABORTED. Change: after TOOBIG to a set-up the statement counts as sent and lost. Result: the new test, with a stand-in for such a home, failed before (ABORTED) and passes.

--- a/src/gateway/target_link.cpp
+++ b/src/gateway/target_link.cpp
@@ -226,7 +226,9 @@
         }
     }
     if (answer.failure && is_relayed()) {
-        active_->is_statement_sent = false;  // The home has run nothing after this step.
+        // The home has run nothing after this step, unless it is of the release before and refuses
+        // a value as one too many.
+        active_->is_statement_sent = answer.failure->code == failure_code::too_big;
         end({.is_local = true, .reason = "the home refused a set-up"});
         return;
     }
--- a/tests/gateway/relayed_session_test.cpp
+++ b/tests/gateway/relayed_session_test.cpp
@@ -277,6 +277,38 @@
     EXPECT_EQ(ask(*caller, "WRITE k1 x")[0], "COMPLETE proof");
 }
 
+// Guards against a commit that is reported as not run although a home of the release before, which
+// goes on after a set-up that it refuses, has run it.
+TEST_F(relayed_session_test, a_home_of_the_release_before_leaves_a_commit_in_doubt) {
+    std::vector<std::string> lines;
+    std::vector<std::unique_ptr<scripted_target>> homes;
+    for (const auto& vm : vms_) {
+        if (vm.get() != &get_entry()) {
+            vm->peers.reset();
+            homes.push_back(std::make_unique<scripted_target>(
+                loop_, vm->member.peer_address,
+                [&, idle = make_idle_target()](const std::string& line) {
+                    lines.push_back(line);
+                    if (line.starts_with("LIMITS")) {
+                        return std::string();
+                    }
+                    return line.find(" SET ") != std::string::npos
+                               ? std::string("ERROR TOOBIG too many values\r\nREADY T -\r\n")
+                               : idle(line);
+                }));
+        }
+    }
+    add_target("t1", true, make_idle_target());
+    give_lease_to_all("t1");
+    const auto caller = open_session("strict");
+    ask(*caller, "BEGIN");
+    EXPECT_EQ(ask(*caller, "WRITE k1 x")[0], "COMPLETE proof");
+    ask(*caller, "SET mode a");
+    const auto answer = ask(*caller, "COMMIT");
+    EXPECT_TRUE(contains(lines, "COMMIT"));
+    EXPECT_TRUE(answer[0].starts_with("ERROR INDOUBT")) << answer[0];
+}
+
 // Guards against running work that is given up because its home was silent for a while and is not a
 // home any more.
 TEST_F(relayed_session_test, an_answer_of_a_former_home_is_delivered) {
