End a session that sends too far ahead instead of not reading from it

Input is read without a pause now; beyond 2 MiB behind an outstanding statement the session is ended with TOOBIG.

Names and texts in event 7044 are cut at 200 bytes.

--- a/src/gateway/caller_session.cpp
+++ b/src/gateway/caller_session.cpp
@@ -14,12 +14,13 @@
 /// Names, values and shapes of a session. Each statement on a connection that another session has
 /// used sends them again.
 constexpr std::size_t max_session_bytes = std::size_t{256} * 1024;
-/// As much for the values, as much for the statements prepared for several sessions, and the rest
-/// for the bookkeeping of both.
+/// A session of another VM holds the values of one session and what stays prepared on the
+/// connection.
 constexpr std::size_t max_peer_session_bytes = std::size_t{1024} * 1024;
 constexpr std::size_t entry_overhead_bytes = 128;  ///< Memory of an entry beside its texts.
-/// Input that waits for the outstanding statement; more is left to the caller's send queue.
-constexpr std::size_t max_waiting_input_bytes = std::size_t{64} * 1024;
+/// Input behind the outstanding statement. It is read without a pause, so that the end of the
+/// connection is noticed.
+constexpr std::size_t max_waiting_input_bytes = 2 * max_message_bytes;
 /// A caller that leaves more answers unread is disconnected.
 constexpr std::size_t max_unread_output_bytes = 4U << 20;
 constexpr std::size_t max_session_entries = 1000;  ///< Values and statements of a caller.
@@ -70,9 +71,11 @@
     if (is_within_limit) {
         counted_input_bytes_ = buffered;
     }
-    if (is_busy_ && (buffered > max_waiting_input_bytes || !is_within_limit)) {
-        stream_->set_reading(false);
-        is_paused_ = true;
+    if (is_busy_ && buffered > max_waiting_input_bytes) {
+        engine_.log_bad_input(caller_, "too much input behind an outstanding statement");
+        stream_->write(engine_.get_protocol().format_failure(
+            {failure_code::too_big, {}, "too much input behind an outstanding statement"}));
+        close();
     } else if (!is_within_limit) {
         engine_.log_bad_input(caller_, "the incomplete input of this VM's sessions is too large");
         stream_->write(engine_.get_protocol().format_failure(
@@ -97,11 +100,6 @@
     }
     is_handling_ = false;
     lines_.release_returned();
-    if (is_paused_ && !is_closed_ && !is_busy_) {
-        is_paused_ = false;
-        count_input();
-        stream_->set_reading(true);
-    }
     if (lines_.is_overlong() && !is_closed_) {
         engine_.log_bad_input(caller_, "line exceeds the length limit");
         stream_->write(
@@ -219,9 +217,9 @@
 }
 
 void caller_session::handle_statement(const caller_statement& statement) {
-    const bool is_sent_unchanged =
-        statement.kind == statement_kind::write || statement.kind == statement_kind::commit;
-    if (!is_sent_unchanged &&
+    const bool may_grow =
+        statement.kind != statement_kind::write && statement.kind != statement_kind::commit;
+    if (may_grow &&
         statement.id.size() + statement.text.size() + max_added_bytes > max_message_bytes) {
         reply_failure(failure_code::too_big, "the statement is too long");
         const bool is_last =
--- a/src/gateway/caller_session.h
+++ b/src/gateway/caller_session.h
@@ -69,7 +69,7 @@
     void receive(std::string_view bytes);
     void end_stream(bool is_refused);
     void handle_lines();
-    /** Counts the buffered input against the limits: pauses reading or ends the session. */
+    /** Counts the buffered input against the limits; ends the session beyond them. */
     void count_input();
     void handle_line(std::string_view line);
     void handle(const caller_message& message);
@@ -131,7 +131,6 @@
     bool is_closed_ = false;
     bool is_handling_ = false;
     std::size_t counted_input_bytes_ = 0;
-    bool is_paused_ = false;  ///< No input is read until the outstanding statement is answered.
 };
 
 }  // namespace hornbeamhook::gateway
--- a/src/gateway/session_engine.cpp
+++ b/src/gateway/session_engine.cpp
@@ -31,6 +31,8 @@
 constexpr std::int64_t connect_timeout_ms = 700;  ///< Connecting takes 12 ms and two round trips.
 /// A connection whose session held more is reset before its next use.
 constexpr std::size_t max_idle_state_bytes = std::size_t{64} * 1024;
+/// Of names and texts that callers or targets choose.
+constexpr std::size_t max_logged_bytes = 200;
 /// Setting up a connection takes no slot of the target, so a round trip is enough. Later the
 /// statement, which was not sent yet, is tried on another connection.
 constexpr std::int64_t setup_timeout_ms = 300;
@@ -690,9 +692,9 @@
                                     {"home", home},
                                     {"link", std::to_string(link)},
                                     {"step", description.kind},
-                                    {"name", description.name},
+                                    {"name", description.name.substr(0, max_logged_bytes)},
                                     {"reason", failure.raw_code},
-                                    {"text", failure.text}});
+                                    {"text", failure.text.substr(0, max_logged_bytes)}});
 }
 
 void session_engine::log_prepared(const target_link& link, const link_request& request) {
--- a/src/gateway/target_link.h
+++ b/src/gateway/target_link.h
@@ -71,7 +71,8 @@
      * Sends a statement after the set-up that it needs. `done` gets its answer, or learns that it
      * was not sent because the set-up failed, exactly once. On a direct connection each part waits
      * for the answers to the one before. A home gets all parts at once, because it ends the
-     * connection after a step that fails and runs nothing that follows. Precondition: is_idle().
+     * connection after a step that it refuses and runs nothing that follows. Precondition:
+     * is_idle().
      */
     void send(link_request request, answer_callback done);
 
--- a/src/transport/tcp_stream.cpp
+++ b/src/transport/tcp_stream.cpp
@@ -101,17 +101,6 @@
         });
 }
 
-void tcp_stream::set_reading(bool is_reading) {
-    if (is_closed_) {
-        return;
-    }
-    if (is_reading) {
-        begin_reading();
-    } else {
-        uv_read_stop(as_stream(handle_));
-    }
-}
-
 void tcp_stream::write(std::string bytes) {
     if (is_closed_) {
         return;
--- a/src/transport/tcp_stream.h
+++ b/src/transport/tcp_stream.h
@@ -52,9 +52,6 @@
     /** Sets the events of an accepted stream and begins to read. */
     void start(stream_events events);
 
-    /** Pauses or resumes reading. While paused, the end of the stream is not noticed. */
-    void set_reading(bool is_reading);
-
     /** Queues bytes; ignored after the end. */
     void write(std::string bytes);
 
