Send no statement after a set-up that changed the transaction state

A link took the transaction state from the answer to a set-up but did not compare it with the state before. If the target answered a SET or PARSE with READY T outside of a transaction, the statement ran in a transaction that was rolled back afterwards, although a write had been acknowledged. If it answered with READY I inside of one, the statement ran, and was kept, outside of its transaction.

The link now ends when a successful set-up changes the state; the statement was not sent, so it is tried on another connection, or its transaction is aborted.

--- a/src/gateway/target_link.cpp
+++ b/src/gateway/target_link.cpp
@@ -170,7 +170,7 @@
 
 void target_link::complete(const target_ready& ready) {
     const std::shared_ptr<target_link> self = shared_from_this();
-    state_ = ready.state;
+    const bool is_state_changed = ready.state != std::exchange(state_, ready.state);
     idle_since_ = transport::get_boot_time();
     if (!is_open_) {
         is_open_ = true;
@@ -197,7 +197,7 @@
     }
     switch (finished.role) {
         case answer_role::setup:
-            finish_step(*finished.step, answer);
+            finish_step(*finished.step, answer, is_state_changed);
             return;
         case answer_role::begin:
             finish_begin(answer);
@@ -213,7 +213,8 @@
     done.done(answer);
 }
 
-void target_link::finish_step(const coordination::setup_step& step, const target_answer& answer) {
+void target_link::finish_step(const coordination::setup_step& step, const target_answer& answer,
+                              bool is_state_changed) {
     if (!answer.failure) {
         session_state_.acknowledge(step);
     } else {
@@ -236,6 +237,11 @@
         end({.is_local = true, .reason = "the target did not reset the connection"});
         return;
     }
+    if (!answer.failure && is_state_changed) {
+        // The statement would run in a transaction that nobody ends, or outside of its own.
+        end({.is_local = true, .reason = "a set-up has changed the transaction state"});
+        return;
+    }
     if (is_relayed() || !awaited_.empty()) {
         return;
     }
--- a/src/gateway/target_link.h
+++ b/src/gateway/target_link.h
@@ -144,7 +144,8 @@
     void append_begin(std::string& bytes);
     /** False if the statement is no longer wanted; the request has then ended. */
     bool append_statement(std::string& bytes);
-    void finish_step(const coordination::setup_step& step, const target_answer& answer);
+    void finish_step(const coordination::setup_step& step, const target_answer& answer,
+                     bool is_state_changed);
     void finish_begin(const target_answer& answer);
     /** Ends the active request, whose statement was not sent. */
     void finish_unsent(const target_failure& failure);
--- a/tests/gateway/session_engine_test.cpp
+++ b/tests/gateway/session_engine_test.cpp
@@ -360,6 +360,43 @@
     EXPECT_EQ(target.lines[1], "QUERY - ROLLBACK");
 }
 
+// Guards against an acknowledged write that is rolled back because the target opened a transaction
+// in answer to a set-up.
+TEST_F(session_engine_test, sends_nothing_after_a_setup_that_opened_a_transaction) {
+    scripted_target& target = add_target("t1", true, [](const std::string& line) {
+        return std::string(line.starts_with("STARTUP") ? "READY I 1.5\r\n"
+                                                       : "COMPLETE -\r\nREADY T 1.5\r\n");
+    });
+    give_lease("t1");
+    const auto caller = open_session("strict");
+    ask(*caller, "SET mode a");
+    const auto answer = ask(*caller, "WRITE k1 x");
+    ASSERT_FALSE(answer.empty());
+    EXPECT_TRUE(answer.back().starts_with("ERROR BUSY")) << answer.back();
+    EXPECT_FALSE(contains(target.lines, "WRITE"));
+}
+
+// Guards against a write that is kept after its transaction was rolled back: the set-up before it
+// had ended the transaction.
+TEST_F(session_engine_test, sends_nothing_after_a_setup_that_ended_the_transaction) {
+    scripted_target& target = add_target("t1", true, [](const std::string& line) {
+        const bool is_open =
+            line.find("BEGIN") != std::string::npos || line.find("READ") != std::string::npos;
+        return std::string(line.starts_with("STARTUP") ? "" : "COMPLETE -\r\n") +
+               (is_open ? "READY T 1.5\r\n" : "READY I 1.5\r\n");
+    });
+    give_lease("t1");
+    const auto caller = open_session("strict");
+    ask(*caller, "BEGIN");
+    ask(*caller, "READ k1");
+    ask(*caller, "SET mode a");
+    const auto answer = ask(*caller, "WRITE k1 x");
+    ASSERT_FALSE(answer.empty());
+    EXPECT_TRUE(answer.back().starts_with("ERROR ABORTED")) << answer.back();
+    EXPECT_EQ(last_ready_, "READY E -");
+    EXPECT_FALSE(contains(target.lines, "WRITE"));
+}
+
 // Guards against statements that stay prepared on a connection and at its target for good.
 TEST_F(session_engine_test, closes_prepared_statements_beyond_the_limit_of_a_connection) {
     scripted_target& target = add_target("t1", true, make_idle_target());
