Fail a transaction that a target ended without COMMIT

If a target answered a statement of a transaction with READY I, the session was idle again, and statements that the caller had sent ahead ran, and were kept, outside of the transaction.

Such an answer now fails the transaction: later statements are refused until ROLLBACK or COMMIT, which is answered with ABORTED.

The regression test failed before (the pipelined WRITE ran) and passes now; all 43 tests of session_engine_test and relayed_session_test passed.

--- a/src/gateway/caller_session.cpp
+++ b/src/gateway/caller_session.cpp
@@ -440,10 +440,10 @@
             link_->set_pinned(true);
             pinned_term_ = engine_.get_term(route_.group);
             phase_ = phase::open_transaction;
-        } else if (answer.failure && pending->statement.kind != statement_kind::commit) {
-            phase_ = phase::failed_transaction;
         } else {
-            phase_ = phase::idle;
+            // Statements that were sent ahead must not run outside of the transaction.
+            phase_ = pending->statement.kind == statement_kind::commit ? phase::idle
+                                                                       : phase::failed_transaction;
         }
     }
     update_last_commit(pending->statement, answer);
@@ -521,9 +521,8 @@
     if (answer.ready.state == transaction_state::open && !is_unknown) {
         phase_ = phase::open_transaction;
     } else {
-        // COMMIT ends the transaction regardless of the target's answer.
-        const bool is_ended = is_commit || answer.ready.state == transaction_state::idle;
-        phase_ = is_ended ? phase::idle : phase::failed_transaction;
+        // Only COMMIT ends the transaction, regardless of the target's answer.
+        phase_ = is_commit ? phase::idle : phase::failed_transaction;
         drop_link();
     }
     update_last_commit(statement, answer);
--- a/tests/gateway/session_engine_test.cpp
+++ b/tests/gateway/session_engine_test.cpp
@@ -397,6 +397,28 @@
     EXPECT_FALSE(contains(target.lines, "WRITE"));
 }
 
+// Guards against a pipelined write that is kept after the target ended its transaction early.
+TEST_F(session_engine_test, fails_a_transaction_that_the_target_has_ended) {
+    for (const std::string ended_at : {"READ k1", "READ k2"}) {
+        scripted_target& target = add_target("t1", true, [&](const std::string& line) {
+            const bool is_ended = line.ends_with(ended_at) || line.starts_with("STARTUP");
+            return std::string(line.starts_with("STARTUP") ? "" : "COMPLETE proof\r\n") +
+                   (is_ended ? "READY I 1.5\r\n" : "READY T 1.5\r\n");
+        });
+        give_lease("t1");
+        const auto caller = open_session("strict");
+        ask(*caller, "BEGIN");
+        ask(*caller, "READ k1");
+        ask(*caller, "READ k2");
+        EXPECT_EQ(last_ready_.substr(0, 7), "READY E");
+        ask(*caller, "WRITE k1 x");
+        EXPECT_FALSE(contains(target.lines, "WRITE"));
+        EXPECT_TRUE(ask(*caller, "COMMIT").back().starts_with("ERROR ABORTED"));
+        EXPECT_EQ(last_ready_, "READY I -");
+        engine_.close_target_links("g", "t1");
+    }
+}
+
 // Guards against statements that stay prepared on a connection and at its target for good.
 TEST_F(session_engine_test, closes_prepared_statements_beyond_the_limit_of_a_connection) {
     scripted_target& target = add_target("t1", true, make_idle_target());
