Fail a transaction after a target's promise that nothing is kept

If a target answered a statement of a transaction with BUSY or another promise, and with READY T, the transaction stayed open, so that a COMMIT sent ahead kept what the caller had been told is not kept.

The session now rolls back and fails the transaction; a COMMIT refused in this way ends it.

--- a/src/gateway/caller_session.cpp
+++ b/src/gateway/caller_session.cpp
@@ -512,13 +512,12 @@
                       "no answer from the target");
         return;
     }
-    const bool is_unknown =
-        answer.failure && answer.failure->code == failure_code::unknown_prepared;
-    if (is_unknown) {
+    if (answer.failure && answer.failure->code == failure_code::unknown_prepared) {
         link->get_session_state().invalidate();
     }
-    // Bringing the state in line again may not be possible inside the transaction.
-    if (answer.ready.state == transaction_state::open && !is_unknown) {
+    const bool is_promise = answer.failure && (is_not_run(answer.failure->code) ||
+                                               answer.failure->code == failure_code::aborted);
+    if (answer.ready.state == transaction_state::open && !is_promise) {
         phase_ = phase::open_transaction;
     } else {
         // Only COMMIT ends the transaction, regardless of the target's answer.
--- a/tests/gateway/session_engine_test.cpp
+++ b/tests/gateway/session_engine_test.cpp
@@ -419,6 +419,30 @@
     }
 }
 
+// Guards against a transaction that is committed after one of its statements was refused with a
+// promise that nothing is kept.
+TEST_F(session_engine_test, fails_a_transaction_after_a_promise) {
+    for (const std::string refused : {"WRITE k2 x", "COMMIT"}) {
+        scripted_target& target = add_target("t1", true, [&](const std::string& line) {
+            return line.starts_with("STARTUP")   ? std::string("READY I 1.5\r\n")
+                   : line.ends_with(refused)     ? std::string("ERROR BUSY t1\r\nREADY T 1.5\r\n")
+                   : line.ends_with(" ROLLBACK") ? std::string("COMPLETE -\r\nREADY I 1.5\r\n")
+                                                 : std::string("COMPLETE proof\r\nREADY T 1.5\r\n");
+        });
+        give_lease("t1");
+        const auto caller = open_session("strict");
+        ask(*caller, "BEGIN");
+        ask(*caller, "WRITE k1 x");
+        EXPECT_TRUE(ask(*caller, refused).back().starts_with("ERROR BUSY"));
+        EXPECT_EQ(last_ready_.substr(0, 7), refused == "COMMIT" ? "READY I" : "READY E");
+        run_until([&] { return contains(target.lines, "QUERY - ROLLBACK"); });
+        target.lines.clear();
+        ask(*caller, "COMMIT");
+        EXPECT_FALSE(contains(target.lines, "COMMIT"));
+        engine_.close_target_links("g", "t1");
+    }
+}
+
 // Guards against statements that stay prepared on a connection and at its target for good.
 TEST_F(session_engine_test, closes_prepared_statements_beyond_the_limit_of_a_connection) {
     scripted_target& target = add_target("t1", true, make_idle_target());
