End a transaction with its COMMIT whatever state the target reports

If a target answered a COMMIT with READY T, the session kept the connection, and its next statements ran in a transaction that nobody committed, although they were acknowledged.

A COMMIT now always ends the transaction; what the target still has open is rolled back.

--- a/src/gateway/caller_session.cpp
+++ b/src/gateway/caller_session.cpp
@@ -435,15 +435,15 @@
     }
     pending_ = nullptr;
     if (pending->begin && link) {
-        if (answer.ready.state == transaction_state::open) {
+        const bool is_commit = pending->statement.kind == statement_kind::commit;
+        if (answer.ready.state == transaction_state::open && !is_commit) {
             link_ = link;
             link_->set_pinned(true);
             pinned_term_ = engine_.get_term(route_.group);
             phase_ = phase::open_transaction;
         } else {
             // Statements that were sent ahead must not run outside of the transaction.
-            phase_ = pending->statement.kind == statement_kind::commit ? phase::idle
-                                                                       : phase::failed_transaction;
+            phase_ = is_commit ? phase::idle : phase::failed_transaction;
         }
     }
     update_last_commit(pending->statement, answer);
@@ -517,7 +517,7 @@
     }
     const bool is_promise = answer.failure && (is_not_run(answer.failure->code) ||
                                                answer.failure->code == failure_code::aborted);
-    if (answer.ready.state == transaction_state::open && !is_promise) {
+    if (answer.ready.state == transaction_state::open && !is_promise && !is_commit) {
         phase_ = phase::open_transaction;
     } else {
         // Only COMMIT ends the transaction, regardless of the target's answer.
--- a/tests/gateway/session_engine_test.cpp
+++ b/tests/gateway/session_engine_test.cpp
@@ -443,6 +443,28 @@
     }
 }
 
+// Guards against an acknowledged write that is rolled back: it ran in a transaction that the target
+// reported open after a COMMIT.
+TEST_F(session_engine_test, ends_a_transaction_that_is_open_after_its_commit) {
+    for (const bool is_first : {true, false}) {
+        scripted_target& target = add_target("t1", true, [](const std::string& line) {
+            return line.starts_with("STARTUP")   ? std::string("READY I 1.5\r\n")
+                   : line.ends_with(" ROLLBACK") ? std::string("COMPLETE -\r\nREADY I 1.5\r\n")
+                                                 : std::string("COMPLETE proof\r\nREADY T 1.5\r\n");
+        });
+        give_lease("t1");
+        const auto caller = open_session("strict");
+        ask(*caller, "BEGIN");
+        if (!is_first) {
+            ask(*caller, "WRITE k1 x");
+        }
+        EXPECT_EQ(ask(*caller, "COMMIT").back(), "COMPLETE proof");
+        EXPECT_EQ(last_ready_, "READY I 1.5");
+        run_until([&] { return contains(target.lines, "QUERY - ROLLBACK"); });
+        engine_.close_target_links("g", "t1");
+    }
+}
+
 // Guards against statements that stay prepared on a connection and at its target for good.
 TEST_F(session_engine_test, closes_prepared_statements_beyond_the_limit_of_a_connection) {
     scripted_target& target = add_target("t1", true, make_idle_target());
