Refuse a statement of another VM in time when it was not sent

A statement of another VM that was not sent within the time which that VM allows is refused, also while its connection is being set up.

--- a/src/gateway/session_engine.cpp
+++ b/src/gateway/session_engine.cpp
@@ -70,6 +70,15 @@
                                                : default_timeout_ms;
 }
 
+/** Time from its arrival after which a statement without an answer is refused. */
+std::int64_t get_answer_limit(const pending_statement& pending) {
+    // The other VM knows only that it passed the statement on, so it must learn in time that the
+    // statement was not sent.
+    return pending.is_relayed() && !pending.may_have_run()
+               ? std::max(pending.wait_ms, min_relayed_wait_ms)
+               : get_timeout(pending);
+}
+
 std::int64_t scale(std::int64_t value, double factor) {
     return static_cast<std::int64_t>(static_cast<double>(value) * factor);
 }
@@ -1032,7 +1041,7 @@
     }
     const std::vector<pending_statement_ptr> running = group.running;
     for (const pending_statement_ptr& pending : running) {
-        if (now - pending->arrived_at < get_timeout(*pending)) {
+        if (now - pending->arrived_at < get_answer_limit(*pending)) {
             continue;
         }
         if (!pending->is_settled) {
--- a/tests/gateway/relayed_session_test.cpp
+++ b/tests/gateway/relayed_session_test.cpp
@@ -437,6 +437,20 @@
     EXPECT_EQ(ask(*caller, "READ k1").back(), "READY I 1.5");
 }
 
+// Guards against a caller that is left in doubt because homes wait for the set-up of a connection
+// until the VM that passed the statement on gives it up.
+TEST_F(relayed_session_test, homes_report_in_time_that_a_statement_was_not_sent) {
+    scripted_target& target = add_target("t1", true, [](const std::string& line) {
+        return line.find(" SET ") != std::string::npos ? std::string() : make_idle_target()(line);
+    });
+    give_lease_to_all("t1");
+    const auto caller = open_session("strict");
+    ask(*caller, "SET mode a");
+    const auto answer = ask(*caller, "WRITE k1 x");
+    EXPECT_TRUE(answer[0].starts_with("ERROR BUSY")) << answer[0];
+    EXPECT_FALSE(contains(target.lines, "WRITE"));
+}
+
 // Guards against a statement that waits at a home that does not know its target.
 TEST_F(relayed_session_test, a_home_refuses_statements_for_unknown_targets) {
     give_lease_to_all("t9");
