--- a/src/gateway/pending_statement.h
+++ b/src/gateway/pending_statement.h
@@ -30,8 +30,8 @@
     std::optional<state::log_point> last_commit_position;  ///< Of the session.
     std::int64_t operation_started_at = 0;  ///< Arrival of the statement or of its BEGIN.
     std::int64_t arrived_at = 0;
-    int attempts = 0;  ///< Number of times it was sent.
-    int sent = 0;      ///< Outstanding connections on which it was sent itself.
+    int attempts = 0;  ///< Connections it was assigned to, the same one counted again.
+    int sent = 0;      ///< Of outstanding_links, those on which it was sent after its set-up.
     std::vector<std::weak_ptr<target_link>> links;  ///< Connections it was assigned to.
     /// Those of them with its set-up or its answer outstanding.
     std::vector<std::weak_ptr<target_link>> outstanding_links;
--- a/src/gateway/target_link.cpp
+++ b/src/gateway/target_link.cpp
@@ -81,10 +81,9 @@
     if (is_relayed() || awaited_.empty()) {
         append_begin(bytes);
     }
-    if (is_relayed() || awaited_.empty()) {
-        if (!append_statement(bytes)) {
-            return;
-        }
+    const bool is_statement_due = is_relayed() || awaited_.empty();
+    if (is_statement_due && !append_statement(bytes)) {
+        return;
     }
     stream_->write(std::move(bytes));
 }
