--- a/src/gateway/caller_session.cpp
+++ b/src/gateway/caller_session.cpp
@@ -72,15 +72,9 @@
         counted_input_bytes_ = buffered;
     }
     if (is_busy_ && buffered > max_waiting_input_bytes) {
-        engine_.log_bad_input(caller_, "too much input behind an outstanding statement");
-        stream_->write(engine_.get_protocol().format_failure(
-            {failure_code::too_big, {}, "too much input behind an outstanding statement"}));
-        close();
+        reject_input("too much input behind an outstanding statement", failure_code::too_big);
     } else if (!is_within_limit) {
-        engine_.log_bad_input(caller_, "the incomplete input of this VM's sessions is too large");
-        stream_->write(engine_.get_protocol().format_failure(
-            {failure_code::busy, {}, "this VM buffers too much input"}));
-        close();
+        reject_input("this VM buffers too much input", failure_code::busy);
     }
 }
 
@@ -116,9 +110,9 @@
     }
 }
 
-void caller_session::reject_input(const std::string& reason) {
+void caller_session::reject_input(const std::string& reason, failure_code code) {
     engine_.log_bad_input(caller_, reason);
-    stream_->write(engine_.get_protocol().format_failure({failure_code::malformed, {}, reason}));
+    stream_->write(engine_.get_protocol().format_failure({code, {}, reason}));
     close();
 }
 
--- a/src/gateway/caller_session.h
+++ b/src/gateway/caller_session.h
@@ -76,7 +76,8 @@
     void handle(const relay_message& message);
     void handle_relay_start(const relay_start& start);
     void handle_relayed(const relayed_statement& relayed);
-    void reject_input(const std::string& reason);
+    /** Logs the reason, reports it and ends the session. */
+    void reject_input(const std::string& reason, failure_code code = failure_code::malformed);
     /** The route in the current configuration; empty if the database was removed. */
     std::optional<route> get_route() const;
     void handle_start(const session_start& start);
