Identify callers by the keys of organisations

Cause: the gateway took the second field of a session's start as a label and told targets its own name, so no target knew for whom a statement ran, keys that no configuration holds were accepted, and dropped keys went on.

Change: the configuration holds organisations, their keys as digests, priorities and limits. Where the settings call for it, a session needs a key; each statement looks it up again, and sessions end when their key is dropped. A connection to a target belongs to one organisation; the idlest one is replaced when the share of the home is used up. An organisation's statements for a target prefer one home.

Tests of gateway sessions and of platform/ pass; the whole suite was not run.

--- a/src/gateway/caller_session.cpp
+++ b/src/gateway/caller_session.cpp
@@ -182,6 +182,8 @@
     } else if (phase_ == phase::starting) {
         engine_.log_bad_input(caller_, "statement before session start");
         close();
+    } else if (!is_authorised()) {
+        end_unauthorised();
     } else {
         is_busy_ = true;
         last_active_at_ = transport::get_boot_time();
@@ -189,14 +191,65 @@
     }
 }
 
+std::optional<std::string> caller_session::find_organisation(const route& value) const {
+    if (origin_ == session_origin::peer) {
+        return limits_.organisation;
+    }
+    if (!engine_.identifies_callers() || value.is_anonymous) {
+        return std::string();
+    }
+    const organisation* found = key_ ? engine_.find_organisation(*key_) : nullptr;
+    return found == nullptr ? std::nullopt : std::optional(found->name);
+}
+
+bool caller_session::is_authorised() const {
+    const bool is_in_transaction =
+        phase_ == phase::deferred_transaction || phase_ == phase::open_transaction;
+    const std::optional<route> used = is_in_transaction ? std::optional(route_) : get_route();
+    if (!used) {
+        return true;  // A database that was removed is reported as such.
+    }
+    const std::optional<std::string> found = find_organisation(*used);
+    return found && (phase_ != phase::open_transaction || *found == organisation_);
+}
+
+void caller_session::end_unauthorised() {
+    engine_.log_bad_input(caller_, "its key identifies no organisation");
+    stream_->write(
+        engine_.get_protocol().format_failure({failure_code::unauthorised, {}, "unknown key"}));
+    close();
+}
+
+void caller_session::review_authorisation() {
+    if (is_closed_ || origin_ == session_origin::peer || phase_ == phase::starting ||
+        is_authorised()) {
+        return;
+    }
+    const bool was_sent = pinned_statement_ || (pending_ && pending_->attempts > 0);
+    if (was_sent) {
+        is_revoked_ = true;
+    } else if (is_busy_) {
+        end_unauthorised();
+    } else {
+        // An answer to nothing would confuse the caller.
+        close();
+    }
+}
+
 void caller_session::handle_start(const session_start& start) {
     if (phase_ != phase::starting) {
         engine_.log_bad_input(caller_, "session already started");
         close();
         return;
     }
-    caller_ = start.caller;
     database_ = start.database;
+    if (engine_.identifies_callers()) {
+        key_ = make_key_digest(start.caller);
+        const organisation* found = engine_.find_organisation(*key_);
+        caller_ = found == nullptr ? "unidentified" : found->name;
+    } else {
+        caller_ = start.caller;
+    }
     if (engine_.find_route(database_) == nullptr) {
         stream_->write(engine_.get_protocol().format_failure(
             {engine_.is_configured() ? failure_code::unknown_database : failure_code::busy,
@@ -205,6 +258,10 @@
         close();
         return;
     }
+    if (!is_authorised()) {
+        end_unauthorised();
+        return;
+    }
     phase_ = phase::idle;
     last_active_at_ = transport::get_boot_time();
     stream_->write(engine_.get_protocol().format_ready({}));
@@ -385,7 +442,14 @@
         reply_failure(failure_code::unknown_database, "no such database");
         return;
     }
+    const std::optional<std::string> organisation =
+        find_organisation(phase_ == phase::deferred_transaction ? route_ : *found);
+    if (!organisation) {
+        end_unauthorised();
+        return;
+    }
     const auto pending = std::make_shared<pending_statement>();
+    pending->organisation = *organisation;
     pending->session = shared_from_this();
     pending->statement = statement;
     pending->arrived_at = last_active_at_;
@@ -433,6 +497,7 @@
         if (answer.ready.state == transaction_state::open && !is_commit) {
             link_ = link;
             link_->set_pinned(true);
+            organisation_ = pending->organisation;
             pinned_term_ = engine_.get_term(route_.group);
             phase_ = phase::open_transaction;
         } else {
@@ -588,6 +653,10 @@
     is_busy_ = false;
     last_active_at_ = transport::get_boot_time();
     stream_->write(std::move(message));
+    if (is_revoked_) {
+        close();
+        return;
+    }
     if (stream_->get_queued_bytes() > max_unread_output_bytes) {
         engine_.log_bad_input(caller_, "unread answers exceed the output limit");
         close();
--- a/src/gateway/caller_session.h
+++ b/src/gateway/caller_session.h
@@ -55,6 +55,10 @@
     /** Ends a transaction that is idle, or whose statement is unanswered, for too long. */
     void enforce_time_limit(std::int64_t now, std::int64_t transaction_idle_ms);
 
+    /** Ends the session if its key identifies no organisation any more, or another one than the
+     * open transaction runs for. A statement that was sent is answered first. */
+    void review_authorisation();
+
     /** Answers the outstanding statement, if any, because this VM stops: not run, or in doubt. */
     void answer_outstanding();
 
@@ -80,6 +84,13 @@
     void reject_input(const std::string& reason, failure_code code = failure_code::malformed);
     /** The route in the current configuration; empty if the database was removed. */
     std::optional<route> get_route() const;
+    /** For which organisation statements on the route run now; an empty name if callers are not
+     * identified there. Empty if the session's key identifies no organisation. */
+    std::optional<std::string> find_organisation(const route& value) const;
+    /** Whether the next statement may run as far as the session's key is concerned. */
+    bool is_authorised() const;
+    /** Reports that the session's key identifies no organisation, and ends the session. */
+    void end_unauthorised();
     void handle_start(const session_start& start);
     void handle_statement(const caller_statement& statement);
     void handle_begin(const caller_statement& statement);
@@ -114,7 +125,9 @@
     relay_limits limits_;
     std::optional<state::log_point> required_position_;
     std::string database_;
-    std::string caller_;
+    std::string caller_;  ///< As logs name the caller; never its key.
+    std::optional<key_digest> key_;
+    std::string organisation_;  ///< Of the open transaction.
     coordination::session_values values_;
     std::map<std::string, coordination::statement_definition> prepared_;
     phase phase_ = phase::starting;
@@ -131,6 +144,7 @@
     bool is_busy_ = false;  ///< A statement is outstanding.
     bool is_closed_ = false;
     bool is_handling_ = false;
+    bool is_revoked_ = false;  ///< Ends after the answer to the outstanding statement.
     std::size_t counted_input_bytes_ = 0;
 };
 
--- a/src/gateway/configuration.h
+++ b/src/gateway/configuration.h
@@ -5,6 +5,8 @@
 #include <map>
 #include <string>
 
+#include "gateway/organisation_table.h"
+
 namespace hornbeamhook::gateway {
 
 /** Commits that the reads of a route must include. */
@@ -23,6 +25,7 @@
     std::int64_t timeout_ms = 0;    ///< For one statement; 0 means none.
     std::int64_t objective_ms = 0;  ///< Latency objective of a whole operation.
     std::int64_t priority = 0;      ///< 0 is the highest.
+    bool is_anonymous = false;      ///< Callers need no key.
 
     auto operator<=>(const route&) const = default;
 };
@@ -33,6 +36,7 @@
     std::map<std::string, route> routes;           ///< By database.
     std::map<std::string, int> connection_limits;  ///< Per target, by group.
     std::int64_t transaction_idle_ms = 0;          ///< 0 means no limit.
+    organisation_table organisations;
 
     bool operator==(const configuration&) const = default;
 };
--- a/src/gateway/gateway_settings.h
+++ b/src/gateway/gateway_settings.h
@@ -22,6 +22,11 @@
     transport::endpoint store_address;
     transport::endpoint promotion_address;
     std::int64_t shutdown_limit_ms = 0;  ///< From SIGTERM to SIGKILL.
+    bool identifies_callers = false;     ///< Callers need the key of an organisation.
+    bool limits_operations = false;      ///< The organisations' limits are in force.
+    std::int64_t limit_window_ms = 0;    ///< Span over which limits are judged.
+    double limit_excess = 0;             ///< Share of the limit that a span may exceed it by.
+    std::int64_t limit_slack = 0;        ///< Operations that a span may exceed it by besides.
 
     bool operator==(const gateway_settings&) const = default;
 };
--- a/src/gateway/home_selector.cpp
+++ b/src/gateway/home_selector.cpp
@@ -21,9 +21,12 @@
 }
 
 std::string home_selector::select(const home_plan& plan, const std::string& target,
+                                  const std::string& organisation,
                                   const std::set<std::string>& avoided, std::int64_t now) const {
-    // Start at a home that depends on the VM, to spread the load over the homes.
-    const std::size_t first = coordination::get_rendezvous_weight(target, vm_);
+    // Start at a home that depends on the organisation or the VM, to spread the load over the
+    // homes.
+    const std::size_t first =
+        coordination::get_rendezvous_weight(target, organisation.empty() ? vm_ : organisation);
     std::string unresponsive;
     for (std::size_t i = 0; i < plan.homes.size(); ++i) {
         const std::string& home = plan.homes[(first + i) % plan.homes.size()];
--- a/src/gateway/home_selector.h
+++ b/src/gateway/home_selector.h
@@ -18,11 +18,13 @@
     explicit home_selector(std::string vm) : vm_(std::move(vm)) {}
 
     /**
-     * The home for a new statement: the first responsive one in this VM's order of preference, or
-     * else an unresponsive one; empty when all are backing off or in `avoided`.
+     * The home for a new statement: the first responsive one in the order of preference of the
+     * organisation, or of this VM if it is empty, or else an unresponsive one; empty when all are
+     * backing off or in `avoided`.
      */
     std::string select(const home_plan& plan, const std::string& target,
-                       const std::set<std::string>& avoided, std::int64_t now) const;
+                       const std::string& organisation, const std::set<std::string>& avoided,
+                       std::int64_t now) const;
 
     /** Whether the VM is a home and is not backing off. */
     bool may_use(const home_plan& plan, const std::string& home, std::int64_t now) const;
--- a/src/gateway/pending_statement.h
+++ b/src/gateway/pending_statement.h
@@ -21,6 +21,7 @@
     caller_statement statement;
     std::optional<caller_statement> begin;  ///< BEGIN to send first, if any.
     route target_route;
+    std::string organisation;  ///< Of the caller; empty if it is not identified.
     /// Target chosen by the other VM; set for relayed statements only.
     std::optional<std::string> target;
     std::optional<state::log_point> required_position;  ///< Of a relayed statement.
--- a/src/gateway/session_engine.cpp
+++ b/src/gateway/session_engine.cpp
@@ -50,7 +50,8 @@
 /// Connections to the homes of one target; each carries one statement, and the target's queue holds
 /// fewer than this.
 constexpr int max_relayed_links = 24;
-constexpr int kept_relayed_links = 2;             ///< Kept open when idle.
+constexpr int kept_relayed_links = 2;   ///< Kept open when idle.
+constexpr int kept_links_per_home = 1;  ///< The same where each home serves some organisations.
 constexpr std::int64_t min_relayed_wait_ms = 30;  ///< A home tries once to find a connection.
 constexpr double answer_time_weight = 0.1;        ///< Weight of a new sample in the moving mean.
 constexpr double default_answer_ms = 15;          ///< A typical statement on an idle target.
@@ -87,7 +88,8 @@
 struct link_search {
     std::shared_ptr<target_link> best;
     int opening = 0;
-    int count = 0;  ///< Including those being opened.
+    int usable_opening = 0;  ///< Of them, those that the statement may use.
+    int count = 0;           ///< Including those being opened.
 };
 
 template <typename link_filter>
@@ -100,6 +102,7 @@
         }
         ++result.count;
         result.opening += link->is_open() ? 0 : 1;
+        result.usable_opening += !link->is_open() && may_use(*link) ? 1 : 0;
         // A link that already holds the session's values needs no setup statements. Among equal
         // ones the first is used, so that the last ones become idle and are closed.
         const coordination::session_values& values = pending.session->get_values();
@@ -161,8 +164,15 @@
 }
 
 void session_engine::set_configuration(const configuration& value) {
+    const bool may_revoke = configuration_.organisations != value.organisations;
     configuration_ = value;
     update_plans({});
+    if (may_revoke) {
+        const auto sessions = sessions_;
+        for (const auto& [key, session] : sessions) {
+            session->review_authorisation();
+        }
+    }
 }
 
 void session_engine::set_fleet(std::vector<fleet_member> live, int fleet_size) {
@@ -502,7 +512,7 @@
     if (is_direct(target) || homes_.is_every_home_backing_off(target.plan, now)) {
         return find_direct_link(target, pending);
     }
-    if (homes_.select(target.plan, target.entry.id, pending.avoided_homes, now).empty()) {
+    if (select_home(target, pending, now).empty()) {
         if (now - pending.last_sent_at < retry_delay_ms) {
             return nullptr;
         }
@@ -513,24 +523,57 @@
 
 std::shared_ptr<target_link> session_engine::find_direct_link(target_state& target,
                                                               const pending_statement& pending) {
-    const link_search found =
-        search_links(target, pending, false, [](const target_link&) { return true; });
+    const link_search found = search_links(target, pending, false, [&](const target_link& link) {
+        return link.get_organisation() == pending.organisation;
+    });
     const std::int64_t now = transport::get_boot_time();
-    if (!found.best && found.opening < max_opening_links && now >= target.reconnect_at &&
-        found.count < get_direct_link_limit(target, now)) {
-        open_link(target);
+    const bool may_open =
+        !found.best && found.opening < max_opening_links && now >= target.reconnect_at;
+    // A connection serves one organisation, so another one that opens may not be for this
+    // statement.
+    const bool is_expected = identifies_callers_ && found.usable_opening > 0;
+    if (!may_open || is_expected) {
+        return found.best;
     }
-    return found.best;
+    const int limit = get_direct_link_limit(target, now);
+    const bool has_room = found.count < limit;
+    if (has_room || (identifies_callers_ && found.count == limit && close_idlest_link(target))) {
+        open_link(target, pending.organisation);
+    }
+    return nullptr;
+}
+
+bool session_engine::close_idlest_link(target_state& target) {
+    std::shared_ptr<target_link> idlest;
+    for (const std::shared_ptr<target_link>& link : target.links) {
+        const bool may_close = link->is_idle() && !link->is_pinned() && !link->is_relayed() &&
+                               link->get_state() == transaction_state::idle;
+        if (may_close && (!idlest || link->get_idle_since() < idlest->get_idle_since())) {
+            idlest = link;
+        }
+    }
+    if (idlest) {
+        idlest->close("replaced by a connection of another organisation");
+    }
+    return idlest != nullptr;
+}
+
+std::string session_engine::select_home(const target_state& target,
+                                        const pending_statement& pending, std::int64_t now) const {
+    // An organisation's statements meet at one home, which then has a connection of it.
+    return homes_.select(target.plan, target.entry.id, pending.organisation, pending.avoided_homes,
+                         now);
 }
 
 std::shared_ptr<target_link> session_engine::find_relayed_link(target_state& target,
                                                                const pending_statement& pending) {
     const std::int64_t now = transport::get_boot_time();
-    const std::string home =
-        homes_.select(target.plan, target.entry.id, pending.avoided_homes, now);
+    const std::string home = select_home(target, pending, now);
     const bool must_be_responsive = !homes_.is_unresponsive(home, now);
+    const bool must_be_selected = !pending.organisation.empty();
     const link_search found = search_links(target, pending, true, [&](const target_link& link) {
-        return homes_.may_use(target.plan, link.get_home(), now) &&
+        return (!must_be_selected || link.get_home() == home) &&
+               homes_.may_use(target.plan, link.get_home(), now) &&
                !pending.avoided_homes.contains(link.get_home()) &&
                !(must_be_responsive && homes_.is_unresponsive(link.get_home(), now));
     });
@@ -590,7 +633,7 @@
         link_home{home, member->peer_address}));
 }
 
-void session_engine::open_link(target_state& target) {
+void session_engine::open_link(target_state& target, const std::string& organisation) {
     counters_.opened_links.Increment();
     const std::string group = target.entry.group;
     const std::string id = target.entry.id;
@@ -606,7 +649,8 @@
              [this, id](std::uint64_t link, const coordination::setup_step& step,
                         const target_failure& failure) {
                  log_setup_failure(id, "none", link, step, failure);
-             }}));
+             }},
+        std::nullopt, organisation));
 }
 
 void session_engine::probe(target_state& target) {
@@ -619,7 +663,7 @@
                     [](const auto& link) { return !link->is_open() && !link->is_ended(); });
     if (!is_opening && now >= target.reconnect_at && now >= target.next_probe_at) {
         target.next_probe_at = now + reconnect_delay_ms;
-        open_link(target);
+        open_link(target, {});
     }
 }
 
@@ -752,8 +796,9 @@
     std::string limits;
     if (link->is_relayed()) {
         const std::int64_t left = get_objective(*pending) - (now - pending->arrived_at);
-        limits = protocol_.format_relay_limits(
-            {std::max(left, min_relayed_wait_ms), pending->target_route.priority});
+        limits =
+            protocol_.format_relay_limits({std::max(left, min_relayed_wait_ms),
+                                           pending->target_route.priority, pending->organisation});
     }
     const auto is_sent = std::make_shared<bool>(false);
     send(
@@ -1127,13 +1172,14 @@
 void session_engine::trim_links(target_group& group, std::int64_t now) {
     for (auto& [id, target] : group.targets) {
         int direct = 0;
-        int relayed = 0;
+        std::map<std::string, int> relayed;  // By home, or all together.
         const std::vector<std::shared_ptr<target_link>> links = target.links;
         for (const std::shared_ptr<target_link>& link : links) {
             if (link->is_ended()) {
                 continue;
             }
-            const int index = link->is_relayed() ? relayed++ : direct++;
+            const std::string home = identifies_callers_ ? link->get_home() : std::string();
+            const int index = link->is_relayed() ? relayed[home]++ : direct++;
             const std::optional<std::int64_t> idle_timeout_ms =
                 get_idle_timeout_ms(target, *link, index);
             const std::int64_t unanswered_since = link->get_oldest_sent_at();
@@ -1173,10 +1219,15 @@
                                                                 const target_link& link,
                                                                 int index) const {
     if (link.is_relayed()) {
-        const bool is_kept = index < kept_relayed_links && !is_direct(target) &&
-                             target.plan.is_home(link.get_home());
+        const int kept_links = identifies_callers_ ? kept_links_per_home : kept_relayed_links;
+        const bool is_kept =
+            index < kept_links && !is_direct(target) && target.plan.is_home(link.get_home());
         return is_kept ? std::nullopt : std::optional(fallback_idle_timeout_ms);
     }
+    if (identifies_callers_ && is_direct(target) && index < target.plan.quota) {
+        // Each organisation needs a connection of its own, and the idlest one is replaced.
+        return std::nullopt;
+    }
     // A VM that is not a home keeps no direct link.
     return is_direct(target) ? gateway::get_idle_timeout_ms(target.plan, index)
                              : std::optional(fallback_idle_timeout_ms);
--- a/src/gateway/session_engine.h
+++ b/src/gateway/session_engine.h
@@ -46,8 +46,11 @@
 
     // For the owner of the configuration and of discovery.
 
-    /** Replaces the configuration; open transactions keep their route. */
+    /** Replaces the configuration; open transactions keep their route. Sessions whose key no
+     * organisation holds any more end. */
     void set_configuration(const configuration& value);
+    /** Whether callers need the key of an organisation. */
+    void set_identifies_callers(bool value) { identifies_callers_ = value; }
     /** Adds or updates one target, or removes it when `entry` is empty. */
     void update_target(const std::string& id, const std::optional<target_entry>& entry);
     /** Sets the VMs that share the targets' connections. `live` includes this one. */
@@ -89,6 +92,11 @@
     /** Input of all sessions that is incomplete or waits for an outstanding statement. */
     coordination::byte_budget& get_input_bytes() { return input_bytes_; }
     const route* find_route(const std::string& database) const;
+    bool identifies_callers() const { return identifies_callers_; }
+    /** The organisation that holds the key in the newest configuration; null if there is none. */
+    const organisation* find_organisation(const key_digest& key) const {
+        return configuration_.organisations.find_by_key(key);
+    }
     void submit(const pending_statement_ptr& pending);
     /** Sends a statement on a link after setting the session's values and prepared statements
      * there, unless `may_send` is set and false by then. `limits` is sent first and has no answer.
@@ -132,12 +140,16 @@
     int get_direct_link_limit(const target_state& target, std::int64_t now) const;
     std::shared_ptr<target_link> find_direct_link(target_state& target,
                                                   const pending_statement& pending);
+    std::string select_home(const target_state& target, const pending_statement& pending,
+                            std::int64_t now) const;
     std::shared_ptr<target_link> find_relayed_link(target_state& target,
                                                    const pending_statement& pending);
     /** An idle connection that may carry a control statement; null without one. */
     std::shared_ptr<target_link> find_control_link(const std::string& group,
                                                    const std::string& target);
-    void open_link(target_state& target);
+    void open_link(target_state& target, const std::string& organisation);
+    /** Closes the connection that has been idle for longest; false if none is idle. */
+    static bool close_idlest_link(target_state& target);
     void open_relayed_link(target_state& target, const std::string& home);
     /** Plans the homes of all targets after the fleet or the connection limits changed. */
     void update_plans(const coordination::member_change& change);
@@ -202,6 +214,7 @@
     transport::loop_timer timer_;
     std::int64_t started_at_ = transport::get_boot_time();
     bool is_stopping_ = false;
+    bool identifies_callers_ = false;
     coordination::byte_budget session_bytes_{max_vm_session_bytes};
     coordination::byte_budget input_bytes_{max_vm_input_bytes};
 };
--- a/src/gateway/session_protocol.h
+++ b/src/gateway/session_protocol.h
@@ -44,6 +44,7 @@
     failed,
     unknown_prepared,
     unknown_database,
+    unauthorised,  ///< No organisation holds the key.
     too_big,
     malformed,
     other,
@@ -78,7 +79,7 @@
 /** Opens a caller's session on a database. */
 struct session_start {
     std::string database;
-    std::string caller;
+    std::string caller;  ///< A label, or the key of an organisation.
 
     bool operator==(const session_start&) const = default;
 };
@@ -110,6 +111,7 @@
 struct relay_limits {
     std::int64_t wait_ms = 0;   ///< Remaining time of its objective.
     std::int64_t priority = 0;  ///< Priority of its route; 0 is the highest.
+    std::string organisation;   ///< Of the caller; empty if it is not identified.
 
     bool operator==(const relay_limits&) const = default;
 };
@@ -193,7 +195,9 @@
     virtual std::string format_failure(const target_failure& failure) const = 0;
     virtual std::string format_ready(const target_ready& ready) const = 0;
 
-    virtual std::string format_start(const std::string& group, const std::string& target) const = 0;
+    /** Opens a connection to a target on behalf of an organisation; empty for none. */
+    virtual std::string format_start(const std::string& group, const std::string& organisation,
+                                     const std::string& target) const = 0;
     /** The target runs the statement only after its log has reached `required_position`. */
     virtual std::string format_statement(const std::string& id,
                                          const std::optional<state::log_point>& required_position,
--- a/src/gateway/target_link.cpp
+++ b/src/gateway/target_link.cpp
@@ -35,9 +35,11 @@
 std::shared_ptr<target_link> target_link::open(transport::event_loop& loop,
                                                const session_protocol& protocol,
                                                const target_entry& target, link_events events,
-                                               const std::optional<link_home>& home) {
+                                               const std::optional<link_home>& home,
+                                               std::string organisation) {
     std::shared_ptr<target_link> link(new target_link(protocol, target));
     link->home_ = home ? home->vm : std::string();
+    link->organisation_ = std::move(organisation);
     link->events_ = std::move(events);
     link->opened_at_ = transport::get_boot_time();
     link->stream_ = transport::tcp_stream::connect(
@@ -48,7 +50,7 @@
 }
 
 void target_link::start_session() {
-    std::string line = protocol_.format_start(group_, target_);
+    std::string line = protocol_.format_start(group_, organisation_, target_);
     if (line.empty()) {
         end({.failure = target_failure{failure_code::malformed, {}, "its name cannot be sent"}});
         return;
--- a/src/gateway/target_link.h
+++ b/src/gateway/target_link.h
@@ -61,11 +61,13 @@
             setup_failed;
     };
 
-    /** Connects to the target, or to `home`, which forwards the statements to it. */
+    /** Connects to the target on behalf of `organisation`, or of none if it is empty, or to `home`,
+     * which forwards the statements of all organisations to it. */
     static std::shared_ptr<target_link> open(transport::event_loop& loop,
                                              const session_protocol& protocol,
                                              const target_entry& target, link_events events,
-                                             const std::optional<link_home>& home = std::nullopt);
+                                             const std::optional<link_home>& home = std::nullopt,
+                                             std::string organisation = {});
 
     /**
      * Sends a statement after the set-up that it needs. `done` gets its answer, or learns that it
@@ -100,6 +102,8 @@
     /** The VM that forwards the statements; empty for a direct connection. */
     const std::string& get_home() const { return home_; }
     bool is_relayed() const { return !home_.empty(); }
+    /** On whose behalf a direct connection runs statements. */
+    const std::string& get_organisation() const { return organisation_; }
     std::int64_t get_opened_at() const { return opened_at_; }
     std::int64_t get_idle_since() const { return idle_since_; }
 
@@ -156,6 +160,7 @@
     std::string group_;
     std::string target_;
     std::string home_;
+    std::string organisation_;
     link_events events_;
     std::shared_ptr<transport::tcp_stream> stream_;
     transport::line_buffer lines_;
--- a/tests/platform/settings_reader_test.cpp
+++ b/tests/platform/settings_reader_test.cpp
@@ -36,6 +36,27 @@
     EXPECT_EQ(settings->place_regions.size(), 2U);
 }
 
+// Guards against callers that are identified, or limits in force, where the platform has neither.
+TEST(settings_reader, reads_which_parts_are_in_force) {
+    const auto without = parse_settings(sample);
+    EXPECT_FALSE(without->identifies_callers);
+    EXPECT_FALSE(without->limits_operations);
+    const std::string contracts = std::string(sample) + "Contracts=base,tenants,quota,sql\n";
+    EXPECT_EQ(get_error(contracts), "Bounds.QuotaWindowS: missing");
+    const auto with = parse_settings(contracts +
+                                     "Bounds.QuotaWindowS=5\nBounds.QuotaExcess=0.1\n"
+                                     "Bounds.QuotaSlack=20\n");
+    EXPECT_TRUE(with->identifies_callers);
+    EXPECT_TRUE(with->limits_operations);
+    EXPECT_EQ(with->limit_window_ms, 5000);
+    EXPECT_DOUBLE_EQ(with->limit_excess, 0.1);
+    EXPECT_EQ(with->limit_slack, 20);
+    const auto exact = parse_settings(contracts + "Bounds.QuotaWindowS=5\nBounds.QuotaSlack=0\n");
+    EXPECT_EQ(exact->limit_slack, 0);
+    EXPECT_EQ(exact->limit_excess, 0);
+    EXPECT_FALSE(parse_settings(std::string(sample) + "Contracts=tenants2\n")->identifies_callers);
+}
+
 // Guards against starting with incomplete settings, or failing without naming the field.
 TEST(settings_reader, names_a_missing_or_invalid_field) {
     EXPECT_EQ(get_error(""), "Node: missing");
--- a/tests/platform/store_codec_test.cpp
+++ b/tests/platform/store_codec_test.cpp
@@ -191,6 +191,104 @@
     EXPECT_EQ(rows.errors.size(), 1U);
 }
 
+nlohmann::json make_organisation(const std::string& name, const std::vector<std::string>& keys) {
+    return {{"Name", name}, {"ApiKeys", keys}, {"Priority", 1}, {"RatePerS", 30}, {"Burst", 40}};
+}
+
+platform_rows decode_organisations(const nlohmann::json& list) {
+    const nlohmann::json value{
+        {"Version", 7}, {"Routes", nlohmann::json::array()}, {"Tenants", list}};
+    return store_codec().decode(platform_table::configuration,
+                                {{"op", "config", value.dump(), 5, false}});
+}
+
+TEST(store_codec, reads_organisations_and_their_keys) {
+    const platform_rows rows = decode_organisations(
+        {make_organisation("anna", {"k1", "k2"}), make_organisation("bert", {"k3"})});
+    ASSERT_TRUE(rows.newest_configuration);
+    EXPECT_TRUE(rows.errors.empty());
+    const organisation_table& table = rows.newest_configuration->organisations;
+    ASSERT_NE(table.find_by_key(make_key_digest("k2")), nullptr);
+    EXPECT_EQ(*table.find_by_key(make_key_digest("k2")),
+              (organisation{"anna", 1, operation_limit{30, 40}}));
+    EXPECT_EQ(table.find_by_key(make_key_digest("k3"))->name, "bert");
+    EXPECT_EQ(table.find_by_key(make_key_digest("k4")), nullptr);
+}
+
+// Guards against one bad organisation that hides the others or their keys, and against keys in the
+// errors, which are logged.
+TEST(store_codec, skips_invalid_organisations_and_names_no_key) {
+    nlohmann::json unlimited = make_organisation("unlimited", {"key-u"});
+    unlimited.erase("RatePerS");
+    unlimited.erase("Burst");
+    nlohmann::json list{make_organisation("good", {"key-g"}),
+                        unlimited,
+                        make_organisation("", {"key-1"}),
+                        make_organisation("a b", {"key-2"}),
+                        make_organisation("good", {"key-3"}),
+                        make_organisation("keyless", {}),
+                        7,
+                        nullptr};
+    for (const nlohmann::json& odd : {nlohmann::json(-1), nlohmann::json(1.5), nlohmann::json("9"),
+                                      nlohmann::json(1e30), nlohmann::json()}) {
+        nlohmann::json entry = make_organisation("odd" + std::to_string(list.size()),
+                                                 {"key-o" + std::to_string(list.size())});
+        entry["RatePerS"] = odd;
+        list.push_back(entry);
+    }
+    nlohmann::json odd_keys = make_organisation("odd-keys", {"key-k"});
+    odd_keys["ApiKeys"].push_back(7);
+    odd_keys["ApiKeys"].push_back("");
+    list.push_back(odd_keys);
+    const platform_rows rows = decode_organisations(list);
+    ASSERT_TRUE(rows.newest_configuration);
+    const organisation_table& table = rows.newest_configuration->organisations;
+    EXPECT_EQ(table.find_by_key(make_key_digest("key-g"))->name, "good");
+    EXPECT_FALSE(table.find_by_key(make_key_digest("key-u"))->limit);
+    EXPECT_EQ(table.find_by_key(make_key_digest("key-k"))->name, "odd-keys");
+    EXPECT_EQ(table.find_by_key(make_key_digest("key-3")), nullptr);
+    EXPECT_EQ(table.find_by_key(make_key_digest("")), nullptr);
+    EXPECT_EQ(table.find("odd8")->limit, std::nullopt);
+    EXPECT_EQ(rows.errors.size(), 13U);
+    for (const std::string& error : rows.errors) {
+        EXPECT_EQ(error.find("key-"), std::string::npos) << error;
+    }
+}
+
+// Guards against a rate of 0 that is taken for no limit.
+TEST(store_codec, a_rate_of_zero_is_a_limit) {
+    nlohmann::json entry = make_organisation("anna", {"k"});
+    entry["RatePerS"] = 0;
+    entry["Burst"] = 0;
+    const platform_rows rows = decode_organisations(nlohmann::json::array({entry}));
+    EXPECT_EQ(rows.newest_configuration->organisations.find("anna")->limit,
+              (operation_limit{0, 0}));
+    EXPECT_TRUE(rows.errors.empty());
+}
+
+// Guards against callers of one organisation that run as another one.
+TEST(store_codec, a_key_that_two_organisations_share_identifies_neither) {
+    const platform_rows rows = decode_organisations({make_organisation("anna", {"own", "shared"}),
+                                                     make_organisation("bert", {"shared"}),
+                                                     make_organisation("cleo", {"shared"})});
+    const organisation_table& table = rows.newest_configuration->organisations;
+    EXPECT_EQ(table.find_by_key(make_key_digest("shared")), nullptr);
+    EXPECT_EQ(table.find_by_key(make_key_digest("own"))->name, "anna");
+    EXPECT_EQ(rows.errors.size(), 2U);
+}
+
+// Guards against a table that grows faster than its configuration, or is cut.
+TEST(store_codec, reads_500_organisations) {
+    nlohmann::json list = nlohmann::json::array();
+    for (int i = 0; i < 500; ++i) {
+        list.push_back(make_organisation("o" + std::to_string(i),
+                                         {"a" + std::to_string(i), "b" + std::to_string(i)}));
+    }
+    const platform_rows rows = decode_organisations(list);
+    EXPECT_EQ(rows.newest_configuration->organisations.organisations.size(), 500U);
+    EXPECT_EQ(rows.newest_configuration->organisations.names.size(), 1000U);
+}
+
 // Guards against treating a call without an answer as not applied.
 TEST(store_codec, distinguishes_refused_from_unknown) {
     const store_codec codec;
--- a/tests/platform/wire_codec_test.cpp
+++ b/tests/platform/wire_codec_test.cpp
@@ -92,7 +92,11 @@
     const std::string limits = codec.format_relay_limits({240, 2});
     EXPECT_EQ(std::get<gateway::relay_limits>(
                   codec.parse_relay_line(limits.substr(0, limits.size() - 2))),
-              (gateway::relay_limits{240, 2}));
+              (gateway::relay_limits{240, 2, ""}));
+    const std::string named = codec.format_relay_limits({240, 2, "anna"});
+    EXPECT_EQ(std::get<gateway::relay_limits>(
+                  codec.parse_relay_line(named.substr(0, named.size() - 2))),
+              (gateway::relay_limits{240, 2, "anna"}));
     const auto read = std::get<gateway::relayed_statement>(
         codec.parse_relay_line("QUERY 5c0e WAITLSN 3.1207 READ 1a4"));
     EXPECT_EQ(read.required_position, (state::log_point{3, 1207}));
@@ -149,10 +153,14 @@
 // id "x y" was sent as "STARTUP g hornbeamhook x y", a group "g a" as group g and caller a.
 TEST(wire_codec, starts_no_session_with_a_field_that_is_no_word) {
     const wire_codec codec;
-    EXPECT_EQ(codec.format_start("g", "t"), "STARTUP g hornbeamhook t\r\n");
+    EXPECT_EQ(codec.format_start("g", "", "t"), "STARTUP g hornbeamhook t\r\n");
+    EXPECT_EQ(codec.format_start("g", "o", "t"), "STARTUP g o t\r\n");
     for (const char* odd : {"", " ", "a b", " a", "a ", "a\r\nQUERY - STEPDOWN 9"}) {
-        EXPECT_EQ(codec.format_start(odd, "t"), "") << odd;
-        EXPECT_EQ(codec.format_start("g", odd), "") << odd;
+        EXPECT_EQ(codec.format_start(odd, "o", "t"), "") << odd;
+        EXPECT_EQ(codec.format_start("g", odd, "t"),
+                  *odd == 0 ? "STARTUP g hornbeamhook t\r\n" : "")
+            << odd;
+        EXPECT_EQ(codec.format_start("g", "o", odd), "") << odd;
     }
 }
 
@@ -219,7 +227,7 @@
         EXPECT_EQ(parse_relayed(codec.format_close(name)).statement.name, name);
         EXPECT_EQ(codec.format_prepare(name, is_write, last).empty(), last.empty());
         EXPECT_EQ(codec.format_execute(id, required, name, last).empty(), last.empty());
-        EXPECT_EQ(codec.parse_relay_line(get_line(codec.format_start(id, name))),
+        EXPECT_EQ(codec.parse_relay_line(get_line(codec.format_start(id, "o", name))),
                   relay_message(relay_start{id, name}));
         const relay_limits limits{static_cast<std::int64_t>(text.draw_number()),
                                   static_cast<std::int64_t>(text.draw_number())};
@@ -283,7 +291,7 @@
             EXPECT_EQ(std::get<caller_statement>(parsed).id, id);
             EXPECT_EQ(std::get<caller_statement>(parsed).text, "READ " + last);
         }
-        if (const std::string line = codec.format_start(id, name); !line.empty()) {
+        if (const std::string line = codec.format_start(id, "o", name); !line.empty()) {
             EXPECT_EQ(codec.parse_relay_line(get_line(line)), relay_message(relay_start{id, name}));
         }
     }
