Explore changes of the primary while the store refuses VMs

The exploration covered an outage of the store together with a cut of the fleet, but not a store that refuses some VMs while others are cut off, replaced, suspended or stopped as planned.

--- /dev/null
+++ b/tests/gateway/storeless_exploration_test.cpp
@@ -0,0 +1,41 @@
+#include <gtest/gtest.h>
+
+#include "support/leadership_simulation.h"
+
+// Simulates changes of the primary while the store refuses a part of the fleet or all of it, and
+// VMs are cut off, suspended, replaced or stopped as planned.
+
+namespace hornbeamhook::gateway {
+namespace {
+
+using tests::explore;
+using tests::injected_fault;
+using tests::run_simulation;
+using tests::schedule;
+
+// Guards against a VM without the store that extends its lease by promises of members which a
+// promoter does not reach or does not know.
+TEST(storeless_exploration, no_vm_uses_a_primary_that_was_replaced) {
+    constexpr int runs = 1000;
+    int promotions = 0;
+    ASSERT_NO_FATAL_FAILURE(explore(schedule::storeless_parts, runs, promotions));
+    EXPECT_GT(promotions, runs / 2) << "too few promotions to test the rules";
+}
+
+// Shows that the schedule detects promises without a version, promoters that do not wait and
+// holders of leases that are left out after their removal.
+TEST(storeless_exploration, detects_injected_faults) {
+    constexpr std::uint64_t max_runs = 2000;
+    for (const injected_fault fault :
+         {injected_fault::skips_lease_wait, injected_fault::omits_promise_version,
+          injected_fault::ignores_lease_expiry}) {
+        int violations = 0;
+        for (std::uint64_t seed = 1; seed <= max_runs && violations == 0; ++seed) {
+            violations = run_simulation(seed, fault, schedule::storeless_parts)->violations;
+        }
+        EXPECT_GT(violations, 0) << "fault " << static_cast<int>(fault);
+    }
+}
+
+}  // namespace
+}  // namespace hornbeamhook::gateway
