Explore a fleet whose survivors restart after a cut

A part of the fleet is cut off and removed from the list; then every process that knows the removed VMs restarts. Under the present rules their leases have ended by then, because each extension needs the promise of the VM that removed them. Rules that extend leases by a quorum of the list lose this bound.

--- a/tests/gateway/storeless_exploration_test.cpp
+++ b/tests/gateway/storeless_exploration_test.cpp
@@ -22,6 +22,15 @@
     EXPECT_GT(promotions, runs / 2) << "too few promotions to test the rules";
 }
 
+// Guards against a promoter that goes on although VMs which no running process knows any more keep
+// extending their leases by each other's promises.
+TEST(storeless_exploration, removed_vms_that_no_process_knows_have_no_lease) {
+    constexpr int runs = 500;
+    int promotions = 0;
+    ASSERT_NO_FATAL_FAILURE(explore(schedule::survivors_restart, runs, promotions));
+    EXPECT_GT(promotions, runs / 10) << "too few promotions to test the rules";
+}
+
 // Shows that the schedule detects promises without a version, promoters that do not wait and
 // holders of leases that are left out after their removal.
 TEST(storeless_exploration, detects_injected_faults) {
--- a/tests/support/leadership_simulation.h
+++ b/tests/support/leadership_simulation.h
@@ -654,16 +654,17 @@
 
 /** What happens in a simulation besides a loss of the primary. */
 enum class schedule {
-    mixed_faults,     ///< Faults start at random times and may overlap.
-    late_joiners,     ///< VMs join shortly before the primary is considered lost.
-    split_fleets,     ///< Several VMs lose the store and the others, but not each other.
-    late_store,       ///< The same, for a shorter time, and the store returns after the others.
-    departures,       ///< Late joiners and split fleets, and VMs that stop as planned.
-    partial_reports,  ///< Mixed faults; targets are reached only now and then.
-    relayed_reads,    ///< Mixed faults, and VMs take most rows from another VM's copy.
-    restores,         ///< Mixed faults, and the store comes back from earlier copies.
-    late_removals,    ///< VMs stop as planned and start again; their rows are removed late.
-    refused_reports,  ///< Mixed faults, and targets are too busy to answer most surveys.
+    mixed_faults,       ///< Faults start at random times and may overlap.
+    late_joiners,       ///< VMs join shortly before the primary is considered lost.
+    split_fleets,       ///< Several VMs lose the store and the others, but not each other.
+    late_store,         ///< The same, for a shorter time, and the store returns after the others.
+    departures,         ///< Late joiners and split fleets, and VMs that stop as planned.
+    partial_reports,    ///< Mixed faults; targets are reached only now and then.
+    relayed_reads,      ///< Mixed faults, and VMs take most rows from another VM's copy.
+    restores,           ///< Mixed faults, and the store comes back from earlier copies.
+    late_removals,      ///< VMs stop as planned and start again; their rows are removed late.
+    refused_reports,    ///< Mixed faults, and targets are too busy to answer most surveys.
+    survivors_restart,  ///< All VMs outside a cut part restart after they removed it.
     storeless_parts,  ///< The store refuses some VMs while VMs are cut off, suspended and replaced.
 };
 
@@ -893,6 +894,37 @@
     }
 }
 
+/**
+ * Cuts all VMs but one from the store and from that one, which removes them from the list with the
+ * help of two that join. Then these three restart, so that no process knows the removed VMs, and
+ * consider the primary lost.
+ */
+inline void add_survivor_restarts(simulation& sim,
+                                  const std::function<void(int, std::int64_t)>& start, int vms) {
+    const std::int64_t cut_at = 20000 + sim.random_between(0, 1000);
+    const std::int64_t restart_at = cut_at + sim.random_between(4500, 8000);
+    const std::int64_t lost_at = restart_at + sim.random_between(2500, 5000);
+    const auto first = static_cast<int>(sim.random_between(20, 60));
+    const std::vector<int> survivors = {0, first, first + 1};
+    sim.at(cut_at, [&sim, vms] {
+        for (int i = 1; i < vms; ++i) {
+            sim.vms.at("vm" + std::to_string(i))->side = 1;
+            sim.vms.at("vm" + std::to_string(i))->is_store_unreachable = true;
+        }
+    });
+    for (const int number : {first, first + 1}) {
+        sim.at(cut_at + sim.random_between(0, 1500),
+               [&sim, start, number] { start(number, sim.now + 1); });
+    }
+    for (const int number : survivors) {
+        sim.at(restart_at + sim.random_between(0, 300),
+               [&sim, start, number] { start(number, sim.now + 1); });
+    }
+    sim.at(lost_at,
+           [&sim] { sim.set_suspects([](const simulated_vm& vm) { return vm.side == 0; }); });
+    sim.at(lost_at + 3000, [&sim] { sim.set_all_suspect(false); });
+}
+
 /** Runs one simulation. */
 inline std::unique_ptr<simulation> run_simulation(std::uint64_t seed, injected_fault fault,
                                                   schedule events = schedule::mixed_faults) {
@@ -900,7 +932,8 @@
     simulation& sim = *result;
     sim.relays_reads = events == schedule::relayed_reads;
     sim.loses_reports = events == schedule::partial_reports;
-    const bool is_storeless = events == schedule::storeless_parts;
+    const bool is_storeless =
+        events == schedule::storeless_parts || events == schedule::survivors_restart;
     const bool is_split = events == schedule::split_fleets || events == schedule::late_store ||
                           events == schedule::departures;
     sim.reads_after_joining = events == schedule::late_joiners ||
@@ -942,6 +975,11 @@
         sim.run();
         return result;
     }
+    if (events == schedule::survivors_restart) {
+        add_survivor_restarts(sim, start, vms);
+        sim.run();
+        return result;
+    }
     if (is_storeless) {
         add_storeless_parts(sim, start, vms);
         sim.run();
