--- a/tests/support/leadership_simulation.h
+++ b/tests/support/leadership_simulation.h
@@ -230,8 +230,8 @@
     for (const auto& [id, target] : targets) {
         if (id != old && target.position > targets[chosen].position) {
             ++violations;
-            detail += chosen + " was promoted at " + std::to_string(now) + " although " + id +
-                      " holds more; ";
+            detail.append(chosen).append(" was promoted at ").append(std::to_string(now));
+            detail.append(" although ").append(id).append(" holds more; ");
         }
     }
 }
