Spread large organisations over the homes of a target

Cause: all statements of an organisation for a target went to one home. The largest organisation alone filled the 18 connections of its home with open transactions, so statements waited for a connection until they were refused, while the other homes had idle ones.

Change: organisations with more than 3 % of all limits use all homes, as callers without an organisation do; the others keep one. A home whose connections are all held by transactions refuses at once what another VM passes on. Two connections to each home are kept.

--- a/src/gateway/organisation_table.cpp
+++ b/src/gateway/organisation_table.cpp
@@ -28,4 +28,18 @@
     return entry == organisations.end() ? nullptr : &entry->second;
 }
 
+std::set<std::string> get_large_organisations(const organisation_table& table, double share) {
+    double total = 0;
+    for (const auto& [name, value] : table.organisations) {
+        total += value.limit ? static_cast<double>(value.limit->rate_per_s) : 0;
+    }
+    std::set<std::string> result;
+    for (const auto& [name, value] : table.organisations) {
+        if (value.limit && static_cast<double>(value.limit->rate_per_s) > share * total) {
+            result.insert(name);
+        }
+    }
+    return result;
+}
+
 }  // namespace hornbeamhook::gateway
--- a/src/gateway/organisation_table.h
+++ b/src/gateway/organisation_table.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 
@@ -56,4 +57,7 @@
     bool operator==(const organisation_table&) const = default;
 };
 
+/** Names of the organisations whose limit is more than `share` of all limits together. Pure. */
+std::set<std::string> get_large_organisations(const organisation_table& table, double share);
+
 }  // namespace hornbeamhook::gateway
--- a/src/gateway/session_engine.cpp
+++ b/src/gateway/session_engine.cpp
@@ -51,10 +51,12 @@
 /// fewer than this.
 constexpr int max_relayed_links = 24;
 constexpr int kept_relayed_links = 2;   ///< Kept open when idle.
-constexpr int kept_links_per_home = 1;  ///< The same where each home serves some organisations.
+constexpr int kept_links_per_home = 2;  ///< The same where each home serves some organisations.
 constexpr std::int64_t min_relayed_wait_ms = 30;  ///< A home tries once to find a connection.
-constexpr double answer_time_weight = 0.1;        ///< Weight of a new sample in the moving mean.
-constexpr double default_answer_ms = 15;          ///< A typical statement on an idle target.
+/// Of the limits of all organisations; a home has a third of the connections of a target.
+constexpr double max_share_at_one_home = 0.03;
+constexpr double answer_time_weight = 0.1;   ///< Weight of a new sample in the moving mean.
+constexpr double default_answer_ms = 15;     ///< A typical statement on an idle target.
 constexpr double primary_read_factor = 1.6;  ///< Slots of primaries are scarce: writes need them.
 constexpr std::int64_t region_round_trip_ms = 16;     ///< Between regions.
 constexpr std::int64_t answer_time_expiry_ms = 2000;  ///< Without answers the mean is discarded.
@@ -167,6 +169,7 @@
     const bool may_revoke = configuration_.organisations != value.organisations;
     configuration_ = value;
     update_plans({});
+    large_organisations_ = get_large_organisations(value.organisations, max_share_at_one_home);
     if (may_revoke) {
         const auto sessions = sessions_;
         for (const auto& [key, session] : sessions) {
@@ -339,6 +342,18 @@
     const auto shared = std::count_if(links.begin(), links.end(), [](const auto& link) {
         return link->is_open() && !link->is_relayed() && !link->is_pinned();
     });
+    const auto direct = std::count_if(links.begin(), links.end(), [](const auto& link) {
+        return !link->is_ended() && !link->is_relayed();
+    });
+    const auto opening = std::count_if(links.begin(), links.end(), [](const auto& link) {
+        return !link->is_ended() && !link->is_open() && !link->is_relayed();
+    });
+    if (pending.is_relayed() && !pending.organisation.empty() && shared + opening == 0 &&
+        direct >= target->second.plan.quota) {
+        // Transactions hold all connections for as long as their callers want; another home may
+        // have one.
+        return true;
+    }
     return now - pending.arrived_at +
                coordination::get_expected_wait_ms(static_cast<int>(ahead), static_cast<int>(shared),
                                                   target->second.mean_answer_ms) >
@@ -536,8 +551,9 @@
         return found.best;
     }
     const int limit = get_direct_link_limit(target, now);
-    const bool has_room = found.count < limit;
-    if (has_room || (identifies_callers_ && found.count == limit && close_idlest_link(target))) {
+    const bool is_replacing =
+        identifies_callers_ && found.count >= limit && close_idlest_link(target);
+    if (found.count - (is_replacing ? 1 : 0) < limit) {
         open_link(target, pending.organisation);
     }
     return nullptr;
@@ -560,9 +576,11 @@
 
 std::string session_engine::select_home(const target_state& target,
                                         const pending_statement& pending, std::int64_t now) const {
-    // An organisation's statements meet at one home, which then has a connection of it.
-    return homes_.select(target.plan, target.entry.id, pending.organisation, pending.avoided_homes,
-                         now);
+    // The statements of a small organisation meet at one home, which then has a connection of it.
+    // Those of a large one would take all connections of one home.
+    const bool is_small = !large_organisations_.contains(pending.organisation);
+    return homes_.select(target.plan, target.entry.id, is_small ? pending.organisation : "",
+                         pending.avoided_homes, now);
 }
 
 std::shared_ptr<target_link> session_engine::find_relayed_link(target_state& target,
@@ -570,7 +588,8 @@
     const std::int64_t now = transport::get_boot_time();
     const std::string home = select_home(target, pending, now);
     const bool must_be_responsive = !homes_.is_unresponsive(home, now);
-    const bool must_be_selected = !pending.organisation.empty();
+    const bool must_be_selected =
+        !pending.organisation.empty() && !large_organisations_.contains(pending.organisation);
     const link_search found = search_links(target, pending, true, [&](const target_link& link) {
         return (!must_be_selected || link.get_home() == home) &&
                homes_.may_use(target.plan, link.get_home(), now) &&
--- a/src/gateway/session_engine.h
+++ b/src/gateway/session_engine.h
@@ -207,6 +207,7 @@
     home_planner planner_;
     home_selector homes_;
     configuration configuration_;
+    std::set<std::string> large_organisations_;  ///< Their statements use all homes of a target.
     std::map<std::string, target_group> groups_;
     std::map<std::string, std::string> group_of_target_;
     std::map<const caller_session*, std::shared_ptr<caller_session>> sessions_;
--- a/tests/gateway/organisation_test.cpp
+++ b/tests/gateway/organisation_test.cpp
@@ -211,6 +211,17 @@
     }
 }
 
+// Guards against a home that serves a large organisation alone and runs out of connections.
+TEST_F(organisation_test, large_organisations_are_those_above_a_share_of_all_limits) {
+    organisation_table table;
+    table.organisations["a"] = {"a", 0, operation_limit{900, 0}};
+    table.organisations["b"] = {"b", 0, operation_limit{60, 0}};
+    table.organisations["c"] = {"c", 0, operation_limit{40, 0}};
+    table.organisations["d"] = {"d", 0, std::nullopt};
+    EXPECT_EQ(get_large_organisations(table, 0.05), (std::set<std::string>{"a", "b"}));
+    EXPECT_TRUE(get_large_organisations({}, 0.05).empty());
+}
+
 // Guards against labels that are taken for keys where callers are not identified.
 TEST_F(organisation_test, a_label_is_no_key_while_callers_are_not_identified) {
     engine_.set_identifies_callers(false);
