Close the clients that hold the most before a gateway runs out of memory

Cause: limits counted single sessions and two kinds of bytes. Unread answers, the overhead of many small ones, answers from targets, outstanding statements, connections and HTTP requests had no limit for the whole VM, and closed sessions kept their unread answers.

Change: limits from Limits.MemoryMb and Limits.MaxFds (make_vm_limits), one share each for callers, other VMs, answers from targets and each HTTP address. The session that holds the most is closed (holder_budget); an unstarted or idle session makes room for a new connection; sessions that do not start, do not complete a message or take no answers are closed after a time limit. Beyond its limit only the connection with the largest answer of a target is read. Without the two settings the limits are wide.

--- a/src/gateway/caller_session.cpp
+++ b/src/gateway/caller_session.cpp
@@ -28,6 +28,17 @@
 /// it can still be rolled back, the caller is told so and has time to repeat the transaction.
 constexpr double statement_timeout_fraction = 0.75;
 constexpr std::int64_t default_statement_timeout_ms = 5000;  ///< For routes without a timeout.
+/// Callers send STARTUP at once, and give up after 2 s.
+constexpr std::int64_t start_limit_ms = 10'000;
+/// The largest message takes 42 s at 200 kbit/s.
+constexpr std::int64_t message_limit_ms = 60'000;
+/// Answers of which the caller takes nothing for this long are discarded.
+constexpr std::int64_t unread_limit_ms = 30'000;
+constexpr std::size_t session_overhead_bytes = 2048;  ///< Memory of a session without texts.
+/// A statement is kept for a retry, formatted for its target and queued to it.
+constexpr std::size_t statement_copies = 3;
+/// What a session that is closed for its memory may leave queued to a target.
+constexpr std::size_t max_left_unsent_bytes = std::size_t{64} * 1024;
 
 std::size_t get_entry_bytes(const std::string& name, const std::string& text) {
     return name.size() + text.size() + entry_overhead_bytes;
@@ -44,6 +55,12 @@
       held_bytes_(origin == session_origin::peer ? max_peer_session_bytes : max_session_bytes) {}
 
 void caller_session::start() {
+    last_active_at_ = transport::get_boot_time();
+    holder_ = engine_.get_caller_limits().add(weak_from_this(), origin_);
+    if (!holder_) {
+        abort();
+        return;
+    }
     stream_->start(transport::make_weak_events<caller_session>(
         weak_from_this(), nullptr, &caller_session::receive, &caller_session::end_stream));
 }
@@ -60,6 +77,21 @@
     lines_.append(bytes);
     handle_lines();
     count_input();
+    count_held_bytes();
+}
+
+void caller_session::count_held_bytes() {
+    if (is_closed_ || !holder_) {
+        return;
+    }
+    const caller_statement* statement = pending_            ? &pending_->statement
+                                        : pinned_statement_ ? &*pinned_statement_
+                                                            : nullptr;
+    const std::size_t statement_bytes =
+        statement == nullptr ? 0 : statement->text.size() + statement->argument.size();
+    engine_.get_caller_limits().update(
+        *holder_, session_overhead_bytes + lines_.get_capacity() + held_bytes_.get_used() +
+                      statement_copies * statement_bytes + stream_->get_queue_memory());
 }
 
 void caller_session::count_input() {
@@ -90,11 +122,21 @@
         if (!line) {
             break;
         }
+        message_begun_at_ = 0;
         handle_line(*line);
     }
     is_handling_ = false;
+    if (is_closed_) {
+        release_buffers();
+        return;
+    }
     lines_.release_returned();
-    if (lines_.is_overlong() && !is_closed_) {
+    if (is_busy_ || lines_.get_buffered_bytes() == 0) {
+        message_begun_at_ = 0;
+    } else if (message_begun_at_ == 0) {
+        message_begun_at_ = transport::get_boot_time();
+    }
+    if (lines_.is_overlong()) {
         engine_.log_bad_input(caller_, "line exceeds the length limit");
         stream_->write(
             engine_.get_protocol().format_failure({failure_code::too_big, {}, "line too long"}));
@@ -659,7 +701,7 @@
     }
     if (stream_->get_queued_bytes() > max_unread_output_bytes) {
         engine_.log_bad_input(caller_, "unread answers exceed the output limit");
-        close();
+        abort();
         return;
     }
     // What has arrived is answered first: another VM sends set-up and statement together.
@@ -667,6 +709,7 @@
         return;
     }
     handle_lines();
+    count_held_bytes();
 }
 
 bool caller_session::close_if_idle() {
@@ -680,6 +723,61 @@
     return true;
 }
 
+void caller_session::abort() {
+    if (is_closed_) {
+        return;
+    }
+    const pending_statement_ptr pending = pending_;
+    stream_->reset();
+    close();
+    if (!pending) {
+        return;
+    }
+    // The rest of a long statement would stay in memory until its target takes it.
+    for (const std::weak_ptr<target_link>& entry : std::vector(pending->outstanding_links)) {
+        const std::shared_ptr<target_link> link = entry.lock();
+        if (link && !link->is_pinned() && link->get_unsent_bytes() > max_left_unsent_bytes) {
+            link->close("its caller has left");
+        }
+    }
+}
+
+void caller_session::release_buffers() {
+    lines_.clear();
+    values_.clear();
+    prepared_.clear();
+}
+
+coordination::session_rest caller_session::get_rest() const {
+    if (is_busy_) {
+        return coordination::session_rest::none;
+    }
+    return phase_ == phase::starting ? coordination::session_rest::unstarted
+           : phase_ == phase::idle   ? coordination::session_rest::idle
+                                     : coordination::session_rest::none;
+}
+
+std::string caller_session::find_overdue_exchange(std::int64_t now) {
+    const std::size_t unread = stream_->get_queued_bytes();
+    const bool is_taking = unread == 0 || unread < last_unread_bytes_;
+    last_unread_bytes_ = unread;
+    if (unread == 0) {
+        unread_since_ = 0;
+    } else if (is_taking || unread_since_ == 0) {
+        unread_since_ = now;
+    }
+    if (unread_since_ != 0 && now - unread_since_ >= unread_limit_ms) {
+        return "its answers were not read in time";
+    }
+    if (message_begun_at_ != 0 && now - message_begun_at_ >= message_limit_ms) {
+        return "its message was not completed in time";
+    }
+    if (phase_ == phase::starting && now - last_active_at_ >= start_limit_ms) {
+        return "it has not started in time";
+    }
+    return {};
+}
+
 void caller_session::close() {
     if (is_closed_) {
         return;
@@ -688,11 +786,24 @@
     const std::shared_ptr<caller_session> self = shared_from_this();
     if (pending_) {
         pending_->is_settled = true;
+        // It stays in the queue until the next round of dispatch, or until its target has answered.
+        pending_->statement.text = {};
+        pending_->statement.argument = {};
         pending_ = nullptr;
     }
+    if (holder_) {
+        engine_.get_caller_limits().remove(*holder_);
+    }
+    if (!is_handling_) {
+        release_buffers();
+    }
     pinned_statement_.reset();
     drop_link();
+    const bool has_unread = stream_->is_open() && stream_->get_queued_bytes() > 0;
     stream_->close();
+    if (has_unread) {
+        engine_.get_caller_limits().add_closing(stream_, origin_);
+    }
     engine_.get_session_bytes().release(held_bytes_.get_used());
     engine_.get_input_bytes().release(counted_input_bytes_);
     engine_.remove_session(*this);
--- a/src/gateway/caller_session.h
+++ b/src/gateway/caller_session.h
@@ -7,6 +7,7 @@
 
 #include "coordination/byte_budget.h"
 #include "coordination/connection_state.h"
+#include "gateway/caller_limits.h"
 #include "gateway/pending_statement.h"
 #include "gateway/session_protocol.h"
 #include "gateway/target_link.h"
@@ -17,12 +18,6 @@
 
 class session_engine;
 
-/** Who opened a session. */
-enum class session_origin {
-    caller,
-    peer,  ///< Another VM that forwards statements for one target.
-};
-
 /**
  * Connection of a caller, or of another VM that forwards its callers' statements: its session
  * values, prepared statements and transaction. BEGIN is deferred until the first statement of the
@@ -49,6 +44,17 @@
     /** Closes the session at once; an open transaction is rolled back. */
     void close();
 
+    /** Like close(), but discards answers that were not read. */
+    void abort();
+
+    /** Whether the session may be closed to make room for another one. */
+    coordination::session_rest get_rest() const;
+    std::int64_t get_last_active_at() const { return last_active_at_; }
+
+    /** Why the session has to be closed, if it has not begun, completed a message or read its
+     * answers in time; otherwise empty. Call about once a second. */
+    std::string find_overdue_exchange(std::int64_t now);
+
     /** Whether a time limit has passed for enforce_time_limit() to act on. */
     bool is_overdue(std::int64_t now, std::int64_t transaction_idle_ms) const;
 
@@ -75,6 +81,10 @@
     void handle_lines();
     /** Counts the buffered input against the limits; ends the session beyond them. */
     void count_input();
+    /** Reports what the session holds; may close it. */
+    void count_held_bytes();
+    /** Frees what only an open session needs. */
+    void release_buffers();
     void handle_line(std::string_view line);
     void handle(const caller_message& message);
     void handle(const relay_message& message);
@@ -146,6 +156,10 @@
     bool is_handling_ = false;
     bool is_revoked_ = false;  ///< Ends after the answer to the outstanding statement.
     std::size_t counted_input_bytes_ = 0;
+    std::optional<coordination::holder_number> holder_;
+    std::int64_t message_begun_at_ = 0;  ///< Of an incomplete message; 0 without one.
+    std::int64_t unread_since_ = 0;      ///< Since when the caller takes no answers; 0 if it does.
+    std::size_t last_unread_bytes_ = 0;
 };
 
 }  // namespace hornbeamhook::gateway
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -113,6 +113,12 @@
 
 void gateway::start() {
     engine_.set_identifies_callers(settings_.identifies_callers);
+    const coordination::vm_limits limits =
+        coordination::make_vm_limits(settings_.memory_mb, settings_.max_descriptors);
+    engine_.get_caller_limits().set_limits(limits);
+    engine_.get_answer_flow().set_limit(limits.answer_bytes);
+    readiness_listener_.set_limits(limits.http_bytes, limits.http_connections);
+    control_listener_.set_limits(limits.http_bytes, limits.http_connections);
     started_at_ = transport::get_boot_time();
     next_seed_ = coordination::get_rendezvous_weight("seed", settings_.vm);
     log_.write(event_started, {{"place", settings_.place},
--- a/src/gateway/gateway_counters.cpp
+++ b/src/gateway/gateway_counters.cpp
@@ -41,6 +41,10 @@
       store_calls(add_counter(*registry, "store_calls_total", "Calls to the platform's store")),
       peer_messages(add_counter(*registry, "peer_messages_total", "Datagrams sent to other VMs")),
       promotions(add_counter(*registry, "promotions_total", "Changes of primary by this VM")),
+      limited_sessions(add_counter(*registry, "limited_sessions_total",
+                                   "Sessions closed because of what they hold")),
+      refused_connections(add_counter(*registry, "refused_connections_total",
+                                      "Connections closed because all others are in use")),
       statement_seconds(prometheus::BuildHistogram()
                             .Name("hornbeamhook_gateway_statement_seconds")
                             .Help("Time from a statement's arrival to its answer")
--- a/src/gateway/gateway_counters.h
+++ b/src/gateway/gateway_counters.h
@@ -29,6 +29,8 @@
     prometheus::Counter& store_calls;
     prometheus::Counter& peer_messages;
     prometheus::Counter& promotions;
+    prometheus::Counter& limited_sessions;
+    prometheus::Counter& refused_connections;
     prometheus::Histogram& statement_seconds;
 
 private:
--- a/src/gateway/gateway_events.h
+++ b/src/gateway/gateway_events.h
@@ -51,5 +51,8 @@
 inline constexpr event_type event_setup_failed{7044, "target_setup_failed",
                                                event_severity::warning};
 inline constexpr event_type event_statement_prepared{7045, "statement_prepared"};
+inline constexpr event_type event_session_limited{7070, "session_limited", event_severity::warning};
+inline constexpr event_type event_connection_refused{7071, "connection_refused",
+                                                     event_severity::warning};
 
 }  // namespace hornbeamhook::gateway
--- a/src/gateway/gateway_settings.h
+++ b/src/gateway/gateway_settings.h
@@ -26,6 +26,8 @@
     bool limits_operations = false;      ///< The organisations' limits are in force.
     std::int64_t limit_window_ms = 0;    ///< Span over which limits are judged.
     double limit_excess = 0;             ///< Share of the limit that a span may exceed it by.
+    std::int64_t memory_mb = 0;          ///< Of the process; 0 if it is not known.
+    std::int64_t max_descriptors = 0;    ///< Of the process; 0 if it is not known.
     std::int64_t limit_slack = 0;        ///< Operations that a span may exceed it by besides.
 
     bool operator==(const gateway_settings&) const = default;
--- a/src/gateway/session_engine.cpp
+++ b/src/gateway/session_engine.cpp
@@ -269,15 +269,13 @@
 }
 
 void session_engine::close_idle_sessions() {
-    const auto sessions = sessions_;
-    for (const auto& [key, session] : sessions) {
+    for (const auto& [key, session] : std::map(sessions_)) {
         session->close_if_idle();
     }
 }
 
 void session_engine::close_all_sessions() {
-    const auto sessions = sessions_;
-    for (const auto& [key, session] : sessions) {
+    for (const auto& [key, session] : std::map(sessions_)) {
         session->close();
     }
 }
@@ -629,7 +627,8 @@
              [this, id, home](std::uint64_t link, const coordination::setup_step& step,
                               const target_failure& failure) {
                  log_setup_failure(id, home, link, step, failure);
-             }},
+             },
+         .flow = &answer_flow_},
         link_home{home, member->peer_address}));
 }
 
@@ -649,7 +648,8 @@
              [this, id](std::uint64_t link, const coordination::setup_step& step,
                         const target_failure& failure) {
                  log_setup_failure(id, "none", link, step, failure);
-             }},
+             },
+         .flow = &answer_flow_},
         std::nullopt, organisation));
 }
 
--- a/src/gateway/session_engine.h
+++ b/src/gateway/session_engine.h
@@ -9,7 +9,9 @@
 #include <string>
 
 #include "coordination/byte_budget.h"
+#include "gateway/answer_flow.h"
 #include "gateway/bounded_log.h"
+#include "gateway/caller_limits.h"
 #include "gateway/caller_session.h"
 #include "gateway/configuration.h"
 #include "gateway/gateway_counters.h"
@@ -91,6 +93,10 @@
     coordination::byte_budget& get_session_bytes() { return session_bytes_; }
     /** Input of all sessions that is incomplete or waits for an outstanding statement. */
     coordination::byte_budget& get_input_bytes() { return input_bytes_; }
+    /** What sessions may hold, and which of them is closed when they hold too much. */
+    caller_limits& get_caller_limits() { return caller_limits_; }
+    /** Incomplete answers of targets. */
+    answer_flow& get_answer_flow() { return answer_flow_; }
     const route* find_route(const std::string& database) const;
     bool identifies_callers() const { return identifies_callers_; }
     /** The organisation that holds the key in the newest configuration; null if there is none. */
@@ -207,6 +213,7 @@
     home_planner planner_;
     home_selector homes_;
     configuration configuration_;
+    answer_flow answer_flow_;  ///< Outlives the connections in groups_.
     std::map<std::string, target_group> groups_;
     std::map<std::string, std::string> group_of_target_;
     std::map<const caller_session*, std::shared_ptr<caller_session>> sessions_;
@@ -217,6 +224,7 @@
     bool identifies_callers_ = false;
     coordination::byte_budget session_bytes_{max_vm_session_bytes};
     coordination::byte_budget input_bytes_{max_vm_input_bytes};
+    caller_limits caller_limits_{loop_, log_, counters_};
 };
 
 }  // namespace hornbeamhook::gateway
--- a/src/gateway/target_link.cpp
+++ b/src/gateway/target_link.cpp
@@ -143,6 +143,10 @@
         end({.failure =
                  target_failure{failure_code::malformed, {}, "line exceeds the length limit"}});
     }
+    if (events_.flow != nullptr && !is_ended_) {
+        lines_.release_returned();
+        events_.flow->update(number_, stream_, answer_bytes_ + lines_.get_capacity());
+    }
 }
 
 void target_link::handle(const target_message& message) {
@@ -308,6 +312,9 @@
         // that they do not run later.
         stream_->reset();
     }
+    if (events_.flow != nullptr) {
+        events_.flow->remove(number_);
+    }
     const std::int64_t sent_at = awaited_.empty() ? 0 : awaited_.back().sent_at;
     awaited_.clear();
     if (active_ && !active_->is_statement_sent) {
--- a/src/gateway/target_link.h
+++ b/src/gateway/target_link.h
@@ -8,6 +8,7 @@
 #include <string_view>
 #include <vector>
 
+#include "gateway/answer_flow.h"
 #include "gateway/link_request.h"
 #include "gateway/session_protocol.h"
 #include "gateway/target_entry.h"
@@ -59,6 +60,7 @@
         std::function<void(std::uint64_t link, const coordination::setup_step&,
                            const target_failure&)>
             setup_failed;
+        answer_flow* flow = nullptr;  ///< Told of incomplete answers; must outlive the connection.
     };
 
     /** Connects to the target on behalf of `organisation`, or of none if it is empty, or to `home`,
@@ -107,6 +109,9 @@
     std::int64_t get_opened_at() const { return opened_at_; }
     std::int64_t get_idle_since() const { return idle_since_; }
 
+    /** Bytes queued because the other end does not read. */
+    std::size_t get_unsent_bytes() const { return stream_ ? stream_->get_queued_bytes() : 0; }
+
     /** When the oldest outstanding statement was sent; 0 if there is none. */
     std::int64_t get_oldest_sent_at() const;
 
--- a/src/transport/http_listener.h
+++ b/src/transport/http_listener.h
@@ -40,10 +40,15 @@
     http_listener(const http_listener&) = delete;
     http_listener& operator=(const http_listener&) = delete;
 
+    /** Bytes and connections that all clients may hold together. Beyond them the connection that
+     * holds the most, or the one without a request that was silent for longest, is closed. */
+    void set_limits(std::size_t max_bytes, std::size_t max_connections);
+
 private:
     class connection;
+    struct shared_state;
 
-    std::shared_ptr<handler> handle_;
+    std::shared_ptr<shared_state> state_;
     tcp_listener listener_;
 };
 
--- a/src/transport/line_buffer.cpp
+++ b/src/transport/line_buffer.cpp
@@ -24,6 +24,12 @@
     begin_ = 0;
 }
 
+void line_buffer::clear() {
+    bytes_ = std::string();
+    begin_ = 0;
+    scanned_ = 0;
+}
+
 std::optional<std::string_view> line_buffer::take_line() {
     const std::size_t end = bytes_.find("\r\n", std::max(begin_, scanned_));
     if (end == std::string::npos) {
--- a/src/transport/line_buffer.h
+++ b/src/transport/line_buffer.h
@@ -20,6 +20,9 @@
     /** Frees the memory of lines that were returned. Invalidates earlier results of take_line(). */
     void release_returned();
 
+    /** Drops all bytes and frees their memory. Invalidates earlier results of take_line(). */
+    void clear();
+
     /** Memory that the buffer occupies, in bytes. */
     std::size_t get_capacity() const { return bytes_.capacity(); }
 
--- a/src/transport/tcp_stream.cpp
+++ b/src/transport/tcp_stream.cpp
@@ -59,6 +59,7 @@
     } else {
         uv_tcp_t* handle = &stream->handle_;
         stream->is_closed_ = true;
+        stream->is_released_ = true;
         // The owner does not hold the stream yet, so the end is reported from the close callback.
         uv_close(reinterpret_cast<uv_handle_t*>(handle), [](uv_handle_t* closed) {
             const std::shared_ptr<tcp_stream> self =
@@ -79,6 +80,24 @@
 
 void tcp_stream::begin_reading() {
     uv_tcp_nodelay(&handle_, 1);
+    is_connected_ = true;
+    read();
+}
+
+void tcp_stream::set_reading(bool is_reading) {
+    if (is_closed_ || !is_connected_ || is_reading == is_reading_) {
+        return;
+    }
+    if (is_reading) {
+        read();
+    } else {
+        uv_read_stop(as_stream(handle_));
+        is_reading_ = false;
+    }
+}
+
+void tcp_stream::read() {
+    is_reading_ = true;
     uv_read_start(
         as_stream(handle_),
         [](uv_handle_t*, std::size_t, uv_buf_t* buffer) {
@@ -121,9 +140,12 @@
         uv_buf_init(request->bytes.data(), static_cast<unsigned int>(request->bytes.size()));
     // A failed write also ends the reads, which report the end of the stream.
     const int status =
-        uv_write(&request->request, as_stream(handle_), &buffer, 1,
-                 [](uv_write_t* done, int) { delete static_cast<write_request*>(done->data); });
+        uv_write(&request->request, as_stream(handle_), &buffer, 1, [](uv_write_t* done, int) {
+            --static_cast<tcp_stream*>(done->handle->data)->queued_writes_;
+            delete static_cast<write_request*>(done->data);
+        });
     if (status == 0) {
+        ++queued_writes_;
         static_cast<void>(request.release());
     }
 }
@@ -151,12 +173,14 @@
 }
 
 void tcp_stream::reset() {
-    if (is_closed_) {
+    if (is_released_) {
         return;
     }
-    is_closed_ = true;
-    if (uv_tcp_close_reset(&handle_, &tcp_stream::forget) != 0) {
+    // libuv refuses to reset a stream that is shutting down.
+    if (std::exchange(is_closed_, true) || uv_tcp_close_reset(&handle_, &tcp_stream::forget) != 0) {
         release();
+    } else {
+        is_released_ = true;
     }
 }
 
@@ -164,6 +188,11 @@
     return uv_stream_get_write_queue_size(reinterpret_cast<const uv_stream_t*>(&handle_));
 }
 
+std::size_t tcp_stream::get_queue_memory() const {
+    constexpr std::size_t allocation_bytes = 64;  // Of the request and of its text.
+    return get_queued_bytes() + queued_writes_ * (sizeof(write_request) + allocation_bytes);
+}
+
 void tcp_stream::finish(bool is_refused) {
     if (is_closed_) {
         return;
@@ -177,6 +206,9 @@
 }
 
 void tcp_stream::release() {
+    if (std::exchange(is_released_, true)) {
+        return;
+    }
     uv_close(reinterpret_cast<uv_handle_t*>(&handle_), &tcp_stream::forget);
 }
 
--- a/src/transport/tcp_stream.h
+++ b/src/transport/tcp_stream.h
@@ -52,13 +52,18 @@
     /** Sets the events of an accepted stream and begins to read. */
     void start(stream_events events);
 
+    /** Stops or continues to read; the end of the stream is noticed only while reading. Ignored
+     * after the end and before the stream is connected. */
+    void set_reading(bool is_reading);
+
     /** Queues bytes; ignored after the end. */
     void write(std::string bytes);
 
     /** Closes after the queued bytes are handed to the system. No further events. */
     void close();
 
-    /** Closes with a reset, so that bytes still on the way are discarded. No further events. */
+    /** Closes with a reset, so that bytes still on the way are discarded, also after close(). No
+     * further events. */
     void reset();
 
     bool is_open() const { return !is_closed_; }
@@ -66,11 +71,15 @@
     /** Bytes queued because the other end does not read. */
     std::size_t get_queued_bytes() const;
 
+    /** Memory of the queued bytes, in bytes. Many small messages need more than their texts. */
+    std::size_t get_queue_memory() const;
+
 private:
     friend class tcp_listener;
 
     explicit tcp_stream(event_loop& loop);
     void begin_reading();
+    void read();
     void finish(bool is_refused);
     void release();
     static void forget(uv_handle_t* handle);
@@ -78,7 +87,11 @@
     uv_tcp_t handle_{};
     stream_events events_;
     std::shared_ptr<tcp_stream> self_;  ///< Keeps the handle until libuv has closed it.
+    std::size_t queued_writes_ = 0;
+    bool is_connected_ = false;
+    bool is_reading_ = false;
     bool is_closed_ = false;
+    bool is_released_ = false;  ///< libuv closes the handle.
 };
 
 /** Accepts connections. Loop thread only. */
--- a/tests/platform/settings_reader_test.cpp
+++ b/tests/platform/settings_reader_test.cpp
@@ -36,6 +36,16 @@
     EXPECT_EQ(settings->place_regions.size(), 2U);
 }
 
+// Guards against limits that fit another machine, and against a start that fails for them.
+TEST(settings_reader, reads_the_memory_and_descriptors_of_the_process) {
+    const auto settings = parse_settings(std::string(sample) + "Limits.MemoryMb=160\n");
+    EXPECT_EQ(settings->memory_mb, 160);
+    EXPECT_EQ(settings->max_descriptors, 4200);
+    EXPECT_EQ(parse_settings(sample)->memory_mb, 0);
+    EXPECT_EQ(parse_settings(std::string(sample) + "Limits.MemoryMb=-1\n")->memory_mb, 0);
+    EXPECT_EQ(parse_settings(std::string(sample) + "Limits.MemoryMb=x\n")->memory_mb, 0);
+}
+
 // Guards against callers that are identified, or limits in force, where the platform has neither.
 TEST(settings_reader, reads_which_parts_are_in_force) {
     const auto without = parse_settings(sample);
