--- a/src/gateway/caller_session.cpp
+++ b/src/gateway/caller_session.cpp
@@ -28,7 +28,7 @@
 /// it can still be rolled back, the caller is told so and has time to repeat the transaction.
 constexpr double statement_timeout_fraction = 0.75;
 constexpr std::int64_t default_statement_timeout_ms = 5000;  ///< For routes without a timeout.
-/// Callers send STARTUP at once, and give up after 2 s.
+/// Callers start a session at once, and give up after 2 s.
 constexpr std::int64_t start_limit_ms = 10'000;
 /// The largest message takes 42 s at 200 kbit/s.
 constexpr std::int64_t message_limit_ms = 60'000;
--- a/src/transport/http_listener.cpp
+++ b/src/transport/http_listener.cpp
@@ -83,7 +83,12 @@
             return;
         }
         if (parsed != bytes.size()) {
-            abort();
+            if (stream_->get_queued_bytes() > 0) {
+                abort();  // Such a client may never take what is queued.
+            } else {
+                stream_->close();
+                forget();
+            }
             return;
         }
         count();
