--- a/tests/gateway/caller_limits_test.cpp
+++ b/tests/gateway/caller_limits_test.cpp
@@ -112,5 +112,38 @@
     EXPECT_EQ(get_used_bytes(), 0U);
 }
 
+// Guards against sessions that hold a connection without ever starting, or a message without ever
+// completing it, and against ending sessions that only rest.
+TEST_F(caller_limits_test, time_limits_spare_resting_sessions) {
+    constexpr std::int64_t minute_ms = 60'000;
+    const transport::endpoint address = *transport::parse_endpoint(tests::get_free_address());
+    std::shared_ptr<caller_session> session;
+    const transport::tcp_listener listener(loop_, address, [&](const auto& stream) {
+        session = std::make_shared<caller_session>(engine_, stream, session_origin::caller);
+        session->start();
+    });
+    test_caller caller(loop_, address);
+    run_until([&] { return session != nullptr; });
+    const std::int64_t now = transport::get_boot_time();
+    EXPECT_EQ(session->find_overdue_exchange(now + 2000), "");
+    EXPECT_NE(session->find_overdue_exchange(now + minute_ms), "");
+
+    caller.send("STARTUP strict user");
+    run_until([&] { return !caller.lines.empty(); });
+    EXPECT_EQ(session->find_overdue_exchange(now + 60 * minute_ms), "");
+
+    const std::size_t used = get_used_bytes();
+    caller.send_part("QUERY 1 SET a " + std::string(100'000, 'x'));
+    run_until([&] { return get_used_bytes() > used + 90'000; });
+    EXPECT_EQ(session->find_overdue_exchange(now + minute_ms / 2), "");
+    EXPECT_NE(session->find_overdue_exchange(transport::get_boot_time() + minute_ms), "");
+
+    caller.lines.clear();
+    caller.send("");
+    run_until([&] { return !caller.lines.empty(); });
+    EXPECT_EQ(session->find_overdue_exchange(now + 60 * minute_ms), "");
+    session->close();
+}
+
 }  // namespace
 }  // namespace hornbeamhook::gateway
