Limit the statements in flight at a target, off by default

A home sends what finds a connection, so that three homes fill the queue of a target and a target that returns gets everything at once. With gateway_settings::paces_targets a home has at most one statement more than the slots of a target in flight; after a restart, a promotion or the loss of all connections it begins at one and grows with answers. target_pace uses concurrency_limit, which gets a restart(); hornbeamhook-proxy is unchanged. No word of Contracts sets the field yet.

--- a/src/coordination/concurrency_limit.cpp
+++ b/src/coordination/concurrency_limit.cpp
@@ -36,6 +36,11 @@
     limit_ = std::min(limit_, static_cast<double>(quota_));
 }
 
+void concurrency_limit::restart() {
+    limit_ = 1;
+    base_latency_ = microseconds(0);
+}
+
 void concurrency_limit::on_success(microseconds latency, int in_flight, state::time_point now) {
     smoothed_latency_ = base_latency_.count() == 0
                             ? latency
--- a/src/coordination/concurrency_limit.h
+++ b/src/coordination/concurrency_limit.h
@@ -23,6 +23,9 @@
     /** Changes the upper bound, for example after a refused connection. */
     void set_quota(int quota);
 
+    /** Begins again at one and measures the base latency anew, for a target that was away. */
+    void restart();
+
     /** Records an exchange that took `latency` while `in_flight` were running. */
     void on_success(std::chrono::microseconds latency, int in_flight, state::time_point now);
 
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -114,6 +114,7 @@
 void gateway::start() {
     engine_.set_identifies_callers(settings_.identifies_callers);
     engine_.set_shares_fairly(settings_.shares_fairly);
+    engine_.set_paces_targets(settings_.paces_targets);
     started_at_ = transport::get_boot_time();
     next_seed_ = coordination::get_rendezvous_weight("seed", settings_.vm);
     log_.write(event_started, {{"place", settings_.place},
--- a/src/gateway/gateway_settings.h
+++ b/src/gateway/gateway_settings.h
@@ -28,6 +28,7 @@
     double limit_excess = 0;             ///< Share of the limit that a span may exceed it by.
     std::int64_t limit_slack = 0;        ///< Operations that a span may exceed it by besides.
     bool shares_fairly = false;          ///< Organisations share the room while statements wait.
+    bool paces_targets = false;          ///< Statements in flight at a target are limited.
 
     bool operator==(const gateway_settings&) const = default;
 };
--- a/src/gateway/group_queue.cpp
+++ b/src/gateway/group_queue.cpp
@@ -67,7 +67,8 @@
         if (!is_eligible(group, target, pending, now)) {
             continue;
         }
-        const int links = count_shared_links(target);
+        const int shared = count_shared_links(target);
+        const int links = target.pace ? std::min(shared, target.pace->get_limit()) : shared;
         const bool is_known =
             now - target.last_answer_at < answer_time_expiry_ms && target.mean_answer_ms > 0;
         if (links == 0 || !is_known) {
--- a/src/gateway/session_engine.h
+++ b/src/gateway/session_engine.h
@@ -54,6 +54,9 @@
     /** Whether organisations share the room fairly while statements wait, and statements that can't
      * be served in time are refused at once. */
     void set_shares_fairly(bool value) { shares_fairly_ = value; }
+    /** Whether the statements in flight at a target are limited, see coordination::target_pace.
+     * Precondition: no target is known. */
+    void set_paces_targets(bool value) { paces_targets_ = value; }
     /** Adds or updates one target, or removes it when `entry` is empty. */
     void update_target(const std::string& id, const std::optional<target_entry>& entry);
     /** Sets the VMs that share the targets' connections. `live` includes this one. */
@@ -177,6 +180,11 @@
     bool may_retry(const pending_statement& pending, const target_answer& answer) const;
     /** Rolls back what is open on a connection that no session has pinned. */
     void roll_back_unpinned(const std::shared_ptr<target_link>& link);
+    /** Slows the start of a target that has just been promoted. */
+    void pace_promotion(target_group& group);
+    /** Records a direct connection's answer for the pace of its target. */
+    static void pace_answer(target_state& target, const target_link& link,
+                            const target_answer& answer, std::int64_t now);
     void handle_failure(target_state& target, const target_failure& failure);
     void refuse(target_group& group, const pending_statement_ptr& pending, failure_code code,
                 const std::string& reason);
@@ -213,6 +221,7 @@
     bool is_stopping_ = false;
     bool identifies_callers_ = false;
     bool shares_fairly_ = false;
+    bool paces_targets_ = false;
     coordination::byte_budget session_bytes_{max_vm_session_bytes};
     coordination::byte_budget input_bytes_{max_vm_input_bytes};
 };
--- a/src/gateway/target_group.cpp
+++ b/src/gateway/target_group.cpp
@@ -12,6 +12,12 @@
         }));
 }
 
+int target_state::count_in_flight() const {
+    return static_cast<int>(std::count_if(links.begin(), links.end(), [](const auto& link) {
+        return link->is_open() && !link->is_relayed() && !link->is_idle();
+    }));
+}
+
 const target_state* target_group::find_primary() const {
     const auto& record = lease.get_record();
     const auto entry = record ? targets.find(record->target) : targets.end();
--- a/src/gateway/target_group.h
+++ b/src/gateway/target_group.h
@@ -10,6 +10,7 @@
 #include "coordination/fair_order.h"
 #include "coordination/position_history.h"
 #include "coordination/primary_lease.h"
+#include "coordination/target_pace.h"
 #include "gateway/home_plan.h"
 #include "gateway/pending_statement.h"
 #include "gateway/target_entry.h"
@@ -38,13 +39,17 @@
     state::term_number term = 0;     ///< Newest reported term.
     /// What its log had reached in the last answer that named a position.
     std::optional<state::log_point> position;
-    std::int64_t positioned_at = 0;  ///< When it answered with that position.
+    std::int64_t positioned_at = 0;                 ///< When it answered with that position.
+    std::optional<coordination::target_pace> pace;  ///< Empty if targets are not paced.
 
     /** Whether new statements may be sent to it. */
     bool is_usable() const { return removed_at == 0 && !entry.is_leaving; }
 
     /** Counts connections with an outstanding statement or still being opened. */
     int count_busy_links() const;
+
+    /** Counts direct connections with an outstanding statement. */
+    int count_in_flight() const;
 };
 
 /** Targets that replicate the same data. */
@@ -58,6 +63,8 @@
 
     coordination::fair_order turns;  ///< Of all statements sent.
 
+    state::term_number paced_term = 0;  ///< Term whose promotion was paced.
+
     /** The known target that the newest record names as primary; null without one. */
     const target_state* find_primary() const;
     target_state* find_primary();
