--- a/src/gateway/group_queue.cpp
+++ b/src/gateway/group_queue.cpp
@@ -96,6 +96,27 @@
     return coordination::get_max_wait_ms(get_objective(pending), answer_ms);
 }
 
+bool is_every_link_held(const target_group& group, const pending_statement& pending) {
+    if (!pending.is_relayed() || pending.organisation.empty()) {
+        return false;
+    }
+    const auto target = group.targets.find(*pending.target);
+    if (target == group.targets.end()) {
+        return false;
+    }
+    int held = 0;
+    for (const std::shared_ptr<target_link>& link : target->second.links) {
+        if (link->is_ended() || link->is_relayed()) {
+            continue;
+        }
+        if (!link->is_pinned()) {
+            return false;
+        }
+        ++held;
+    }
+    return held > 0 && held >= target->second.plan.quota;
+}
+
 bool is_expected_wait_too_long(const target_group& group, const pending_statement& pending,
                                std::int64_t now) {
     const auto& record = group.lease.get_record();
--- a/src/gateway/group_queue.h
+++ b/src/gateway/group_queue.h
@@ -22,6 +22,11 @@
 std::int64_t get_wait_limit(const target_group& group, const pending_statement& pending,
                             std::int64_t now);
 
+/** Whether open transactions hold all connections of this VM to the target of a statement that
+ * another VM passes on. They hold them for as long as their callers want, and another home may have
+ * a connection. */
+bool is_every_link_held(const target_group& group, const pending_statement& pending);
+
 /** Whether the wait behind earlier statements for the same primary is expected to exceed the wait
  * limit. False where it is not known. */
 bool is_expected_wait_too_long(const target_group& group, const pending_statement& pending,
