Keep the pace of targets out of session_engine

Behaviour is the same; tests of session_engine, organisation, relayed_session, group_queue and paced_target pass.

--- a/src/gateway/session_engine.cpp
+++ b/src/gateway/session_engine.cpp
@@ -229,11 +229,8 @@
         target.unreachable_until = 0;
         target.position.reset();
     }
-    if (paces_targets_ && (!target.pace || is_restarted)) {
-        target.pace.emplace(entry->slots);
-        if (is_restarted) {
-            target.pace->restart();
-        }
+    if (paces_targets_) {
+        target.pace_start(is_restarted);
     }
     if (!is_known || is_restarted || is_changed) {
         log_.write(event_target_listed, {{"target", id},
@@ -342,7 +339,7 @@
         return;
     }
     target_group& group = found->second;
-    pace_promotion(group);
+    group.pace_promotion();
     if (shares_fairly_) {
         arrange_fairly(group, configuration_.organisations, transport::get_boot_time());
     }
@@ -504,7 +501,7 @@
         return link.get_organisation() == pending.organisation;
     });
     const std::int64_t now = transport::get_boot_time();
-    if (target.pace && !target.pace->may_send(target.count_in_flight(), now)) {
+    if (!target.may_send(now)) {
         return nullptr;
     }
     const bool may_open =
@@ -689,12 +686,7 @@
         return;  // Says nothing about the target.
     }
     target->reconnect_at = now + reconnect_delay_ms;
-    const bool has_open_link =
-        std::any_of(target->links.begin(), target->links.end(),
-                    [](const auto& link) { return link->is_open() && !link->is_relayed(); });
-    if (target->pace && !is_limited && !has_open_link) {
-        target->pace->restart();
-    }
+    target->pace_link_end(is_limited);
     if (is_limited) {
         // Statements go on over the connections that it has accepted.
         target->connection_limited_until = now + connection_limit_backoff_ms;
@@ -831,7 +823,7 @@
                 : target->mean_answer_ms + (elapsed - target->mean_answer_ms) * answer_time_weight;
     }
     if (target != nullptr) {
-        pace_answer(*target, *link, answer, now);
+        target->pace_answer(*link, answer, now);
     }
     if (pending->is_settled) {
         roll_back_unpinned(link);
@@ -915,32 +907,6 @@
     return pending.is_safe_to_repeat() && !answer.failure;
 }
 
-void session_engine::pace_promotion(target_group& group) {
-    const auto& record = group.lease.get_record();
-    if (!paces_targets_ || !record || record->term == group.paced_term) {
-        return;
-    }
-    target_state* primary = group.find_primary();
-    // The first record that this VM learns says nothing about when the target was promoted.
-    if (group.paced_term != 0 && primary != nullptr && primary->pace) {
-        primary->pace->restart();
-    }
-    group.paced_term = record->term;
-}
-
-void session_engine::pace_answer(target_state& target, const target_link& link,
-                                 const target_answer& answer, std::int64_t now) {
-    if (!target.pace || link.is_relayed() || !answer.was_sent) {
-        return;
-    }
-    if (answer.is_lost || (answer.failure && answer.failure->code == failure_code::busy)) {
-        target.pace->on_failure(now);
-    } else if (!answer.failure) {
-        const int others = target.count_in_flight() - (link.is_idle() ? 0 : 1);
-        target.pace->on_answer(now - answer.sent_at, others + 1, now);
-    }
-}
-
 void session_engine::handle_failure(target_state& target, const target_failure& failure) {
     const std::int64_t now = transport::get_boot_time();
     if (failure.code == failure_code::lagging) {
--- a/src/gateway/session_engine.h
+++ b/src/gateway/session_engine.h
@@ -180,11 +180,6 @@
     bool may_retry(const pending_statement& pending, const target_answer& answer) const;
     /** Rolls back what is open on a connection that no session has pinned. */
     void roll_back_unpinned(const std::shared_ptr<target_link>& link);
-    /** Slows the start of a target that has just been promoted. */
-    void pace_promotion(target_group& group);
-    /** Records a direct connection's answer for the pace of its target. */
-    static void pace_answer(target_state& target, const target_link& link,
-                            const target_answer& answer, std::int64_t now);
     void handle_failure(target_state& target, const target_failure& failure);
     void refuse(target_group& group, const pending_statement_ptr& pending, failure_code code,
                 const std::string& reason);
--- a/src/gateway/target_group.h
+++ b/src/gateway/target_group.h
@@ -50,6 +50,19 @@
 
     /** Counts direct connections with an outstanding statement. */
     int count_in_flight() const;
+
+    /** Whether its pace allows one more statement now. */
+    bool may_send(std::int64_t now) const;
+
+    /** Begins to pace it, or slows its start if it has restarted. */
+    void pace_start(bool is_restarted);
+
+    /** Slows its return after its last direct connection ended, unless it refused the connection
+     * because it has too many. */
+    void pace_link_end(bool is_limited);
+
+    /** Records the answer to a statement on `link` for its pace. */
+    void pace_answer(const target_link& link, const target_answer& answer, std::int64_t now);
 };
 
 /** Targets that replicate the same data. */
@@ -68,6 +81,9 @@
     /** The known target that the newest record names as primary; null without one. */
     const target_state* find_primary() const;
     target_state* find_primary();
+
+    /** Slows the start of a target that has just been promoted. */
+    void pace_promotion();
 };
 
 }  // namespace hornbeamhook::gateway
