--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -114,6 +114,7 @@
 void gateway::start() {
     engine_.set_identifies_callers(settings_.identifies_callers);
     engine_.set_shares_fairly(settings_.shares_fairly);
+    engine_.set_paces_targets(settings_.paces_targets);
     const coordination::vm_limits limits =
         coordination::make_vm_limits(settings_.memory_mb, settings_.max_descriptors);
     engine_.get_caller_limits().set_limits(limits);
--- a/src/gateway/gateway_settings.h
+++ b/src/gateway/gateway_settings.h
@@ -30,6 +30,7 @@
     std::int64_t max_descriptors = 0;    ///< Of the process; 0 if it is not known.
     std::int64_t limit_slack = 0;        ///< Operations that a span may exceed it by besides.
     bool shares_fairly = false;          ///< Organisations share the room while statements wait.
+    bool paces_targets = false;          ///< Statements in flight at a target are limited.
 
     bool operator==(const gateway_settings&) const = default;
 };
--- a/src/gateway/session_engine.cpp
+++ b/src/gateway/session_engine.cpp
@@ -229,6 +229,9 @@
         target.unreachable_until = 0;
         target.position.reset();
     }
+    if (paces_targets_) {
+        target.pace_start(is_restarted);
+    }
     if (!is_known || is_restarted || is_changed) {
         log_.write(event_target_listed, {{"target", id},
                                          {"group", entry->group},
@@ -334,6 +337,7 @@
         return;
     }
     target_group& group = found->second;
+    group.pace_promotion();
     if (shares_fairly_) {
         arrange_fairly(group, configuration_.organisations, transport::get_boot_time());
     }
@@ -495,6 +499,9 @@
         return link.get_organisation() == pending.organisation;
     });
     const std::int64_t now = transport::get_boot_time();
+    if (!target.may_send(now)) {
+        return nullptr;
+    }
     const bool may_open =
         !found.best && found.opening < max_opening_links && now >= target.reconnect_at;
     // A connection serves one organisation, so another one that opens may not be for this
@@ -679,6 +686,7 @@
         return;  // Says nothing about the target.
     }
     target->reconnect_at = now + reconnect_delay_ms;
+    target->pace_link_end(is_limited);
     if (is_limited) {
         // Statements go on over the connections that it has accepted.
         target->connection_limited_until = now + connection_limit_backoff_ms;
@@ -814,6 +822,9 @@
                 ? elapsed
                 : target->mean_answer_ms + (elapsed - target->mean_answer_ms) * answer_time_weight;
     }
+    if (target != nullptr) {
+        target->pace_answer(*link, answer, now);
+    }
     if (pending->is_settled) {
         roll_back_unpinned(link);
         dispatch(group_name);
--- a/src/gateway/session_engine.h
+++ b/src/gateway/session_engine.h
@@ -56,6 +56,9 @@
     /** Whether organisations share the room fairly while statements wait, and statements that can't
      * be served in time are refused at once. */
     void set_shares_fairly(bool value) { shares_fairly_ = value; }
+    /** Whether the statements in flight at a target are limited, see coordination::target_pace.
+     * Precondition: no target is known. */
+    void set_paces_targets(bool value) { paces_targets_ = value; }
     /** Adds or updates one target, or removes it when `entry` is empty. */
     void update_target(const std::string& id, const std::optional<target_entry>& entry);
     /** Sets the VMs that share the targets' connections. `live` includes this one. */
@@ -221,6 +224,7 @@
     bool is_stopping_ = false;
     bool identifies_callers_ = false;
     bool shares_fairly_ = false;
+    bool paces_targets_ = false;
     coordination::byte_budget session_bytes_{max_vm_session_bytes};
     coordination::byte_budget input_bytes_{max_vm_input_bytes};
     caller_limits caller_limits_{loop_, log_, counters_};
