Hold operations back until their organisation's limit allows them

The configuration names limits of organisations that were not enforced.

limit_exchange connects the engine with limit_client and limit_accountant: a statement of a limited organisation that waits for a grant stays in its group's queue, counts for nobody's expected wait, and is sent, retried or hedged only before the grant expires; a home gets the rest of the grant as its wait limit.

--- a/src/coordination/limit_client.cpp
+++ b/src/coordination/limit_client.cpp
@@ -201,7 +201,8 @@
         position->second.answered_at + max_ask_interval_ms + timing_.answer_limit_ms <= now) {
         return std::nullopt;
     }
-    return position->second.wait_ms;
+    return std::max<std::int64_t>(0,
+                                  position->second.wait_ms - (now - position->second.answered_at));
 }
 
 }  // namespace hornbeamhook::coordination
--- a/src/ctl/gateway_log.cpp
+++ b/src/ctl/gateway_log.cpp
@@ -131,6 +131,12 @@
         explain_right(log, at, story);
         return;
     }
+    if (reason == "the limit of the organisation is reached") {
+        story.push_back("  cause: organisation " + line.get("organisation") +
+                        " asked for more operations than its limit allows, or no accountant "
+                        "answered");
+        return;
+    }
     if (reason == "no connection became free" || reason == "the queue is too long") {
         const gateway_log_line* limit = find_last(log, at, [&](const gateway_log_line& other) {
             return other.vm == line.vm && other.event == "target_link_ended" &&
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -99,7 +99,8 @@
       ping_timer_(loop),
       hub_timer_(loop),
       notice_timer_(loop),
-      stop_timer_(loop) {
+      stop_timer_(loop),
+      limit_timer_(loop) {
     caller_listener_ = std::make_unique<transport::tcp_listener>(
         loop, settings_.caller_address,
         [this](const std::shared_ptr<transport::tcp_stream>& stream) {
@@ -114,6 +115,9 @@
 void gateway::start() {
     engine_.set_identifies_callers(settings_.identifies_callers);
     started_at_ = transport::get_boot_time();
+    if (settings_.limits_operations) {
+        start_limits();
+    }
     next_seed_ = coordination::get_rendezvous_weight("seed", settings_.vm);
     log_.write(event_started, {{"place", settings_.place},
                                {"incarnation", std::to_string(fleet_.get_self().incarnation)},
@@ -227,10 +231,43 @@
     const std::vector<fleet_member> live = fleet_.get_live_members(now);
     hubs_.update(live, size, store_.is_store_available(), now);
     engine_.set_fleet(live, size);
+    if (limits_) {
+        std::vector<std::string> names;
+        for (const fleet_member& member : live) {
+            names.push_back(member.vm);
+        }
+        limits_->set_members(names, fleet_.is_self_listed() ? size : 0, now);
+    }
     watcher_.set_fleet_size(size);
     watcher_.set_confirming(hubs_.is_enabled() ? hubs_.is_first_hub() : fleet_.is_confirming(now));
 }
 
+void gateway::start_limits() {
+    const auto process = static_cast<std::uint64_t>(fleet_.get_self().incarnation);
+    limits_ = std::make_unique<limit_exchange>(
+        settings_.vm, process,
+        coordination::limit_terms{0, 0, settings_.limit_window_ms, settings_.limit_excess,
+                                  settings_.limit_slack},
+        transport::get_boot_time(),
+        limit_exchange_owner{
+            .find_organisation =
+                [this](const std::string& name) { return engine_.find_organisation_by_name(name); },
+            .send =
+                [this](const std::string& vm, const peer_message& message) {
+                    const auto member = fleet_.get_members().find(vm);
+                    if (member != fleet_.get_members().end()) {
+                        messenger_.send(member->second.peer_address, message);
+                    }
+                },
+            .dispatch = [this](const std::string& group) { engine_.dispatch(group); }});
+    engine_.set_operation_gate(limits_.get());
+    limit_timer_.start(limit_tick_ms, limit_tick_ms,
+                       [this] { limits_->tick(transport::get_boot_time()); });
+    log_.write(event_limits_started, {{"window_ms", std::to_string(settings_.limit_window_ms)},
+                                      {"excess", std::to_string(settings_.limit_excess)},
+                                      {"slack", std::to_string(settings_.limit_slack)}});
+}
+
 void gateway::register_self() {
     const std::int64_t now = transport::get_boot_time();
     if (stopping_since_ != 0 ||
@@ -487,6 +524,14 @@
         handle_hub_request(from, *request);
     } else if (const auto* answer = std::get_if<hub_answer>(&message)) {
         handle_hub_answer(*answer);
+    } else if (const auto* asked = std::get_if<coordination::limit_request>(&message)) {
+        if (limits_) {
+            limits_->handle(*asked, transport::get_boot_time());
+        }
+    } else if (const auto* granted = std::get_if<coordination::limit_answer>(&message)) {
+        if (limits_) {
+            limits_->handle(*granted, transport::get_boot_time());
+        }
     } else if (const auto* departure = std::get_if<departure_notice>(&message)) {
         fleet_.handle_departure(*departure);
     }
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -11,6 +11,7 @@
 #include "gateway/gateway_counters.h"
 #include "gateway/gateway_settings.h"
 #include "gateway/leadership_manager.h"
+#include "gateway/limit_exchange.h"
 #include "gateway/peer_messenger.h"
 #include "gateway/platform_protocol.h"
 #include "gateway/session_engine.h"
@@ -48,6 +49,8 @@
     void apply_rows(const std::vector<stored_row>& rows, std::int64_t requested_at);
     /** Updates the VMs among which the engine divides the targets' connections. */
     void update_homes(std::int64_t now);
+    /** Puts the organisations' limits in force. */
+    void start_limits();
     void register_self();
     /** Removes this process's row, if the stored row still has this version, and ends the process.
      */
@@ -91,6 +94,7 @@
     gateway_counters counters_;
     fleet_membership fleet_;
     fleet_hubs hubs_;
+    std::unique_ptr<limit_exchange> limits_;  ///< Null unless operations are limited.
     session_engine engine_;
     store_client store_;
     store_watcher watcher_;
@@ -106,6 +110,7 @@
     transport::loop_timer hub_timer_;
     transport::loop_timer notice_timer_;
     transport::loop_timer stop_timer_;
+    transport::loop_timer limit_timer_;
     std::vector<std::unique_ptr<transport::signal_watcher>> signal_watchers_;
     std::int64_t started_at_ = 0;
     std::int64_t pinged_at_ = 0;       ///< Last round of pings to all members.
--- a/src/gateway/gateway_events.h
+++ b/src/gateway/gateway_events.h
@@ -51,5 +51,6 @@
 inline constexpr event_type event_setup_failed{7044, "target_setup_failed",
                                                event_severity::warning};
 inline constexpr event_type event_statement_prepared{7045, "statement_prepared"};
+inline constexpr event_type event_limits_started{7050, "limits_started"};
 
 }  // namespace hornbeamhook::gateway
--- a/src/gateway/peer_message.cpp
+++ b/src/gateway/peer_message.cpp
@@ -21,7 +21,9 @@
     record_notice,
     hub_request,
     hub_answer,
-    departure_notice
+    departure_notice,
+    limit_request,
+    limit_answer
 };
 
 json format_positions(const std::vector<known_position>& list) {
@@ -117,6 +119,54 @@
         {message_kind::departure_notice, m.vm, m.incarnation, format_promises(m.promises)});
 }
 
+json to_array(const coordination::limit_request& m) {
+    json demands = json::array();
+    for (const coordination::limit_demand& demand : m.demands) {
+        demands.push_back(json::array({demand.organisation, demand.count}));
+    }
+    return json::array({message_kind::limit_request, m.vm, m.process, m.shard, m.number,
+                        m.vote_from.process, m.vote_from.at, m.members, demands});
+}
+
+json to_array(const coordination::limit_answer& m) {
+    json grants = json::array();
+    for (const coordination::limit_grant& grant : m.grants) {
+        grants.push_back(json::array({grant.organisation, grant.count, grant.wait_ms}));
+    }
+    return json::array({message_kind::limit_answer, m.process, m.shard, m.number, m.moment.process,
+                        m.moment.at, grants});
+}
+
+const json& check_size(const json& list) {
+    if (list.size() > coordination::max_limit_demands) {
+        throw json::other_error::create(0, "too many organisations", nullptr);
+    }
+    return list;
+}
+
+coordination::limit_request read_limit_request(const json& fields) {
+    coordination::limit_request request{fields.at(1),
+                                        fields.at(2),
+                                        fields.at(3),
+                                        fields.at(4),
+                                        {fields.at(5), fields.at(6)},
+                                        fields.at(7),
+                                        {}};
+    for (const json& entry : check_size(fields.at(8))) {
+        request.demands.push_back({entry.at(0), entry.at(1)});
+    }
+    return request;
+}
+
+coordination::limit_answer read_limit_answer(const json& fields) {
+    coordination::limit_answer answer{
+        fields.at(1), fields.at(2), fields.at(3), {fields.at(4), fields.at(5)}, {}};
+    for (const json& entry : check_size(fields.at(6))) {
+        answer.grants.push_back({entry.at(0), entry.at(1), entry.at(2)});
+    }
+    return answer;
+}
+
 hub_answer read_hub_answer(const json& fields) {
     hub_answer answer{fields.at(1), fields.at(2), fields.at(3),
                       fields.at(4), fields.at(5), {},
@@ -177,6 +227,10 @@
             return read_hub_answer(fields);
         case message_kind::departure_notice:
             return departure_notice{fields.at(1), fields.at(2), read_promises(fields.at(3))};
+        case message_kind::limit_request:
+            return read_limit_request(fields);
+        case message_kind::limit_answer:
+            return read_limit_answer(fields);
     }
     throw json::other_error::create(0, "unknown message kind", nullptr);
 }
--- a/src/gateway/peer_message.h
+++ b/src/gateway/peer_message.h
@@ -7,6 +7,7 @@
 #include <variant>
 #include <vector>
 
+#include "coordination/operation_limits.h"
 #include "state/log_point.h"
 
 namespace hornbeamhook::gateway {
@@ -160,7 +161,8 @@
 
 using peer_message =
     std::variant<peer_ping, peer_pong, revoke_request, revoke_answer, reachability_request,
-                 reachability_answer, record_notice, hub_request, hub_answer, departure_notice>;
+                 reachability_answer, record_notice, hub_request, hub_answer, departure_notice,
+                 coordination::limit_request, coordination::limit_answer>;
 
 /** Digest of promises; the same on every VM. Thread safe. */
 std::uint64_t get_digest(const std::vector<record_promise>& promises);
--- a/src/gateway/pending_statement.h
+++ b/src/gateway/pending_statement.h
@@ -37,6 +37,9 @@
     /// Those of them with its set-up or its answer outstanding.
     std::vector<std::weak_ptr<target_link>> outstanding_links;
     std::int64_t last_sent_at = 0;
+    /// It may be sent before this time, by the limit of its organisation; 0 if there is none.
+    std::int64_t grant_until = 0;
+    bool is_waiting_for_grant = false;
     bool is_settled = false;                ///< The caller was answered or has disconnected.
     bool is_in_doubt = false;               ///< A connection was lost after the statement was sent.
     std::set<std::string> avoided_targets;  ///< Targets at which it failed.
--- a/src/gateway/session_engine.cpp
+++ b/src/gateway/session_engine.cpp
@@ -5,6 +5,7 @@
 
 #include "coordination/queue_wait.h"
 #include "gateway/gateway_events.h"
+#include "gateway/statement_time_limits.h"
 
 namespace hornbeamhook::gateway {
 
@@ -13,8 +14,6 @@
 constexpr std::int64_t tick_ms = 50;  ///< Resolution of time limits; each tick costs a wake-up.
 /// Part of the objective after which a read is also sent to another target.
 constexpr double hedge_delay_fraction = 0.5;
-constexpr std::int64_t default_objective_ms = 500;  ///< For routes without one.
-constexpr std::int64_t default_timeout_ms = 5000;   ///< For routes without one.
 /// Sends of one statement; more would multiply the load of a failing group.
 constexpr int max_attempts = 4;
 /// Reads avoid a target for this long after it failed.
@@ -50,35 +49,17 @@
 /// Connections to the homes of one target; each carries one statement, and the target's queue holds
 /// fewer than this.
 constexpr int max_relayed_links = 24;
-constexpr int kept_relayed_links = 2;   ///< Kept open when idle.
-constexpr int kept_links_per_home = 1;  ///< The same where each home serves some organisations.
-constexpr std::int64_t min_relayed_wait_ms = 30;  ///< A home tries once to find a connection.
-constexpr double answer_time_weight = 0.1;        ///< Weight of a new sample in the moving mean.
-constexpr double default_answer_ms = 15;          ///< A typical statement on an idle target.
+constexpr int kept_relayed_links = 2;       ///< Kept open when idle.
+constexpr int kept_links_per_home = 1;      ///< The same where each home serves some organisations.
+constexpr double answer_time_weight = 0.1;  ///< Weight of a new sample in the moving mean.
+constexpr double default_answer_ms = 15;    ///< A typical statement on an idle target.
 constexpr double primary_read_factor = 1.6;  ///< Slots of primaries are scarce: writes need them.
 constexpr std::int64_t region_round_trip_ms = 16;     ///< Between regions.
 constexpr std::int64_t answer_time_expiry_ms = 2000;  ///< Without answers the mean is discarded.
 /// A commit whose answer arrives later than this after the lease ended may have been rolled back.
 constexpr std::int64_t commit_grace_ms = 100;
 
-std::int64_t get_objective(const pending_statement& pending) {
-    return pending.target_route.objective_ms > 0 ? pending.target_route.objective_ms
-                                                 : default_objective_ms;
-}
-
-std::int64_t get_timeout(const pending_statement& pending) {
-    return pending.target_route.timeout_ms > 0 ? pending.target_route.timeout_ms
-                                               : default_timeout_ms;
-}
-
-/** Time from its arrival after which a statement without an answer is refused. */
-std::int64_t get_answer_limit(const pending_statement& pending) {
-    // The other VM knows only that it passed the statement on, so it must learn in time that the
-    // statement was not sent.
-    return pending.is_relayed() && !pending.may_have_run()
-               ? std::max(pending.wait_ms, min_relayed_wait_ms)
-               : get_timeout(pending);
-}
+const std::string limit_reached = "the limit of the organisation is reached";
 
 std::int64_t scale(std::int64_t value, double factor) {
     return static_cast<std::int64_t>(static_cast<double>(value) * factor);
@@ -304,6 +285,11 @@
     if (assign(group, pending) != assignment::must_wait) {
         return;
     }
+    if (is_beyond_limit(group, *pending, transport::get_boot_time())) {
+        refuse(group, pending, pending->is_in_doubt ? failure_code::aborted : failure_code::busy,
+               limit_reached);
+        return;
+    }
     if (is_expected_wait_too_long(group, *pending)) {
         refuse(group, pending, pending->is_in_doubt ? failure_code::aborted : failure_code::busy,
                "the queue is too long");
@@ -317,12 +303,19 @@
     group.queue.insert(position, pending);
 }
 
+bool session_engine::is_beyond_limit(const target_group& group, const pending_statement& pending,
+                                     std::int64_t now) const {
+    return gate_ != nullptr && pending.is_waiting_for_grant &&
+           gate_->is_hopeless(
+               pending, get_wait_limit(group, pending, now) - (now - pending.arrived_at), now);
+}
+
 bool session_engine::is_expected_wait_too_long(const target_group& group,
                                                const pending_statement& pending) {
     const std::int64_t now = transport::get_boot_time();
     const auto& record = group.lease.get_record();
     // A read may find a slot at any of several targets, so its wait cannot be estimated.
-    if (!pending.needs_primary || !record) {
+    if (!pending.needs_primary || !record || pending.is_waiting_for_grant) {
         return false;
     }
     const std::string& id = pending.is_relayed() ? *pending.target : record->target;
@@ -332,7 +325,7 @@
     }
     const auto ahead = std::count_if(
         group.queue.begin(), group.queue.end(), [&](const pending_statement_ptr& other) {
-            return other->is_before(pending) &&
+            return other->is_before(pending) && !other->is_waiting_for_grant &&
                    (other->is_relayed() ? *other->target == id : other->needs_primary);
         });
     const auto& links = target->second.links;
@@ -384,6 +377,12 @@
 
 session_engine::assignment session_engine::assign(target_group& group,
                                                   const pending_statement_ptr& pending) {
+    if (const std::int64_t now = transport::get_boot_time(); gate_ && !pending->is_relayed()) {
+        // A grant would expire unused while no target may run the statement.
+        if (!is_runnable(group, *pending, now) || !gate_->allow(pending, now)) {
+            return assignment::must_wait;
+        }
+    }
     if (pending->is_relayed()) {
         return assign_relayed(group, pending);
     }
@@ -795,16 +794,14 @@
     const std::string name = group.name;
     std::string limits;
     if (link->is_relayed()) {
-        const std::int64_t left = get_objective(*pending) - (now - pending->arrived_at);
-        limits =
-            protocol_.format_relay_limits({std::max(left, min_relayed_wait_ms),
-                                           pending->target_route.priority, pending->organisation});
+        limits = protocol_.format_relay_limits(
+            {get_relay_wait(*pending, now), pending->target_route.priority, pending->organisation});
     }
     const auto is_sent = std::make_shared<bool>(false);
     send(
         *pending->session, link, pending->statement, pending->begin, required_position,
         [pending, is_sent] {
-            if (pending->is_settled) {
+            if (pending->is_settled || is_grant_expired(*pending, transport::get_boot_time())) {
                 return false;
             }
             *is_sent = true;
@@ -954,6 +951,7 @@
                {{"id", pending->statement.id},
                 {"sent_to", sent_to},
                 {"caller", pending->session->get_caller()},
+                {"organisation", pending->organisation},
                 {"reason", reason},
                 {"waited_ms", std::to_string(now - pending->arrived_at)},
                 {"attempts", std::to_string(pending->attempts)},
@@ -1079,9 +1077,10 @@
         if (now - pending->arrived_at >= limit) {
             refuse(group, pending,
                    pending->is_in_doubt ? failure_code::aborted : failure_code::busy,
-                   !is_not_runnable         ? "no connection became free"
-                   : pending->needs_primary ? "no primary may be used"
-                                            : "no position is recent enough");
+                   pending->is_waiting_for_grant ? limit_reached
+                   : !is_not_runnable            ? "no connection became free"
+                   : pending->needs_primary      ? "no primary may be used"
+                                                 : "no position is recent enough");
         }
     }
     const std::vector<pending_statement_ptr> running = group.running;
@@ -1151,7 +1150,7 @@
     const std::vector<pending_statement_ptr> running = group.running;
     for (const pending_statement_ptr& pending : running) {
         const bool is_due =
-            pending->is_idempotent && !pending->is_settled &&
+            pending->is_idempotent && !pending->is_settled && !is_grant_expired(*pending, now) &&
             pending->outstanding_links.size() == 1 && pending->attempts < 2 &&
             now - pending->last_sent_at >= scale(get_objective(*pending), hedge_delay_fraction);
         if (!is_due) {
--- a/src/gateway/session_engine.h
+++ b/src/gateway/session_engine.h
@@ -16,6 +16,7 @@
 #include "gateway/home_planner.h"
 #include "gateway/home_selector.h"
 #include "gateway/link_request.h"
+#include "gateway/operation_gate.h"
 #include "gateway/pending_statement.h"
 #include "gateway/session_protocol.h"
 #include "gateway/target_control.h"
@@ -51,6 +52,13 @@
     void set_configuration(const configuration& value);
     /** Whether callers need the key of an organisation. */
     void set_identifies_callers(bool value) { identifies_callers_ = value; }
+    /** Sets what allows operations of limited organisations; null: none is limited. It has to
+     * outlive the engine's use. */
+    void set_operation_gate(operation_gate* gate) { gate_ = gate; }
+    /** Null if the newest configuration has none of this name. */
+    const organisation* find_organisation_by_name(const std::string& name) const {
+        return configuration_.organisations.find(name);
+    }
     /** Adds or updates one target, or removes it when `entry` is empty. */
     void update_target(const std::string& id, const std::optional<target_entry>& entry);
     /** Sets the VMs that share the targets' connections. `live` includes this one. */
@@ -159,6 +167,9 @@
     /** Whether the wait behind earlier statements is expected to exceed the wait limit. */
     static bool is_expected_wait_too_long(const target_group& group,
                                           const pending_statement& pending);
+    /** Whether its organisation's limit will not allow the statement within its wait limit. */
+    bool is_beyond_limit(const target_group& group, const pending_statement& pending,
+                         std::int64_t now) const;
     /** Maximum wait of the statement for a connection, from its arrival. */
     static std::int64_t get_wait_limit(const target_group& group, const pending_statement& pending,
                                        std::int64_t now);
@@ -215,6 +226,7 @@
     std::int64_t started_at_ = transport::get_boot_time();
     bool is_stopping_ = false;
     bool identifies_callers_ = false;
+    operation_gate* gate_ = nullptr;
     coordination::byte_budget session_bytes_{max_vm_session_bytes};
     coordination::byte_budget input_bytes_{max_vm_input_bytes};
 };
--- a/tests/ctl/gateway_log_test.cpp
+++ b/tests/ctl/gateway_log_test.cpp
@@ -32,6 +32,16 @@
     return text;
 }
 
+// Guards against a refusal by a limit that is explained as a lack of connections.
+TEST(gateway_log, names_the_organisation_whose_limit_was_reached) {
+    const auto log = parse_gateway_log(
+        "  1.0 vm-a boot_ms=1 vm=vm-a event=7030 statement_refused id=dd sent_to=\"\" caller=u "
+        "organisation=anna reason=\"the limit of the organisation is reached\" waited_ms=9\n");
+    const std::string story = join(explain_request(log, "dd"));
+    EXPECT_NE(story.find("cause: organisation anna asked for more operations"), std::string::npos)
+        << story;
+}
+
 TEST(gateway_log, reads_lines_among_other_text) {
     const auto log = parse_gateway_log(sample);
     ASSERT_EQ(log.size(), 8U);
--- a/tests/gateway/peer_message_test.cpp
+++ b/tests/gateway/peer_message_test.cpp
@@ -14,6 +14,8 @@
     return {peer_ping{"vm1", 17, 3, ~0ULL},
             peer_pong{"vm2", 18, 3, 40, true, true, false, {{"g", 12}}, {{"g", {2, 77}, 150}}},
             departure_notice{"vm2", 18, {{"g", 12}, {"h", 9}}},
+            coordination::limit_request{"vm1", ~0ULL, 3, 9, {~0ULL, 88}, 73, {{"o", 4}, {"p", 0}}},
+            coordination::limit_answer{~0ULL, 3, 9, {~0ULL, 88}, {{"o", 3, 20}, {"p", 0, 0}}},
             revoke_request{"g", 12, true},
             revoke_answer{"vm1", "g", 12, true},
             reachability_request{"g", "t1"},
@@ -52,6 +54,18 @@
             peer_pong{text.draw(), number(), number(), number(), flag(), flag(), flag(),
                       draw_promises(), draw_positions()},
             departure_notice{text.draw(), number(), draw_promises()},
+            coordination::limit_request{text.draw(),
+                                        text.draw_number(),
+                                        number(),
+                                        number(),
+                                        {text.draw_number(), number()},
+                                        number(),
+                                        {{text.draw(), number()}, {text.draw(), number()}}},
+            coordination::limit_answer{text.draw_number(),
+                                       number(),
+                                       number(),
+                                       {text.draw_number(), number()},
+                                       {{text.draw(), number(), number()}}},
             revoke_request{text.draw(), number(), flag()},
             revoke_answer{text.draw(), text.draw(), number(), flag()},
             reachability_request{text.draw(), text.draw()},
@@ -97,6 +111,15 @@
     EXPECT_FALSE(parse_peer_message("hello").has_value());
 }
 
+// Guards against a request whose answer would not fit in a datagram.
+TEST(peer_message, rejects_requests_for_too_many_organisations) {
+    coordination::limit_request request{"vm1", 1, 0, 1, {}, 0, {}};
+    request.demands.resize(coordination::max_limit_demands, {"o", 1});
+    EXPECT_TRUE(parse_peer_message(format_peer_message(request)));
+    request.demands.push_back({"o", 1});
+    EXPECT_FALSE(parse_peer_message(format_peer_message(request)));
+}
+
 // Guards against a datagram of nested arrays that exhausts the stack of the parser.
 TEST(peer_message, rejects_deeply_nested_datagrams) {
     constexpr char array_of_one = '\x91';
