Reserve the list of live VMs in one step

clang-tidy reports a list that grows inside a loop; the lint run of the changed files had this one finding. The tests of limits pass after it.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -233,6 +233,7 @@
     engine_.set_fleet(live, size);
     if (limits_) {
         std::vector<std::string> names;
+        names.reserve(live.size());
         for (const fleet_member& member : live) {
             names.push_back(member.vm);
         }
