--- a/src/gateway/group_queue.cpp
+++ b/src/gateway/group_queue.cpp
@@ -7,13 +7,12 @@
 
 #include "coordination/fair_order.h"
 #include "coordination/queue_wait.h"
+#include "gateway/statement_time_limits.h"
 
 namespace hornbeamhook::gateway {
 
 namespace {
 
-constexpr std::int64_t default_objective_ms = 500;  ///< For routes without one.
-
 bool is_before(const pending_statement_ptr& a, const pending_statement_ptr& b) {
     return a->is_before(*b);
 }
@@ -81,11 +80,6 @@
 
 }  // namespace
 
-std::int64_t get_objective(const pending_statement& pending) {
-    return pending.target_route.objective_ms > 0 ? pending.target_route.objective_ms
-                                                 : default_objective_ms;
-}
-
 std::int64_t get_wait_limit(const target_group& group, const pending_statement& pending,
                             std::int64_t now) {
     const double answer_ms = get_answer_ms(group, pending, now);
@@ -121,7 +115,7 @@
                                std::int64_t now) {
     const auto& record = group.lease.get_record();
     // A read may find a slot at any of several targets, so its wait cannot be estimated.
-    if (!pending.needs_primary || !record) {
+    if (!pending.needs_primary || !record || pending.is_waiting_for_grant) {
         return false;
     }
     const std::string& id = pending.is_relayed() ? *pending.target : record->target;
@@ -131,7 +125,7 @@
     }
     const auto ahead = std::count_if(
         group.queue.begin(), group.queue.end(), [&](const pending_statement_ptr& other) {
-            return other->is_before(pending) &&
+            return other->is_before(pending) && !other->is_waiting_for_grant &&
                    (other->is_relayed() ? *other->target == id : other->needs_primary);
         });
     return now - pending.arrived_at +
@@ -181,13 +175,14 @@
     group.queue.push_back(pending);
     arrange_fairly(group, organisations, now);
     const std::optional<double> rate = get_answer_rate(group, *pending, now);
-    if (!rate) {
+    if (!rate || pending->is_waiting_for_grant) {
         return true;
     }
     const auto position = std::find(group.queue.begin(), group.queue.end(), pending);
-    const auto ahead = std::count_if(
-        group.queue.begin(), position,
-        [&](const pending_statement_ptr& other) { return is_competing(*other, *pending); });
+    const auto ahead =
+        std::count_if(group.queue.begin(), position, [&](const pending_statement_ptr& other) {
+            return !other->is_waiting_for_grant && is_competing(*other, *pending);
+        });
     const auto wait_ms = static_cast<std::int64_t>(static_cast<double>(ahead + 1) / *rate);
     if (now - pending->arrived_at + wait_ms <= get_wait_limit(group, *pending, now)) {
         return true;
--- a/src/gateway/group_queue.h
+++ b/src/gateway/group_queue.h
@@ -11,13 +11,9 @@
 // Order of the statements that wait for the targets of a group, and how long they may wait. Loop
 // thread only; `now` is in ms.
 
-inline constexpr std::int64_t min_relayed_wait_ms = 30;  ///< A home tries once for a connection.
 /// Without answers for this long the mean answer time of a target says nothing.
 inline constexpr std::int64_t answer_time_expiry_ms = 2000;
 
-/** Latency objective of the statement's route, in ms. */
-std::int64_t get_objective(const pending_statement& pending);
-
 /** Maximum wait of the statement for a connection, from its arrival, in ms. */
 std::int64_t get_wait_limit(const target_group& group, const pending_statement& pending,
                             std::int64_t now);
--- a/src/gateway/session_engine.h
+++ b/src/gateway/session_engine.h
@@ -18,6 +18,7 @@
 #include "gateway/home_planner.h"
 #include "gateway/home_selector.h"
 #include "gateway/link_request.h"
+#include "gateway/operation_gate.h"
 #include "gateway/pending_statement.h"
 #include "gateway/session_protocol.h"
 #include "gateway/target_control.h"
@@ -59,6 +60,13 @@
     /** Whether the statements in flight at a target are limited, see coordination::target_pace.
      * Precondition: no target is known. */
     void set_paces_targets(bool value) { paces_targets_ = value; }
+    /** Sets what allows operations of limited organisations; null: none is limited. It has to
+     * outlive the engine's use. */
+    void set_operation_gate(operation_gate* gate) { gate_ = gate; }
+    /** Null if the newest configuration has none of this name. */
+    const organisation* find_organisation_by_name(const std::string& name) const {
+        return configuration_.organisations.find(name);
+    }
     /** Adds or updates one target, or removes it when `entry` is empty. */
     void update_target(const std::string& id, const std::optional<target_entry>& entry);
     /** Sets the VMs that share the targets' connections. `live` includes this one. */
@@ -168,6 +176,9 @@
     int get_connection_limit(const target_state& target) const;
     bool is_direct(const target_state& target) const;
     void update_homes();
+    /** Whether its organisation's limit will not allow the statement within its wait limit. */
+    bool is_beyond_limit(const target_group& group, const pending_statement& pending,
+                         std::int64_t now) const;
     /** Whether the statement has failed at each usable target. */
     static bool is_every_target_avoided(const target_group& group,
                                         const pending_statement& pending);
@@ -225,6 +236,7 @@
     bool identifies_callers_ = false;
     bool shares_fairly_ = false;
     bool paces_targets_ = false;
+    operation_gate* gate_ = nullptr;
     coordination::byte_budget session_bytes_{max_vm_session_bytes};
     coordination::byte_budget input_bytes_{max_vm_input_bytes};
     caller_limits caller_limits_{loop_, log_, counters_};
