--- a/src/gateway/session_engine.cpp
+++ b/src/gateway/session_engine.cpp
@@ -5,6 +5,8 @@
 
 #include "coordination/queue_wait.h"
 #include "gateway/gateway_events.h"
+#include "gateway/group_queue.h"
+#include "gateway/statement_time_limits.h"
 
 namespace hornbeamhook::gateway {
 
@@ -13,8 +15,6 @@
 constexpr std::int64_t tick_ms = 50;  ///< Resolution of time limits; each tick costs a wake-up.
 /// Part of the objective after which a read is also sent to another target.
 constexpr double hedge_delay_fraction = 0.5;
-constexpr std::int64_t default_objective_ms = 500;  ///< For routes without one.
-constexpr std::int64_t default_timeout_ms = 5000;   ///< For routes without one.
 /// Sends of one statement; more would multiply the load of a failing group.
 constexpr int max_attempts = 4;
 /// Reads avoid a target for this long after it failed.
@@ -50,35 +50,18 @@
 /// Connections to the homes of one target; each carries one statement, and the target's queue holds
 /// fewer than this.
 constexpr int max_relayed_links = 24;
-constexpr int kept_relayed_links = 2;   ///< Kept open when idle.
-constexpr int kept_links_per_home = 1;  ///< The same where each home serves some organisations.
-constexpr std::int64_t min_relayed_wait_ms = 30;  ///< A home tries once to find a connection.
-constexpr double answer_time_weight = 0.1;        ///< Weight of a new sample in the moving mean.
-constexpr double default_answer_ms = 15;          ///< A typical statement on an idle target.
+constexpr int kept_relayed_links = 2;       ///< Kept open when idle.
+constexpr int kept_links_per_home = 2;      ///< The same where each home serves some organisations.
+constexpr double answer_time_weight = 0.1;  ///< Weight of a new sample in the moving mean.
+constexpr double default_answer_ms = 15;    ///< A typical statement on an idle target.
+/// Of the limits of all organisations; a home has a third of the connections of a target.
+constexpr double max_share_at_one_home = 0.03;
 constexpr double primary_read_factor = 1.6;  ///< Slots of primaries are scarce: writes need them.
-constexpr std::int64_t region_round_trip_ms = 16;     ///< Between regions.
-constexpr std::int64_t answer_time_expiry_ms = 2000;  ///< Without answers the mean is discarded.
+constexpr std::int64_t region_round_trip_ms = 16;  ///< Between regions.
 /// A commit whose answer arrives later than this after the lease ended may have been rolled back.
 constexpr std::int64_t commit_grace_ms = 100;
 
-std::int64_t get_objective(const pending_statement& pending) {
-    return pending.target_route.objective_ms > 0 ? pending.target_route.objective_ms
-                                                 : default_objective_ms;
-}
-
-std::int64_t get_timeout(const pending_statement& pending) {
-    return pending.target_route.timeout_ms > 0 ? pending.target_route.timeout_ms
-                                               : default_timeout_ms;
-}
-
-/** Time from its arrival after which a statement without an answer is refused. */
-std::int64_t get_answer_limit(const pending_statement& pending) {
-    // The other VM knows only that it passed the statement on, so it must learn in time that the
-    // statement was not sent.
-    return pending.is_relayed() && !pending.may_have_run()
-               ? std::max(pending.wait_ms, min_relayed_wait_ms)
-               : get_timeout(pending);
-}
+const std::string limit_reached = "the limit of the organisation is reached";
 
 std::int64_t scale(std::int64_t value, double factor) {
     return static_cast<std::int64_t>(static_cast<double>(value) * factor);
@@ -167,6 +150,7 @@
     const bool may_revoke = configuration_.organisations != value.organisations;
     configuration_ = value;
     update_plans({});
+    large_organisations_ = get_large_organisations(value.organisations, max_share_at_one_home);
     if (may_revoke) {
         const auto sessions = sessions_;
         for (const auto& [key, session] : sessions) {
@@ -233,6 +217,9 @@
         target.unreachable_until = 0;
         target.position.reset();
     }
+    if (paces_targets_) {
+        target.pace_start(is_restarted);
+    }
     if (!is_known || is_restarted || is_changed) {
         log_.write(event_target_listed, {{"target", id},
                                          {"group", entry->group},
@@ -269,15 +256,13 @@
 }
 
 void session_engine::close_idle_sessions() {
-    const auto sessions = sessions_;
-    for (const auto& [key, session] : sessions) {
+    for (const auto& [key, session] : std::map(sessions_)) {
         session->close_if_idle();
     }
 }
 
 void session_engine::close_all_sessions() {
-    const auto sessions = sessions_;
-    for (const auto& [key, session] : sessions) {
+    for (const auto& [key, session] : std::map(sessions_)) {
         session->close();
     }
 }
@@ -304,45 +289,29 @@
     if (assign(group, pending) != assignment::must_wait) {
         return;
     }
-    if (is_expected_wait_too_long(group, *pending)) {
+    const std::int64_t now = transport::get_boot_time();
+    if (is_beyond_limit(group, *pending, now)) {
         refuse(group, pending, pending->is_in_doubt ? failure_code::aborted : failure_code::busy,
-               "the queue is too long");
+               limit_reached);
         return;
     }
-    const auto position =
-        std::upper_bound(group.queue.begin(), group.queue.end(), pending,
-                         [](const pending_statement_ptr& a, const pending_statement_ptr& b) {
-                             return a->is_before(*b);
-                         });
-    group.queue.insert(position, pending);
+    const bool is_too_long =
+        is_every_link_held(group, *pending) ||
+        (shares_fairly_ ? !enqueue_fairly(group, pending, configuration_.organisations, now)
+                        : is_expected_wait_too_long(group, *pending, now));
+    if (is_too_long) {
+        refuse(group, pending, pending->is_in_doubt ? failure_code::aborted : failure_code::busy,
+               "the queue is too long");
+    } else if (!shares_fairly_) {
+        enqueue(group, pending);
+    }
 }
 
-bool session_engine::is_expected_wait_too_long(const target_group& group,
-                                               const pending_statement& pending) {
-    const std::int64_t now = transport::get_boot_time();
-    const auto& record = group.lease.get_record();
-    // A read may find a slot at any of several targets, so its wait cannot be estimated.
-    if (!pending.needs_primary || !record) {
-        return false;
-    }
-    const std::string& id = pending.is_relayed() ? *pending.target : record->target;
-    const auto target = group.targets.find(id);
-    if (target == group.targets.end()) {
-        return false;
-    }
-    const auto ahead = std::count_if(
-        group.queue.begin(), group.queue.end(), [&](const pending_statement_ptr& other) {
-            return other->is_before(pending) &&
-                   (other->is_relayed() ? *other->target == id : other->needs_primary);
-        });
-    const auto& links = target->second.links;
-    const auto shared = std::count_if(links.begin(), links.end(), [](const auto& link) {
-        return link->is_open() && !link->is_relayed() && !link->is_pinned();
-    });
-    return now - pending.arrived_at +
-               coordination::get_expected_wait_ms(static_cast<int>(ahead), static_cast<int>(shared),
-                                                  target->second.mean_answer_ms) >
-           get_wait_limit(group, pending, now);
+bool session_engine::is_beyond_limit(const target_group& group, const pending_statement& pending,
+                                     std::int64_t now) const {
+    return gate_ != nullptr && pending.is_waiting_for_grant &&
+           gate_->is_hopeless(
+               pending, get_wait_limit(group, pending, now) - (now - pending.arrived_at), now);
 }
 
 std::shared_ptr<target_link> session_engine::find_control_link(const std::string& group,
@@ -368,6 +337,10 @@
         return;
     }
     target_group& group = found->second;
+    group.pace_promotion();
+    if (shares_fairly_) {
+        arrange_fairly(group, configuration_.organisations, transport::get_boot_time());
+    }
     // Assigning a statement may submit others again, so the queue is moved out first.
     std::vector<pending_statement_ptr> queue;
     queue.swap(group.queue);
@@ -376,14 +349,19 @@
             group.queue.push_back(pending);
         }
     }
-    std::stable_sort(group.queue.begin(), group.queue.end(),
-                     [](const pending_statement_ptr& a, const pending_statement_ptr& b) {
-                         return a->is_before(*b);
-                     });
+    if (!shares_fairly_) {
+        arrange(group);
+    }
 }
 
 session_engine::assignment session_engine::assign(target_group& group,
                                                   const pending_statement_ptr& pending) {
+    if (const std::int64_t now = transport::get_boot_time(); gate_ && !pending->is_relayed()) {
+        // A grant would expire unused while no target may run the statement.
+        if (!is_runnable(group, *pending, now) || !gate_->allow(pending, now)) {
+            return assignment::must_wait;
+        }
+    }
     if (pending->is_relayed()) {
         return assign_relayed(group, pending);
     }
@@ -527,6 +505,9 @@
         return link.get_organisation() == pending.organisation;
     });
     const std::int64_t now = transport::get_boot_time();
+    if (!target.may_send(now)) {
+        return nullptr;
+    }
     const bool may_open =
         !found.best && found.opening < max_opening_links && now >= target.reconnect_at;
     // A connection serves one organisation, so another one that opens may not be for this
@@ -536,8 +517,9 @@
         return found.best;
     }
     const int limit = get_direct_link_limit(target, now);
-    const bool has_room = found.count < limit;
-    if (has_room || (identifies_callers_ && found.count == limit && close_idlest_link(target))) {
+    const bool is_replacing =
+        identifies_callers_ && found.count >= limit && close_idlest_link(target);
+    if (found.count - (is_replacing ? 1 : 0) < limit) {
         open_link(target, pending.organisation);
     }
     return nullptr;
@@ -560,9 +542,11 @@
 
 std::string session_engine::select_home(const target_state& target,
                                         const pending_statement& pending, std::int64_t now) const {
-    // An organisation's statements meet at one home, which then has a connection of it.
-    return homes_.select(target.plan, target.entry.id, pending.organisation, pending.avoided_homes,
-                         now);
+    // The statements of a small organisation meet at one home, which then has a connection of it.
+    // Those of a large one would take all connections of one home.
+    const bool is_small = !large_organisations_.contains(pending.organisation);
+    return homes_.select(target.plan, target.entry.id, is_small ? pending.organisation : "",
+                         pending.avoided_homes, now);
 }
 
 std::shared_ptr<target_link> session_engine::find_relayed_link(target_state& target,
@@ -570,7 +554,8 @@
     const std::int64_t now = transport::get_boot_time();
     const std::string home = select_home(target, pending, now);
     const bool must_be_responsive = !homes_.is_unresponsive(home, now);
-    const bool must_be_selected = !pending.organisation.empty();
+    const bool must_be_selected =
+        !pending.organisation.empty() && !large_organisations_.contains(pending.organisation);
     const link_search found = search_links(target, pending, true, [&](const target_link& link) {
         return (!must_be_selected || link.get_home() == home) &&
                homes_.may_use(target.plan, link.get_home(), now) &&
@@ -629,7 +614,8 @@
              [this, id, home](std::uint64_t link, const coordination::setup_step& step,
                               const target_failure& failure) {
                  log_setup_failure(id, home, link, step, failure);
-             }},
+             },
+         .flow = &answer_flow_},
         link_home{home, member->peer_address}));
 }
 
@@ -649,7 +635,8 @@
              [this, id](std::uint64_t link, const coordination::setup_step& step,
                         const target_failure& failure) {
                  log_setup_failure(id, "none", link, step, failure);
-             }},
+             },
+         .flow = &answer_flow_},
         std::nullopt, organisation));
 }
 
@@ -705,6 +692,7 @@
         return;  // Says nothing about the target.
     }
     target->reconnect_at = now + reconnect_delay_ms;
+    target->pace_link_end(is_limited);
     if (is_limited) {
         // Statements go on over the connections that it has accepted.
         target->connection_limited_until = now + connection_limit_backoff_ms;
@@ -791,20 +779,21 @@
     pending->links.push_back(link);
     pending->outstanding_links.push_back(link);
     group.running.push_back(pending);
+    if (shares_fairly_) {
+        group.turns.add_sent(pending->target_route.priority, pending->organisation, now);
+    }
     const state::term_number term = record ? record->term : 0;
     const std::string name = group.name;
     std::string limits;
     if (link->is_relayed()) {
-        const std::int64_t left = get_objective(*pending) - (now - pending->arrived_at);
-        limits =
-            protocol_.format_relay_limits({std::max(left, min_relayed_wait_ms),
-                                           pending->target_route.priority, pending->organisation});
+        limits = protocol_.format_relay_limits(
+            {get_relay_wait(*pending, now), pending->target_route.priority, pending->organisation});
     }
     const auto is_sent = std::make_shared<bool>(false);
     send(
         *pending->session, link, pending->statement, pending->begin, required_position,
         [pending, is_sent] {
-            if (pending->is_settled) {
+            if (pending->is_settled || is_grant_expired(*pending, transport::get_boot_time())) {
                 return false;
             }
             *is_sent = true;
@@ -837,6 +826,9 @@
                 ? elapsed
                 : target->mean_answer_ms + (elapsed - target->mean_answer_ms) * answer_time_weight;
     }
+    if (target != nullptr) {
+        target->pace_answer(*link, answer, now);
+    }
     if (pending->is_settled) {
         roll_back_unpinned(link);
         dispatch(group_name);
@@ -954,6 +946,7 @@
                {{"id", pending->statement.id},
                 {"sent_to", sent_to},
                 {"caller", pending->session->get_caller()},
+                {"organisation", pending->organisation},
                 {"reason", reason},
                 {"waited_ms", std::to_string(now - pending->arrived_at)},
                 {"attempts", std::to_string(pending->attempts)},
@@ -1079,9 +1072,10 @@
         if (now - pending->arrived_at >= limit) {
             refuse(group, pending,
                    pending->is_in_doubt ? failure_code::aborted : failure_code::busy,
-                   !is_not_runnable         ? "no connection became free"
-                   : pending->needs_primary ? "no primary may be used"
-                                            : "no position is recent enough");
+                   pending->is_waiting_for_grant ? limit_reached
+                   : !is_not_runnable            ? "no connection became free"
+                   : pending->needs_primary      ? "no primary may be used"
+                                                 : "no position is recent enough");
         }
     }
     const std::vector<pending_statement_ptr> running = group.running;
@@ -1126,32 +1120,11 @@
     return has_position || group.lease.get_usable(now);
 }
 
-std::int64_t session_engine::get_wait_limit(const target_group& group,
-                                            const pending_statement& pending, std::int64_t now) {
-    const auto record = group.lease.get_record();
-    double answer_ms = -1;
-    for (const auto& [id, target] : group.targets) {
-        const bool is_eligible = pending.is_relayed() ? id == *pending.target
-                                 : pending.needs_primary
-                                     ? record && id == record->target
-                                     : target.is_usable() && now >= target.lagging_until;
-        const bool is_known = now - target.last_answer_at < answer_time_expiry_ms;
-        if (is_eligible && is_known && (answer_ms < 0 || target.mean_answer_ms < answer_ms)) {
-            answer_ms = target.mean_answer_ms;
-        }
-    }
-    if (pending.is_relayed()) {
-        return std::max(min_relayed_wait_ms,
-                        coordination::get_max_wait_ms(pending.wait_ms, answer_ms));
-    }
-    return coordination::get_max_wait_ms(get_objective(pending), answer_ms);
-}
-
 void session_engine::hedge(target_group& group, std::int64_t now) {
     const std::vector<pending_statement_ptr> running = group.running;
     for (const pending_statement_ptr& pending : running) {
         const bool is_due =
-            pending->is_idempotent && !pending->is_settled &&
+            pending->is_idempotent && !pending->is_settled && !is_grant_expired(*pending, now) &&
             pending->outstanding_links.size() == 1 && pending->attempts < 2 &&
             now - pending->last_sent_at >= scale(get_objective(*pending), hedge_delay_fraction);
         if (!is_due) {
--- a/src/gateway/session_engine.h
+++ b/src/gateway/session_engine.h
@@ -9,13 +9,16 @@
 #include <string>
 
 #include "coordination/byte_budget.h"
+#include "gateway/answer_flow.h"
 #include "gateway/bounded_log.h"
+#include "gateway/caller_limits.h"
 #include "gateway/caller_session.h"
 #include "gateway/configuration.h"
 #include "gateway/gateway_counters.h"
 #include "gateway/home_planner.h"
 #include "gateway/home_selector.h"
 #include "gateway/link_request.h"
+#include "gateway/operation_gate.h"
 #include "gateway/pending_statement.h"
 #include "gateway/session_protocol.h"
 #include "gateway/target_control.h"
@@ -51,6 +54,19 @@
     void set_configuration(const configuration& value);
     /** Whether callers need the key of an organisation. */
     void set_identifies_callers(bool value) { identifies_callers_ = value; }
+    /** Whether organisations share the room fairly while statements wait, and statements that can't
+     * be served in time are refused at once. */
+    void set_shares_fairly(bool value) { shares_fairly_ = value; }
+    /** Whether the statements in flight at a target are limited, see coordination::target_pace.
+     * Precondition: no target is known. */
+    void set_paces_targets(bool value) { paces_targets_ = value; }
+    /** Sets what allows operations of limited organisations; null: none is limited. It has to
+     * outlive the engine's use. */
+    void set_operation_gate(operation_gate* gate) { gate_ = gate; }
+    /** Null if the newest configuration has none of this name. */
+    const organisation* find_organisation_by_name(const std::string& name) const {
+        return configuration_.organisations.find(name);
+    }
     /** Adds or updates one target, or removes it when `entry` is empty. */
     void update_target(const std::string& id, const std::optional<target_entry>& entry);
     /** Sets the VMs that share the targets' connections. `live` includes this one. */
@@ -91,6 +107,10 @@
     coordination::byte_budget& get_session_bytes() { return session_bytes_; }
     /** Input of all sessions that is incomplete or waits for an outstanding statement. */
     coordination::byte_budget& get_input_bytes() { return input_bytes_; }
+    /** What sessions may hold, and which of them is closed when they hold too much. */
+    caller_limits& get_caller_limits() { return caller_limits_; }
+    /** Incomplete answers of targets. */
+    answer_flow& get_answer_flow() { return answer_flow_; }
     const route* find_route(const std::string& database) const;
     bool identifies_callers() const { return identifies_callers_; }
     /** The organisation that holds the key in the newest configuration; null if there is none. */
@@ -156,12 +176,9 @@
     int get_connection_limit(const target_state& target) const;
     bool is_direct(const target_state& target) const;
     void update_homes();
-    /** Whether the wait behind earlier statements is expected to exceed the wait limit. */
-    static bool is_expected_wait_too_long(const target_group& group,
-                                          const pending_statement& pending);
-    /** Maximum wait of the statement for a connection, from its arrival. */
-    static std::int64_t get_wait_limit(const target_group& group, const pending_statement& pending,
-                                       std::int64_t now);
+    /** Whether its organisation's limit will not allow the statement within its wait limit. */
+    bool is_beyond_limit(const target_group& group, const pending_statement& pending,
+                         std::int64_t now) const;
     /** Whether the statement has failed at each usable target. */
     static bool is_every_target_avoided(const target_group& group,
                                         const pending_statement& pending);
@@ -207,6 +224,8 @@
     home_planner planner_;
     home_selector homes_;
     configuration configuration_;
+    std::set<std::string> large_organisations_;  ///< Their statements use all homes of a target.
+    answer_flow answer_flow_;                    ///< Outlives the connections in groups_.
     std::map<std::string, target_group> groups_;
     std::map<std::string, std::string> group_of_target_;
     std::map<const caller_session*, std::shared_ptr<caller_session>> sessions_;
@@ -215,8 +234,12 @@
     std::int64_t started_at_ = transport::get_boot_time();
     bool is_stopping_ = false;
     bool identifies_callers_ = false;
+    bool shares_fairly_ = false;
+    bool paces_targets_ = false;
+    operation_gate* gate_ = nullptr;
     coordination::byte_budget session_bytes_{max_vm_session_bytes};
     coordination::byte_budget input_bytes_{max_vm_input_bytes};
+    caller_limits caller_limits_{loop_, log_, counters_};
 };
 
 }  // namespace hornbeamhook::gateway
--- a/src/gateway/target_group.h
+++ b/src/gateway/target_group.h
@@ -7,8 +7,10 @@
 #include <string>
 #include <vector>
 
+#include "coordination/fair_order.h"
 #include "coordination/position_history.h"
 #include "coordination/primary_lease.h"
+#include "coordination/target_pace.h"
 #include "gateway/home_plan.h"
 #include "gateway/pending_statement.h"
 #include "gateway/target_entry.h"
@@ -37,13 +39,30 @@
     state::term_number term = 0;     ///< Newest reported term.
     /// What its log had reached in the last answer that named a position.
     std::optional<state::log_point> position;
-    std::int64_t positioned_at = 0;  ///< When it answered with that position.
+    std::int64_t positioned_at = 0;                 ///< When it answered with that position.
+    std::optional<coordination::target_pace> pace;  ///< Empty if targets are not paced.
 
     /** Whether new statements may be sent to it. */
     bool is_usable() const { return removed_at == 0 && !entry.is_leaving; }
 
     /** Counts connections with an outstanding statement or still being opened. */
     int count_busy_links() const;
+
+    /** Counts direct connections with an outstanding statement. */
+    int count_in_flight() const;
+
+    /** Whether its pace allows one more statement now. */
+    bool may_send(std::int64_t now) const;
+
+    /** Begins to pace it, or slows its start if it has restarted. */
+    void pace_start(bool is_restarted);
+
+    /** Slows its return after its last direct connection ended, unless it refused the connection
+     * because it has too many. */
+    void pace_link_end(bool is_limited);
+
+    /** Records the answer to a statement on `link` for its pace. */
+    void pace_answer(const target_link& link, const target_answer& answer, std::int64_t now);
 };
 
 /** Targets that replicate the same data. */
@@ -52,12 +71,19 @@
     std::map<std::string, target_state> targets;
     coordination::primary_lease lease;
     coordination::position_history history;
-    std::vector<pending_statement_ptr> queue;    ///< Ordered by is_before().
+    std::vector<pending_statement_ptr> queue;    ///< See group_queue.h for its order.
     std::vector<pending_statement_ptr> running;  ///< One per outstanding answer; may be settled.
 
+    coordination::fair_order turns;  ///< Of all statements sent.
+
+    state::term_number paced_term = 0;  ///< Term whose promotion was paced.
+
     /** The known target that the newest record names as primary; null without one. */
     const target_state* find_primary() const;
     target_state* find_primary();
+
+    /** Slows the start of a target that has just been promoted. */
+    void pace_promotion();
 };
 
 }  // namespace hornbeamhook::gateway
--- a/tests/platform/settings_reader_test.cpp
+++ b/tests/platform/settings_reader_test.cpp
@@ -36,11 +36,22 @@
     EXPECT_EQ(settings->place_regions.size(), 2U);
 }
 
+// Guards against limits that fit another machine, and against a start that fails for them.
+TEST(settings_reader, reads_the_memory_and_descriptors_of_the_process) {
+    const auto settings = parse_settings(std::string(sample) + "Limits.MemoryMb=160\n");
+    EXPECT_EQ(settings->memory_mb, 160);
+    EXPECT_EQ(settings->max_descriptors, 4200);
+    EXPECT_EQ(parse_settings(sample)->memory_mb, 0);
+    EXPECT_EQ(parse_settings(std::string(sample) + "Limits.MemoryMb=-1\n")->memory_mb, 0);
+    EXPECT_EQ(parse_settings(std::string(sample) + "Limits.MemoryMb=x\n")->memory_mb, 0);
+}
+
 // Guards against callers that are identified, or limits in force, where the platform has neither.
 TEST(settings_reader, reads_which_parts_are_in_force) {
     const auto without = parse_settings(sample);
     EXPECT_FALSE(without->identifies_callers);
     EXPECT_FALSE(without->limits_operations);
+    EXPECT_FALSE(without->shares_fairly);
     const std::string contracts = std::string(sample) + "Contracts=base,tenants,quota,sql\n";
     EXPECT_EQ(get_error(contracts), "Bounds.QuotaWindowS: missing");
     const auto with = parse_settings(contracts +
@@ -55,6 +66,8 @@
     EXPECT_EQ(exact->limit_slack, 0);
     EXPECT_EQ(exact->limit_excess, 0);
     EXPECT_FALSE(parse_settings(std::string(sample) + "Contracts=tenants2\n")->identifies_callers);
+    EXPECT_FALSE(with->shares_fairly);
+    EXPECT_TRUE(parse_settings(std::string(sample) + "Contracts=base,pressure\n")->shares_fairly);
 }
 
 // Guards against starting with incomplete settings, or failing without naming the field.
