--- a/tests/gateway/paced_target_test.cpp
+++ b/tests/gateway/paced_target_test.cpp
@@ -110,6 +110,17 @@
     EXPECT_EQ(target_->lines.size(), 1U);
 }
 
+// Guards against a burst at a target that was unreachable, and against a pace that drops although
+// the target still holds connections.
+TEST_F(paced_target_test, a_target_without_connections_begins_with_one_statement) {
+    send_all(slots + 1);
+    EXPECT_EQ(get_group().targets["t1"].pace->get_limit(), slots + 1);
+    get_group().targets["t1"].pace_link_end(false);
+    EXPECT_EQ(get_group().targets["t1"].pace->get_limit(), slots + 1);
+    target_->reset_all();
+    run_until([&] { return get_group().targets["t1"].pace->get_limit() == 1; });
+}
+
 // Guards against limits on statements where the settings don't call for them.
 TEST_F(paced_target_test, sends_all_while_targets_are_not_paced) {
     get_group().targets["t1"].pace.reset();
--- a/tests/support/scripted_target.h
+++ b/tests/support/scripted_target.h
@@ -32,6 +32,14 @@
         }
     }
 
+    /** Ends all open connections without an answer. */
+    void reset_all() {
+        for (const auto& stream : streams_) {
+            stream->reset();
+        }
+        streams_.clear();
+    }
+
     std::vector<std::string> lines;
     int connections = 0;
 
