End a scripted target's connections before it is destroyed

Cause: the loop of a test outlives the scripted target and delivered lines that had arrived to the destroyed object.

Change: the destructor resets the connections.

--- a/tests/support/scripted_target.h
+++ b/tests/support/scripted_target.h
@@ -25,6 +25,11 @@
               accept(stream);
           }) {}
 
+    /** The loop outlives the target and would still deliver what arrived. */
+    ~scripted_target() { reset_all(); }
+    scripted_target(const scripted_target&) = delete;
+    scripted_target& operator=(const scripted_target&) = delete;
+
     /** Sends text on all open connections, for example a late answer. */
     void write_to_all(const std::string& text) {
         for (const auto& stream : streams_) {
