Split connections and the choice of a target out of session_engine

Cause: session_engine.cpp held the decisions which connections exist, which target may run a read, and what an answer says of its target beside its loop (1,230 lines), so that a newcomer could not tell them apart.

Change: link_pool decides which connections exist and are used, target_choice which targets may run a statement and in which order, target_state keeps what answers say of it. The reaction to a target that has too many connections and the codes of a refusal are written once. pending_statement::last_failure was never read. Behaviour is unchanged.

--- a/src/gateway/pending_statement.h
+++ b/src/gateway/pending_statement.h
@@ -44,7 +44,6 @@
     bool is_in_doubt = false;               ///< A connection was lost after the statement was sent.
     std::set<std::string> avoided_targets;  ///< Targets at which it failed.
     std::set<std::string> avoided_homes;    ///< Homes through which it failed.
-    std::optional<target_failure> last_failure;
 
     bool is_relayed() const { return target.has_value(); }
 
@@ -57,6 +56,18 @@
         return is_idempotent || (begin && statement.kind != statement_kind::commit);
     }
 
+    /** What the caller learns when it is refused while it waits to be sent. */
+    failure_code get_refusal_code() const {
+        return is_in_doubt ? failure_code::aborted : failure_code::busy;
+    }
+
+    /** What the caller learns when it is given up, perhaps after it was sent. */
+    failure_code get_unanswered_code() const {
+        return !may_have_run()       ? failure_code::busy
+               : is_safe_to_repeat() ? failure_code::aborted
+                                     : failure_code::in_doubt;
+    }
+
     /** Orders by priority, then by arrival. */
     bool is_before(const pending_statement& other) const {
         return target_route.priority != other.target_route.priority
--- a/src/gateway/session_engine.cpp
+++ b/src/gateway/session_engine.cpp
@@ -7,6 +7,7 @@
 #include "gateway/gateway_events.h"
 #include "gateway/group_queue.h"
 #include "gateway/statement_time_limits.h"
+#include "gateway/target_choice.h"
 
 namespace hornbeamhook::gateway {
 
@@ -17,46 +18,6 @@
 constexpr double hedge_delay_fraction = 0.5;
 /// Sends of one statement; more would multiply the load of a failing group.
 constexpr int max_attempts = 4;
-/// Reads avoid a target for this long after it failed.
-constexpr std::int64_t failure_backoff_ms = 500;
-/// A lagging replica catches up in about this time.
-constexpr std::int64_t initial_lag_backoff_ms = 60;
-/// A replica that receives nothing lags for seconds; each try costs a read a round trip and one of
-/// its attempts.
-constexpr std::int64_t max_lag_backoff_ms = 480;
-/// No surplus connections are opened for this long after the target's limit was reached.
-constexpr std::int64_t connection_limit_backoff_ms = 1000;
-/// Between attempts to connect to a failing target.
-constexpr std::int64_t reconnect_delay_ms = 150;
-constexpr std::int64_t connect_timeout_ms = 700;  ///< Connecting takes 12 ms and two round trips.
-/// A connection whose session held more is reset before its next use.
-constexpr std::size_t max_idle_state_bytes = std::size_t{64} * 1024;
-/// Of names and texts that callers or targets choose.
-constexpr std::size_t max_logged_bytes = 200;
-/// Setting up a connection takes no slot of the target, so a round trip is enough. Later the
-/// statement, which was not sent yet, is tried on another connection.
-constexpr std::int64_t setup_timeout_ms = 300;
-/// For links to homes above kept_relayed_links, and direct links of a VM that is not a home.
-constexpr std::int64_t fallback_idle_timeout_ms = 1500;
-/// Connections opened concurrently to one target; each takes one of its 2 or 3 slots for 12 ms.
-constexpr int max_opening_links = 2;
-/// Direct connections of a VM that is not a home: for statements of VMs that still treat it as one,
-/// and when all homes fail.
-constexpr int fallback_links = 1;
-/// Delay before a statement that failed at all targets or homes is sent to them again.
-constexpr std::int64_t retry_delay_ms = 100;
-/// Connections opened concurrently to the homes of a target; they take no slot of the target.
-constexpr int max_opening_relayed_links = 4;
-/// Connections to the homes of one target; each carries one statement, and the target's queue holds
-/// fewer than this.
-constexpr int max_relayed_links = 24;
-constexpr int kept_relayed_links = 2;       ///< Kept open when idle.
-constexpr int kept_links_per_home = 2;      ///< The same where each home serves some organisations.
-constexpr double answer_time_weight = 0.1;  ///< Weight of a new sample in the moving mean.
-constexpr double default_answer_ms = 15;    ///< A typical statement on an idle target.
-/// Of the limits of all organisations; a home has a third of the connections of a target.
-constexpr double max_share_at_one_home = 0.03;
-constexpr double primary_read_factor = 1.6;  ///< Slots of primaries are scarce: writes need them.
 constexpr std::int64_t region_round_trip_ms = 16;  ///< Between regions.
 /// A commit whose answer arrives later than this after the lease ended may have been rolled back.
 constexpr std::int64_t commit_grace_ms = 100;
@@ -67,39 +28,6 @@
     return static_cast<std::int64_t>(static_cast<double>(value) * factor);
 }
 
-/** Result of searching a target's direct or relayed connections for a statement. */
-struct link_search {
-    std::shared_ptr<target_link> best;
-    int opening = 0;
-    int usable_opening = 0;  ///< Of them, those that the statement may use.
-    int count = 0;           ///< Including those being opened.
-};
-
-template <typename link_filter>
-link_search search_links(const target_state& target, const pending_statement& pending,
-                         bool is_relayed, const link_filter& may_use) {
-    link_search result;
-    for (const std::shared_ptr<target_link>& link : target.links) {
-        if (link->is_ended() || link->is_relayed() != is_relayed) {
-            continue;
-        }
-        ++result.count;
-        result.opening += link->is_open() ? 0 : 1;
-        result.usable_opening += !link->is_open() && may_use(*link) ? 1 : 0;
-        // A link that already holds the session's values needs no setup statements. Among equal
-        // ones the first is used, so that the last ones become idle and are closed.
-        const coordination::session_values& values = pending.session->get_values();
-        const bool is_better = !result.best || (!result.best->get_session_state().holds(values) &&
-                                                link->get_session_state().holds(values));
-        const bool is_free =
-            link->is_idle() && !link->is_pinned() && link->get_state() == transaction_state::idle;
-        if (is_free && is_better && may_use(*link)) {
-            result.best = link;
-        }
-    }
-    return result;
-}
-
 }  // namespace
 
 session_engine::session_engine(transport::event_loop& loop, const session_protocol& protocol,
@@ -111,8 +39,15 @@
       counters_(counters),
       vm_(std::move(vm)),
       place_(std::move(place)),
-      planner_({{}, 1, std::move(place_regions)}),
-      homes_(vm_),
+      links_(
+          loop, protocol, log, counters, answer_flow_, vm_, std::move(place_regions),
+          {.find_target = [this](const std::string& group,
+                                 const std::string& target) { return find_target(group, target); },
+           .dispatch = [this](const std::string& group) { dispatch(group); },
+           .answered =
+               [this](const std::string& group, const std::string& target,
+                      const target_ready& ready,
+                      std::int64_t sent_at) { handle_answer(group, target, ready, sent_at); }}),
       control_(
           loop, protocol, log,
           {.find_idle_link =
@@ -126,8 +61,7 @@
            .limited =
                [this](const target_entry& entry) {
                    if (target_state* target = find_target(entry.group, entry.id)) {
-                       target->last_answer_at = transport::get_boot_time();
-                       target->refused_since = 0;
+                       target->note_alive(transport::get_boot_time());
                    }
                }}),
       timer_(loop) {
@@ -150,7 +84,7 @@
     const bool may_revoke = configuration_.organisations != value.organisations;
     configuration_ = value;
     update_plans({});
-    large_organisations_ = get_large_organisations(value.organisations, max_share_at_one_home);
+    links_.set_organisations(value.organisations);
     if (may_revoke) {
         const auto sessions = sessions_;
         for (const auto& [key, session] : sessions) {
@@ -160,7 +94,7 @@
 }
 
 void session_engine::set_fleet(std::vector<fleet_member> live, int fleet_size) {
-    if (const auto change = planner_.set_fleet(std::move(live), fleet_size)) {
+    if (const auto change = links_.get_planner().set_fleet(std::move(live), fleet_size)) {
         update_plans(*change);
     }
 }
@@ -168,8 +102,8 @@
 void session_engine::update_plans(const coordination::member_change& change) {
     for (auto& [name, group] : groups_) {
         for (auto& [id, target] : group.targets) {
-            target.plan =
-                planner_.update(target.entry, get_connection_limit(target), target.plan, change);
+            target.plan = links_.get_planner().update(target.entry, get_connection_limit(target),
+                                                      target.plan, change);
         }
     }
 }
@@ -179,10 +113,6 @@
     return limit == configuration_.connection_limits.end() ? 0 : limit->second;
 }
 
-bool session_engine::is_direct(const target_state& target) const {
-    return target.plan.homes.empty() || target.plan.is_home(vm_);
-}
-
 void session_engine::update_target(const std::string& id,
                                    const std::optional<target_entry>& entry) {
     const auto known = group_of_target_.find(id);
@@ -210,7 +140,7 @@
                             target.entry.is_primary != entry->is_primary || target.removed_at != 0;
     target.entry = *entry;
     target.removed_at = 0;
-    target.plan = planner_.plan(target.entry, get_connection_limit(target));
+    target.plan = links_.get_planner().plan(target.entry, get_connection_limit(target));
     if (is_restarted) {
         close_target_links(entry->group, id);
         target.reconnect_at = 0;
@@ -276,10 +206,7 @@
 }
 
 void session_engine::refuse_for_stop(const pending_statement_ptr& pending) {
-    refuse(groups_[pending->target_route.group], pending,
-           !pending->may_have_run()       ? failure_code::busy
-           : pending->is_safe_to_repeat() ? failure_code::aborted
-                                          : failure_code::in_doubt,
+    refuse(groups_[pending->target_route.group], pending, pending->get_unanswered_code(),
            "this VM stops");
 }
 
@@ -291,8 +218,7 @@
     }
     const std::int64_t now = transport::get_boot_time();
     if (is_beyond_limit(group, *pending, now)) {
-        refuse(group, pending, pending->is_in_doubt ? failure_code::aborted : failure_code::busy,
-               limit_reached);
+        refuse(group, pending, pending->get_refusal_code(), limit_reached);
         return;
     }
     const bool is_too_long =
@@ -300,8 +226,7 @@
         (shares_fairly_ ? !enqueue_fairly(group, pending, configuration_.organisations, now)
                         : is_expected_wait_too_long(group, *pending, now));
     if (is_too_long) {
-        refuse(group, pending, pending->is_in_doubt ? failure_code::aborted : failure_code::busy,
-               "the queue is too long");
+        refuse(group, pending, pending->get_refusal_code(), "the queue is too long");
     } else if (!shares_fairly_) {
         enqueue(group, pending);
     }
@@ -317,15 +242,7 @@
 std::shared_ptr<target_link> session_engine::find_control_link(const std::string& group,
                                                                const std::string& target) {
     const target_state* found = find_target(group, target);
-    if (found == nullptr) {
-        return nullptr;
-    }
-    const auto link =
-        std::find_if(found->links.begin(), found->links.end(), [](const auto& candidate) {
-            return candidate->is_idle() && !candidate->is_pinned() && !candidate->is_relayed() &&
-                   candidate->get_state() == transaction_state::idle;
-        });
-    return link == found->links.end() ? nullptr : *link;
+    return found == nullptr ? nullptr : link_pool::find_idle(*found);
 }
 
 void session_engine::dispatch(const std::string& name) {
@@ -376,7 +293,7 @@
     if (target == nullptr || now < target->unreachable_until) {
         return assignment::must_wait;
     }
-    const std::shared_ptr<target_link> link = find_link(*target, *pending);
+    const std::shared_ptr<target_link> link = links_.find(*target, *pending);
     if (!link) {
         return assignment::must_wait;
     }
@@ -387,47 +304,22 @@
 session_engine::assignment session_engine::assign_read(target_group& group,
                                                        const pending_statement_ptr& pending) {
     const std::int64_t now = transport::get_boot_time();
-    const auto record = group.lease.get_usable(now);
-    std::optional<state::log_point> required = group.history.find_covering(
-        pending->operation_started_at - pending->target_route.staleness_ms);
-    if (required && pending->target_route.policy == read_policy::own_writes) {
-        required = std::max(*required, pending->last_commit_position.value_or(state::log_point{}));
-    }
     if (now - pending->last_sent_at >= retry_delay_ms && is_every_target_avoided(group, *pending)) {
         pending->avoided_targets.clear();
     }
-    std::vector<std::pair<double, target_state*>> candidates;
-    for (auto& [id, target] : group.targets) {
-        const bool is_primary = record && record->target == id;
-        const bool is_eligible = is_primary || required.has_value();
-        const bool is_excluded = now < target.unreachable_until || now < target.avoided_until ||
-                                 (!is_primary && now < target.lagging_until) ||
-                                 pending->avoided_targets.contains(id);
-        if (is_eligible && target.is_usable() && !is_excluded) {
-            candidates.emplace_back(get_cost(target, is_primary, now), &target);
-        }
-    }
-    std::sort(candidates.begin(), candidates.end(),
-              [](const auto& a, const auto& b) { return a.first < b.first; });
-    for (const auto& [cost, target] : candidates) {
-        const std::shared_ptr<target_link> link = find_link(*target, *pending);
-        if (link) {
-            const bool is_primary = record && record->target == target->entry.id;
-            run(group, pending, link, is_primary ? std::nullopt : required);
+    const std::optional<state::log_point> required = get_required_position(group, *pending);
+    const std::vector<read_candidate> candidates = list_read_candidates(
+        group, *pending, required,
+        [this](const std::string& place) { return get_round_trip_ms(place); }, now);
+    for (const read_candidate& candidate : candidates) {
+        if (const auto link = links_.find(*candidate.target, *pending)) {
+            run(group, pending, link, candidate.is_primary ? std::nullopt : required);
             return assignment::sent;
         }
     }
     return assignment::must_wait;
 }
 
-bool session_engine::is_every_target_avoided(const target_group& group,
-                                             const pending_statement& pending) {
-    return !pending.avoided_targets.empty() &&
-           std::all_of(group.targets.begin(), group.targets.end(), [&](const auto& entry) {
-               return !entry.second.is_usable() || pending.avoided_targets.contains(entry.first);
-           });
-}
-
 session_engine::assignment session_engine::assign_relayed(target_group& group,
                                                           const pending_statement_ptr& pending) {
     const std::int64_t now = transport::get_boot_time();
@@ -446,7 +338,7 @@
         return assignment::refused;
     }
     const std::shared_ptr<target_link> link =
-        now < target->unreachable_until ? nullptr : find_direct_link(*target, *pending);
+        now < target->unreachable_until ? nullptr : links_.find_direct(*target, *pending);
     if (!link) {
         return assignment::must_wait;
     }
@@ -454,206 +346,18 @@
     return assignment::sent;
 }
 
-double session_engine::get_cost(const target_state& target, bool is_primary,
-                                std::int64_t now) const {
-    const auto round_trip = static_cast<double>(get_round_trip_ms(target.entry.place));
-    const bool is_known =
-        now - target.last_answer_at < answer_time_expiry_ms && target.mean_answer_ms > 0;
-    const double answer = is_known ? target.mean_answer_ms : default_answer_ms + round_trip;
-    const double busy_ratio = static_cast<double>(target.count_busy_links()) / target.entry.slots;
-    return (answer * (1 + busy_ratio) + round_trip) * (is_primary ? primary_read_factor : 1);
-}
-
 std::int64_t session_engine::get_round_trip_ms(const std::string& place) const {
     if (place == place_) {
         return 0;
     }
-    const auto own = planner_.get_input().place_regions.find(place_);
-    const auto other = planner_.get_input().place_regions.find(place);
-    const bool is_same_region = own != planner_.get_input().place_regions.end() &&
-                                other != planner_.get_input().place_regions.end() &&
-                                own->second == other->second;
+    const auto& regions = std::as_const(links_).get_planner().get_input().place_regions;
+    const auto own = regions.find(place_);
+    const auto other = regions.find(place);
+    const bool is_same_region =
+        own != regions.end() && other != regions.end() && own->second == other->second;
     return is_same_region ? 1 : region_round_trip_ms;
 }
 
-int session_engine::get_direct_link_limit(const target_state& target, std::int64_t now) const {
-    if (!is_direct(target)) {
-        // For VMs that still treat this one as a home, and when all homes fail.
-        return now < target.connection_limited_until ? 0 : fallback_links;
-    }
-    return get_link_limit(target.plan, now - started_at_, now >= target.connection_limited_until);
-}
-
-std::shared_ptr<target_link> session_engine::find_link(target_state& target,
-                                                       pending_statement& pending) {
-    const std::int64_t now = transport::get_boot_time();
-    if (is_direct(target) || homes_.is_every_home_backing_off(target.plan, now)) {
-        return find_direct_link(target, pending);
-    }
-    if (select_home(target, pending, now).empty()) {
-        if (now - pending.last_sent_at < retry_delay_ms) {
-            return nullptr;
-        }
-        pending.avoided_homes.clear();
-    }
-    return find_relayed_link(target, pending);
-}
-
-std::shared_ptr<target_link> session_engine::find_direct_link(target_state& target,
-                                                              const pending_statement& pending) {
-    const link_search found = search_links(target, pending, false, [&](const target_link& link) {
-        return link.get_organisation() == pending.organisation;
-    });
-    const std::int64_t now = transport::get_boot_time();
-    if (!target.may_send(now)) {
-        return nullptr;
-    }
-    const bool may_open =
-        !found.best && found.opening < max_opening_links && now >= target.reconnect_at;
-    // A connection serves one organisation, so another one that opens may not be for this
-    // statement.
-    const bool is_expected = identifies_callers_ && found.usable_opening > 0;
-    if (!may_open || is_expected) {
-        return found.best;
-    }
-    const int limit = get_direct_link_limit(target, now);
-    const bool is_replacing =
-        identifies_callers_ && found.count >= limit && close_idlest_link(target);
-    if (found.count - (is_replacing ? 1 : 0) < limit) {
-        open_link(target, pending.organisation);
-    }
-    return nullptr;
-}
-
-bool session_engine::close_idlest_link(target_state& target) {
-    std::shared_ptr<target_link> idlest;
-    for (const std::shared_ptr<target_link>& link : target.links) {
-        const bool may_close = link->is_idle() && !link->is_pinned() && !link->is_relayed() &&
-                               link->get_state() == transaction_state::idle;
-        if (may_close && (!idlest || link->get_idle_since() < idlest->get_idle_since())) {
-            idlest = link;
-        }
-    }
-    if (idlest) {
-        idlest->close("replaced by a connection of another organisation");
-    }
-    return idlest != nullptr;
-}
-
-std::string session_engine::select_home(const target_state& target,
-                                        const pending_statement& pending, std::int64_t now) const {
-    // The statements of a small organisation meet at one home, which then has a connection of it.
-    // Those of a large one would take all connections of one home.
-    const bool is_small = !large_organisations_.contains(pending.organisation);
-    return homes_.select(target.plan, target.entry.id, is_small ? pending.organisation : "",
-                         pending.avoided_homes, now);
-}
-
-std::shared_ptr<target_link> session_engine::find_relayed_link(target_state& target,
-                                                               const pending_statement& pending) {
-    const std::int64_t now = transport::get_boot_time();
-    const std::string home = select_home(target, pending, now);
-    const bool must_be_responsive = !homes_.is_unresponsive(home, now);
-    const bool must_be_selected =
-        !pending.organisation.empty() && !large_organisations_.contains(pending.organisation);
-    const link_search found = search_links(target, pending, true, [&](const target_link& link) {
-        return (!must_be_selected || link.get_home() == home) &&
-               homes_.may_use(target.plan, link.get_home(), now) &&
-               !pending.avoided_homes.contains(link.get_home()) &&
-               !(must_be_responsive && homes_.is_unresponsive(link.get_home(), now));
-    });
-    if (!found.best && found.opening < max_opening_relayed_links &&
-        found.count < max_relayed_links) {
-        open_relayed_link(target, home);
-    }
-    return found.best;
-}
-
-void session_engine::update_homes() {
-    homes_.clear_waiting();
-    for (const auto& [name, group] : groups_) {
-        for (const auto& [id, target] : group.targets) {
-            for (const std::shared_ptr<target_link>& link : target.links) {
-                const std::int64_t since = link->is_relayed() ? link->get_oldest_sent_at() : 0;
-                if (since != 0) {
-                    homes_.add_waiting(link->get_home(), since);
-                }
-            }
-        }
-    }
-}
-
-void session_engine::open_relayed_link(target_state& target, const std::string& home) {
-    const auto member =
-        std::find_if(planner_.get_input().live.begin(), planner_.get_input().live.end(),
-                     [&](const fleet_member& value) { return value.vm == home; });
-    if (member == planner_.get_input().live.end()) {
-        return;
-    }
-    const std::string group = target.entry.group;
-    const std::string id = target.entry.id;
-    target.links.push_back(target_link::open(
-        loop_, protocol_, target.entry,
-        {.opened = [this, group] { dispatch(group); },
-         .ended =
-             [this, id, home](const target_link::link_end& end) {
-                 log_link_end(id, home, end);
-                 if (!end.is_local) {
-                     homes_.back_off(home, transport::get_boot_time());
-                 }
-             },
-         .answered =
-             [this, group, id, home](const target_ready& ready, std::int64_t sent_at) {
-                 homes_.handle_answer(home, transport::get_boot_time());
-                 // An answer without a position comes from the home itself.
-                 if (ready.position) {
-                     handle_answer(group, id, ready, sent_at);
-                 }
-             },
-         .setup_failed =
-             [this, id, home](std::uint64_t link, const coordination::setup_step& step,
-                              const target_failure& failure) {
-                 log_setup_failure(id, home, link, step, failure);
-             },
-         .flow = &answer_flow_},
-        link_home{home, member->peer_address}));
-}
-
-void session_engine::open_link(target_state& target, const std::string& organisation) {
-    counters_.opened_links.Increment();
-    const std::string group = target.entry.group;
-    const std::string id = target.entry.id;
-    target.links.push_back(target_link::open(
-        loop_, protocol_, target.entry,
-        {.opened = [this, group] { dispatch(group); },
-         .ended = [this, group,
-                   id](const target_link::link_end& end) { handle_link_end(group, id, end); },
-         .answered = [this, group, id](
-                         const target_ready& ready,
-                         std::int64_t sent_at) { handle_answer(group, id, ready, sent_at); },
-         .setup_failed =
-             [this, id](std::uint64_t link, const coordination::setup_step& step,
-                        const target_failure& failure) {
-                 log_setup_failure(id, "none", link, step, failure);
-             },
-         .flow = &answer_flow_},
-        std::nullopt, organisation));
-}
-
-void session_engine::probe(target_state& target) {
-    if (!is_direct(target)) {
-        return;
-    }
-    const std::int64_t now = transport::get_boot_time();
-    const bool is_opening =
-        std::any_of(target.links.begin(), target.links.end(),
-                    [](const auto& link) { return !link->is_open() && !link->is_ended(); });
-    if (!is_opening && now >= target.reconnect_at && now >= target.next_probe_at) {
-        target.next_probe_at = now + reconnect_delay_ms;
-        open_link(target, {});
-    }
-}
-
 void session_engine::handle_answer(const std::string& group_name, const std::string& id,
                                    const target_ready& ready, std::int64_t sent_at) {
     target_state* target = find_target(group_name, id);
@@ -661,8 +365,7 @@
         return;
     }
     const std::int64_t now = transport::get_boot_time();
-    target->last_answer_at = now;
-    target->refused_since = 0;
+    target->note_alive(now);
     if (!ready.position) {
         return;
     }
@@ -678,66 +381,6 @@
     }
 }
 
-void session_engine::handle_link_end(const std::string& group_name, const std::string& id,
-                                     const target_link::link_end& end) {
-    target_state* target = find_target(group_name, id);
-    if (target == nullptr) {
-        return;
-    }
-    const std::int64_t now = transport::get_boot_time();
-    const std::optional<target_failure>& failure = end.failure;
-    const bool is_limited = failure && failure->code == failure_code::too_many_connections;
-    log_link_end(id, "none", end);
-    if (end.is_local) {
-        return;  // Says nothing about the target.
-    }
-    target->reconnect_at = now + reconnect_delay_ms;
-    target->pace_link_end(is_limited);
-    if (is_limited) {
-        // Statements go on over the connections that it has accepted.
-        target->connection_limited_until = now + connection_limit_backoff_ms;
-        target->last_answer_at = now;
-        target->refused_since = 0;
-    } else {
-        target->unreachable_until = target->reconnect_at;
-    }
-    if (end.is_refused && target->refused_since == 0) {
-        target->refused_since = now;
-    }
-}
-
-void session_engine::log_link_end(const std::string& target, const std::string& home,
-                                  const target_link::link_end& end) {
-    const std::optional<target_failure>& failure = end.failure;
-    const bool is_limited = failure && failure->code == failure_code::too_many_connections;
-    std::string reason = end.is_local ? end.reason : "closed";
-    if (failure) {
-        reason =
-            failure->raw_code.empty() ? failure->text : failure->raw_code + " " + failure->text;
-    }
-    log_.write(event_link_ended, {{"target", target},
-                                  {"home", home},
-                                  {"link", std::to_string(end.link)},
-                                  {"by", end.is_local || failure ? "vm" : "target"},
-                                  {"refused", end.is_refused ? "yes" : "no"},
-                                  {"limited", is_limited ? "yes" : "no"},
-                                  {"reason", reason}});
-}
-
-void session_engine::log_setup_failure(const std::string& target, const std::string& home,
-                                       std::uint64_t link, const coordination::setup_step& step,
-                                       const target_failure& failure) {
-    counters_.setup_failures.Increment();
-    const step_description description = describe_step(step);
-    log_.write(event_setup_failed, {{"target", target},
-                                    {"home", home},
-                                    {"link", std::to_string(link)},
-                                    {"step", description.kind},
-                                    {"name", description.name.substr(0, max_logged_bytes)},
-                                    {"reason", failure.raw_code},
-                                    {"text", failure.text.substr(0, max_logged_bytes)}});
-}
-
 void session_engine::log_prepared(const target_link& link, const link_request& request) {
     for (const coordination::setup_step& step : request.setup) {
         if (const auto* prepare = std::get_if<coordination::prepare_step>(&step)) {
@@ -819,15 +462,8 @@
         group.running.erase(entry);
     }
     target_state* target = find_target(group_name, link->get_target());
-    if (target != nullptr && answer.was_sent && !answer.is_lost) {
-        const auto elapsed = static_cast<double>(now - answer.sent_at);
-        target->mean_answer_ms =
-            target->mean_answer_ms <= 0 || now - target->last_answer_at > answer_time_expiry_ms
-                ? elapsed
-                : target->mean_answer_ms + (elapsed - target->mean_answer_ms) * answer_time_weight;
-    }
     if (target != nullptr) {
-        target->pace_answer(*link, answer, now);
+        target->note_answer(*link, answer, now);
     }
     if (pending->is_settled) {
         roll_back_unpinned(link);
@@ -841,11 +477,8 @@
     if (answer.failure && answer.failure->code == failure_code::unknown_prepared) {
         link->get_session_state().invalidate();
     }
-    if (answer.failure && target != nullptr) {
-        handle_failure(*target, *answer.failure);
-        pending->last_failure = answer.failure;
-    } else if (target != nullptr && !answer.is_lost) {
-        target->lag_backoff_ms = 0;
+    if (target != nullptr) {
+        target->note_outcome(answer, now);
     }
     if (answer.is_lost || is_superseded) {
         log_lost_answer(*pending->session, pending->statement, link->get_target(), false);
@@ -911,22 +544,6 @@
     return pending.is_safe_to_repeat() && !answer.failure;
 }
 
-void session_engine::handle_failure(target_state& target, const target_failure& failure) {
-    const std::int64_t now = transport::get_boot_time();
-    if (failure.code == failure_code::lagging) {
-        // Later answers to statements sent before the back-off must not double it again.
-        if (now >= target.lagging_until) {
-            target.lag_backoff_ms =
-                std::clamp(2 * target.lag_backoff_ms, initial_lag_backoff_ms, max_lag_backoff_ms);
-        }
-        target.lagging_until = now + target.lag_backoff_ms;
-    } else if (failure.code == failure_code::read_only) {
-        target.read_only_at = now;
-    } else if (failure.code == failure_code::failed || failure.code == failure_code::timeout) {
-        target.avoided_until = now + failure_backoff_ms;
-    }
-}
-
 void session_engine::settle(target_group& group, const pending_statement_ptr& pending) {
     pending->is_settled = true;
     std::erase(group.queue, pending);
@@ -1023,17 +640,16 @@
     if (found == nullptr) {
         return;
     }
-    const std::vector<std::shared_ptr<target_link>> links = std::exchange(found->links, {});
-    for (const std::shared_ptr<target_link>& link : links) {
-        link->close("the target is no longer used");
-    }
+    link_pool::close_all(*found);
 }
 
 void session_engine::tick() {
     const std::int64_t now = transport::get_boot_time();
-    update_homes();
+    links_.update_homes(groups_);
     for (auto& [name, group] : groups_) {
-        trim_links(group, now);
+        for (auto& [id, target] : group.targets) {
+            links_.trim(target, now);
+        }
         hedge(group, now);
         expire(group, now);
         dispatch(name);
@@ -1066,9 +682,7 @@
         }
         const bool is_overdue = now - pending->arrived_at >= max_grant_wait_ms;
         if (is_overdue && is_beyond_limit(group, *pending, now)) {
-            refuse(group, pending,
-                   pending->is_in_doubt ? failure_code::aborted : failure_code::busy,
-                   limit_reached);
+            refuse(group, pending, pending->get_refusal_code(), limit_reached);
             continue;
         }
         const bool is_not_runnable =
@@ -1077,8 +691,7 @@
                                        ? get_not_runnable_wait(group, get_objective(*pending), now)
                                        : get_wait_limit(group, *pending, now);
         if (now - pending->arrived_at >= limit) {
-            refuse(group, pending,
-                   pending->is_in_doubt ? failure_code::aborted : failure_code::busy,
+            refuse(group, pending, pending->get_refusal_code(),
                    pending->is_waiting_for_grant ? limit_reached
                    : !is_not_runnable            ? "no connection became free"
                    : pending->needs_primary      ? "no primary may be used"
@@ -1091,11 +704,7 @@
             continue;
         }
         if (!pending->is_settled) {
-            refuse(group, pending,
-                   !pending->may_have_run()       ? failure_code::busy
-                   : pending->is_safe_to_repeat() ? failure_code::aborted
-                                                  : failure_code::in_doubt,
-                   "no answer in time");
+            refuse(group, pending, pending->get_unanswered_code(), "no answer in time");
         }
         // Connections are scarce, and nobody waits for the answer any more. Closing one changes the
         // list.
@@ -1104,7 +713,7 @@
             const std::shared_ptr<target_link> link = weak.lock();
             if (link && !link->is_pinned()) {
                 if (link->is_relayed()) {
-                    homes_.back_off(link->get_home(), now);
+                    links_.back_off(link->get_home(), now);
                 }
                 link->close("no answer in time");
             }
@@ -1119,14 +728,6 @@
         objective_ms, group.lease.get_record().has_value(), now - started_at_);
 }
 
-bool session_engine::is_runnable(const target_group& group, const pending_statement& pending,
-                                 std::int64_t now) {
-    const bool has_position =
-        !pending.needs_primary && group.history.find_covering(pending.operation_started_at -
-                                                              pending.target_route.staleness_ms);
-    return has_position || group.lease.get_usable(now);
-}
-
 void session_engine::hedge(target_group& group, std::int64_t now) {
     const std::vector<pending_statement_ptr> running = group.running;
     for (const pending_statement_ptr& pending : running) {
@@ -1149,70 +750,6 @@
     }
 }
 
-void session_engine::trim_links(target_group& group, std::int64_t now) {
-    for (auto& [id, target] : group.targets) {
-        int direct = 0;
-        std::map<std::string, int> relayed;  // By home, or all together.
-        const std::vector<std::shared_ptr<target_link>> links = target.links;
-        for (const std::shared_ptr<target_link>& link : links) {
-            if (link->is_ended()) {
-                continue;
-            }
-            const std::string home = identifies_callers_ ? link->get_home() : std::string();
-            const int index = link->is_relayed() ? relayed[home]++ : direct++;
-            const std::optional<std::int64_t> idle_timeout_ms =
-                get_idle_timeout_ms(target, *link, index);
-            const std::int64_t unanswered_since = link->get_oldest_sent_at();
-            const bool is_opening_timed_out =
-                !link->is_open() && now - link->get_opened_at() > connect_timeout_ms;
-            // Longer than the timeouts that routes set in practice, so no caller still waits for
-            // the answer; default_timeout_ms, for routes without a timeout, is longer.
-            const bool is_unresponsive = link->is_open() && !link->is_pinned() &&
-                                         unanswered_since != 0 &&
-                                         now - unanswered_since > default_timeout_ms / 2;
-            const bool is_setup_overdue = link->is_setting_up() && !link->is_pinned() &&
-                                          unanswered_since != 0 &&
-                                          now - unanswered_since > setup_timeout_ms;
-            const bool is_idle_too_long = idle_timeout_ms && link->is_idle() &&
-                                          !link->is_pinned() &&
-                                          now - link->get_idle_since() > *idle_timeout_ms;
-            if (link->is_idle() && !link->is_pinned() &&
-                link->get_session_state().get_bytes() > max_idle_state_bytes) {
-                link->get_session_state().invalidate();
-            }
-            if (is_opening_timed_out || is_unresponsive || is_setup_overdue || is_idle_too_long) {
-                link->close(is_opening_timed_out ? "not open in time"
-                            : is_unresponsive    ? "no answer in time"
-                            : is_setup_overdue   ? "not set up in time"
-                                                 : "idle");
-            }
-            if (is_opening_timed_out && !link->is_relayed()) {
-                target.reconnect_at = now + reconnect_delay_ms;
-                target.unreachable_until = target.reconnect_at;
-            }
-        }
-        std::erase_if(target.links, [](const auto& link) { return link->is_ended(); });
-    }
-}
-
-std::optional<std::int64_t> session_engine::get_idle_timeout_ms(const target_state& target,
-                                                                const target_link& link,
-                                                                int index) const {
-    if (link.is_relayed()) {
-        const int kept_links = identifies_callers_ ? kept_links_per_home : kept_relayed_links;
-        const bool is_kept =
-            index < kept_links && !is_direct(target) && target.plan.is_home(link.get_home());
-        return is_kept ? std::nullopt : std::optional(fallback_idle_timeout_ms);
-    }
-    if (identifies_callers_ && is_direct(target) && index < target.plan.quota) {
-        // Each organisation needs a connection of its own, and the idlest one is replaced.
-        return std::nullopt;
-    }
-    // A VM that is not a home keeps no direct link.
-    return is_direct(target) ? gateway::get_idle_timeout_ms(target.plan, index)
-                             : std::optional(fallback_idle_timeout_ms);
-}
-
 void session_engine::log_bad_input(const std::string& caller, const std::string& reason) {
     log_.write(event_bad_input, {{"caller", caller}, {"reason", reason}});
 }
--- a/src/gateway/session_engine.h
+++ b/src/gateway/session_engine.h
@@ -5,7 +5,6 @@
 #include <map>
 #include <memory>
 #include <optional>
-#include <set>
 #include <string>
 
 #include "coordination/byte_budget.h"
@@ -15,8 +14,7 @@
 #include "gateway/caller_session.h"
 #include "gateway/configuration.h"
 #include "gateway/gateway_counters.h"
-#include "gateway/home_planner.h"
-#include "gateway/home_selector.h"
+#include "gateway/link_pool.h"
 #include "gateway/link_request.h"
 #include "gateway/operation_gate.h"
 #include "gateway/pending_statement.h"
@@ -53,7 +51,10 @@
      * organisation holds any more end. */
     void set_configuration(const configuration& value);
     /** Whether callers need the key of an organisation. */
-    void set_identifies_callers(bool value) { identifies_callers_ = value; }
+    void set_identifies_callers(bool value) {
+        identifies_callers_ = value;
+        links_.set_identifies_callers(value);
+    }
     /** Whether organisations share the room fairly while statements wait, and statements that can't
      * be served in time are refused at once. */
     void set_shares_fairly(bool value) { shares_fairly_ = value; }
@@ -76,7 +77,7 @@
 
     /** Opens a connection to learn the target's state, unless one is being opened. Does nothing if
      * this VM reaches the target through its homes. */
-    void probe(target_state& target);
+    void probe(target_state& target) { links_.probe(target); }
     /** Status requests and control statements to targets. */
     target_control& get_control() { return control_; }
 
@@ -147,47 +148,22 @@
     void enforce_time_limits(std::int64_t now);
     void expire(target_group& group, std::int64_t now);
     void hedge(target_group& group, std::int64_t now);
-    void trim_links(target_group& group, std::int64_t now);
-    /** How long the link may be idle before it is closed; empty if it is kept. `index` counts the
-     * target's direct or relayed links. */
-    std::optional<std::int64_t> get_idle_timeout_ms(const target_state& target,
-                                                    const target_link& link, int index) const;
     assignment assign(target_group& group, const pending_statement_ptr& pending);
     assignment assign_to_primary(target_group& group, const pending_statement_ptr& pending);
     assignment assign_read(target_group& group, const pending_statement_ptr& pending);
     assignment assign_relayed(target_group& group, const pending_statement_ptr& pending);
-    std::shared_ptr<target_link> find_link(target_state& target, pending_statement& pending);
-    int get_direct_link_limit(const target_state& target, std::int64_t now) const;
-    std::shared_ptr<target_link> find_direct_link(target_state& target,
-                                                  const pending_statement& pending);
-    std::string select_home(const target_state& target, const pending_statement& pending,
-                            std::int64_t now) const;
-    std::shared_ptr<target_link> find_relayed_link(target_state& target,
-                                                   const pending_statement& pending);
     /** An idle connection that may carry a control statement; null without one. */
     std::shared_ptr<target_link> find_control_link(const std::string& group,
                                                    const std::string& target);
-    void open_link(target_state& target, const std::string& organisation);
-    /** Closes the connection that has been idle for longest; false if none is idle. */
-    static bool close_idlest_link(target_state& target);
-    void open_relayed_link(target_state& target, const std::string& home);
     /** Plans the homes of all targets after the fleet or the connection limits changed. */
     void update_plans(const coordination::member_change& change);
     int get_connection_limit(const target_state& target) const;
-    bool is_direct(const target_state& target) const;
-    void update_homes();
     /** Whether its organisation's limit will not allow the statement within its wait limit. */
     bool is_beyond_limit(const target_group& group, const pending_statement& pending,
                          std::int64_t now) const;
-    /** Whether the statement has failed at each usable target. */
-    static bool is_every_target_avoided(const target_group& group,
-                                        const pending_statement& pending);
     /** How long a statement waits that no target may run now. */
     std::int64_t get_not_runnable_wait(const target_group& group, std::int64_t objective_ms,
                                        std::int64_t now) const;
-    /** Whether the lease or a known log position allows a target to run the statement. */
-    static bool is_runnable(const target_group& group, const pending_statement& pending,
-                            std::int64_t now);
     void run(target_group& group, const pending_statement_ptr& pending,
              const std::shared_ptr<target_link>& link,
              const std::optional<state::log_point>& required_position);
@@ -197,21 +173,12 @@
     bool may_retry(const pending_statement& pending, const target_answer& answer) const;
     /** Rolls back what is open on a connection that no session has pinned. */
     void roll_back_unpinned(const std::shared_ptr<target_link>& link);
-    void handle_failure(target_state& target, const target_failure& failure);
     void refuse(target_group& group, const pending_statement_ptr& pending, failure_code code,
                 const std::string& reason);
     void settle(target_group& group, const pending_statement_ptr& pending);
     void handle_answer(const std::string& group, const std::string& target,
                        const target_ready& ready, std::int64_t sent_at);
-    void handle_link_end(const std::string& group, const std::string& target,
-                         const target_link::link_end& end);
-    /** Logs the end of a connection, direct or through `home`. */
-    void log_link_end(const std::string& target, const std::string& home,
-                      const target_link::link_end& end);
-    void log_setup_failure(const std::string& target, const std::string& home, std::uint64_t link,
-                           const coordination::setup_step& step, const target_failure& failure);
     void log_prepared(const target_link& link, const link_request& request);
-    double get_cost(const target_state& target, bool is_primary, std::int64_t now) const;
     std::int64_t get_round_trip_ms(const std::string& place) const;
     target_state* find_target(const std::string& group, const std::string& target);
 
@@ -221,11 +188,9 @@
     gateway_counters& counters_;
     std::string vm_;
     std::string place_;
-    home_planner planner_;
-    home_selector homes_;
     configuration configuration_;
-    std::set<std::string> large_organisations_;  ///< Their statements use all homes of a target.
-    answer_flow answer_flow_;                    ///< Outlives the connections in groups_.
+    answer_flow answer_flow_;  ///< Outlives the connections in groups_.
+    link_pool links_;
     std::map<std::string, target_group> groups_;
     std::map<std::string, std::string> group_of_target_;
     std::map<const caller_session*, std::shared_ptr<caller_session>> sessions_;
--- a/src/gateway/statement_time_limits.h
+++ b/src/gateway/statement_time_limits.h
@@ -12,6 +12,9 @@
 inline constexpr std::int64_t min_relayed_wait_ms =
     30;  ///< A home tries once to find a connection.
 
+/// Delay before a statement that failed at all targets or homes is sent to them again.
+inline constexpr std::int64_t retry_delay_ms = 100;
+
 /// How long a statement may wait for a grant of its organisation's limit once an accountant has
 /// answered: a round trip between regions and a resent datagram. A longer queue would be filled by
 /// statements with long objectives, and what is beyond the limit would hold places of others.
--- a/src/gateway/target_control.cpp
+++ b/src/gateway/target_control.cpp
@@ -141,7 +141,7 @@
 }
 
 void target_control::handle_link_end(const exchange_ptr& ended, const target_link::link_end& end) {
-    if (end.failure && end.failure->code == failure_code::too_many_connections) {
+    if (end.is_limited()) {
         callbacks_.limited(ended->target);
         refuse(ended, {end.failure->raw_code}, reconnect_interval_ms);
         ended->use_links_at = transport::get_boot_time();
--- a/src/gateway/target_group.cpp
+++ b/src/gateway/target_group.cpp
@@ -3,8 +3,23 @@
 #include <algorithm>
 #include <utility>
 
+#include "gateway/group_queue.h"
+
 namespace hornbeamhook::gateway {
 
+namespace {
+
+/// Reads avoid a target for this long after it failed.
+constexpr std::int64_t failure_backoff_ms = 500;
+/// A lagging replica catches up in about this time.
+constexpr std::int64_t initial_lag_backoff_ms = 60;
+/// A replica that receives nothing lags for seconds; each try costs a read a round trip and one of
+/// its attempts.
+constexpr std::int64_t max_lag_backoff_ms = 480;
+constexpr double answer_time_weight = 0.1;  ///< Weight of a new sample in the moving mean.
+
+}  // namespace
+
 int target_state::count_busy_links() const {
     return static_cast<int>(
         std::count_if(links.begin(), links.end(), [](const std::shared_ptr<target_link>& link) {
@@ -41,6 +56,44 @@
     }
 }
 
+void target_state::note_answer(const target_link& link, const target_answer& answer,
+                               std::int64_t now) {
+    if (answer.was_sent && !answer.is_lost) {
+        note_answer_time(now - answer.sent_at, now);
+    }
+    pace_answer(link, answer, now);
+}
+
+void target_state::note_outcome(const target_answer& answer, std::int64_t now) {
+    if (answer.failure) {
+        note_failure(*answer.failure, now);
+    } else if (!answer.is_lost) {
+        lag_backoff_ms = 0;
+    }
+}
+
+void target_state::note_answer_time(std::int64_t elapsed_ms, std::int64_t now) {
+    const auto elapsed = static_cast<double>(elapsed_ms);
+    const bool is_known = mean_answer_ms > 0 && now - last_answer_at <= answer_time_expiry_ms;
+    mean_answer_ms =
+        is_known ? mean_answer_ms + (elapsed - mean_answer_ms) * answer_time_weight : elapsed;
+}
+
+void target_state::note_failure(const target_failure& failure, std::int64_t now) {
+    if (failure.code == failure_code::lagging) {
+        // Later answers to statements sent before the back-off must not double it again.
+        if (now >= lagging_until) {
+            lag_backoff_ms =
+                std::clamp(2 * lag_backoff_ms, initial_lag_backoff_ms, max_lag_backoff_ms);
+        }
+        lagging_until = now + lag_backoff_ms;
+    } else if (failure.code == failure_code::read_only) {
+        read_only_at = now;
+    } else if (failure.code == failure_code::failed || failure.code == failure_code::timeout) {
+        avoided_until = now + failure_backoff_ms;
+    }
+}
+
 void target_state::pace_answer(const target_link& link, const target_answer& answer,
                                std::int64_t now) {
     if (!pace || link.is_relayed() || !answer.was_sent) {
--- a/src/gateway/target_group.h
+++ b/src/gateway/target_group.h
@@ -45,6 +45,12 @@
     /** Whether new statements may be sent to it. */
     bool is_usable() const { return removed_at == 0 && !entry.is_leaving; }
 
+    /** Records that the target responds, whatever it said. */
+    void note_alive(std::int64_t now) {
+        last_answer_at = now;
+        refused_since = 0;
+    }
+
     /** Counts connections with an outstanding statement or still being opened. */
     int count_busy_links() const;
 
@@ -61,7 +67,15 @@
      * because it has too many. */
     void pace_link_end(bool is_limited);
 
-    /** Records the answer to a statement on `link` for its pace. */
+    /** Records the time of an answer to a statement on `link`, also one that nobody waits for. */
+    void note_answer(const target_link& link, const target_answer& answer, std::int64_t now);
+
+    /** Records whether it ran a statement, so that reads avoid it for a while after a failure. */
+    void note_outcome(const target_answer& answer, std::int64_t now);
+
+private:
+    void note_answer_time(std::int64_t elapsed_ms, std::int64_t now);
+    void note_failure(const target_failure& failure, std::int64_t now);
     void pace_answer(const target_link& link, const target_answer& answer, std::int64_t now);
 };
 
--- a/src/gateway/target_link.h
+++ b/src/gateway/target_link.h
@@ -49,6 +49,11 @@
         bool is_refused = false;                ///< The address refused the connection.
         bool is_local = false;                  ///< This side closed the connection.
         std::string reason;                     ///< Why this side closed it.
+
+        /** The target refused it because it has too many connections. */
+        bool is_limited() const {
+            return failure && failure->code == failure_code::too_many_connections;
+        }
     };
 
     struct link_events {
