Give up a set-up inside a transaction before its caller does

Cause: inside a transaction a set-up that the target does not answer had no time limit of its own. A home waited as long as the VM that had passed the COMMIT on, so that VM could not learn that the COMMIT was never sent, and left its caller in doubt.

Change: after 600 ms the connection is closed, and the transaction is aborted.

--- a/src/gateway/link_pool.cpp
+++ b/src/gateway/link_pool.cpp
@@ -23,6 +23,9 @@
 /// Setting up a connection takes no slot of the target, so a round trip is enough. Later the
 /// statement, which was not sent yet, is tried on another connection.
 constexpr std::int64_t setup_timeout_ms = 300;
+/// The same inside a transaction, which is lost with its connection. Shorter than the time limit of
+/// a statement, so that its caller, or the VM that passed it on, learns that it was not sent.
+constexpr std::int64_t transaction_setup_timeout_ms = 600;
 /// For links to homes above kept_relayed_links, and direct links of a VM that is not a home.
 constexpr std::int64_t fallback_idle_timeout_ms = 1500;
 /// Connections opened concurrently to one target; each takes one of its 2 or 3 slots for 12 ms.
@@ -85,19 +88,21 @@
         return now - link.get_opened_at() > connect_timeout_ms ? std::optional("not open in time")
                                                                : std::nullopt;
     }
+    const std::int64_t unanswered_since = link.get_oldest_sent_at();
+    const std::int64_t unanswered_ms = unanswered_since == 0 ? 0 : now - unanswered_since;
+    const std::int64_t setup_limit_ms =
+        link.is_pinned() ? transaction_setup_timeout_ms : setup_timeout_ms;
+    if (link.is_setting_up() && unanswered_ms > setup_limit_ms) {
+        return "not set up in time";
+    }
     if (link.is_pinned()) {
         return std::nullopt;
     }
-    const std::int64_t unanswered_since = link.get_oldest_sent_at();
-    const std::int64_t unanswered_ms = unanswered_since == 0 ? 0 : now - unanswered_since;
     // Longer than the timeouts that routes set in practice, so no caller still waits for the
     // answer; default_timeout_ms, for routes without a timeout, is longer.
     if (unanswered_ms > default_timeout_ms / 2) {
         return "no answer in time";
     }
-    if (link.is_setting_up() && unanswered_ms > setup_timeout_ms) {
-        return "not set up in time";
-    }
     const bool is_idle_too_long =
         idle_timeout_ms && link.is_idle() && now - link.get_idle_since() > *idle_timeout_ms;
     return is_idle_too_long ? std::optional("idle") : std::nullopt;
--- a/tests/gateway/relayed_session_test.cpp
+++ b/tests/gateway/relayed_session_test.cpp
@@ -277,6 +277,24 @@
     EXPECT_EQ(ask(*caller, "WRITE k1 x")[0], "COMPLETE proof");
 }
 
+// Guards against a caller in doubt about a COMMIT that was never sent, because the target did not
+// answer its home, which had to set a value first.
+TEST_F(relayed_session_test, a_commit_that_waits_for_its_setup_is_given_up_as_not_run) {
+    scripted_target& target = add_target("t1", true, [](const std::string& line) {
+        return line.find(" SET ") != std::string::npos ? std::string()
+               : line.starts_with("STARTUP")           ? std::string("READY I 1.5\r\n")
+                                             : std::string("COMPLETE proof\r\nREADY T 1.5\r\n");
+    });
+    give_lease_to_all("t1");
+    const auto caller = open_session("strict");
+    ask(*caller, "BEGIN");
+    ask(*caller, "WRITE k1 x");
+    ask(*caller, "SET mode a");
+    const auto answer = ask(*caller, "COMMIT");
+    EXPECT_TRUE(answer[0].starts_with("ERROR ABORTED")) << answer[0];
+    EXPECT_FALSE(contains(target.lines, "COMMIT"));
+}
+
 // Guards against a commit that is reported as not run although a home of the release before, which
 // goes on after a set-up that it refuses, has run it.
 TEST_F(relayed_session_test, a_home_of_the_release_before_leaves_a_commit_in_doubt) {
