Judge statements that wait for a grant by their place

After an accountant's answer with a long queue all arrivals of a VM were refused until the next answer, up to 450 ms, although grants came back meanwhile, and operations that had been refused were still asked for. With many VMs half of the bucket was kept back for parts of operations that nobody could use.

A statement is now judged by its place among those that wait at its VM and by the time since the answer, keeps its place for 200 ms once let in, and gets no grant after its objective. A VM with waiting operations asks every 20 to 50 ms. An accountant keeps back only whole operations that other VMs are owed.

--- a/src/coordination/limit_accountant.cpp
+++ b/src/coordination/limit_accountant.cpp
@@ -162,13 +162,18 @@
         // What the bucket has gained is owed to the VMs in proportion to what they ask. A level
         // that was cut is owed by all in proportion too.
         double most = 0;
+        double kept = 0;
         for (auto& [name, other] : value.waiting) {
             other.due +=
                 (value.level - owed) * static_cast<double>(other.count) / static_cast<double>(all);
             most = std::max(most, other.due);
+            if (name != vm) {
+                kept += std::max(0.0, std::floor(other.due + rounding));
+            }
         }
-        // A bucket that overflows until the others ask again would waste what the limit allows.
-        const double kept = bucket->capacity * get_share() * kept_for_others;
+        // A bucket that overflows until the others ask again would waste what the limit allows, and
+        // so would many parts of less than an operation.
+        kept = std::min(kept, bucket->capacity * get_share() * kept_for_others);
         // Shares of a small limit are less than one operation, so VMs take turns.
         const bool is_next = level >= 1 && own.due >= most;
         const double most_now = std::max({own.due, level - kept, is_next ? 1.0 : 0.0});
--- a/src/coordination/limit_client.cpp
+++ b/src/coordination/limit_client.cpp
@@ -10,7 +10,9 @@
 /// Bounds the requests of a VM whose operations wait for a bucket to fill.
 constexpr std::int64_t min_ask_interval_ms = 20;
 /// Shorter than the time after which an accountant forgets operations that wait.
-constexpr std::int64_t max_ask_interval_ms = 200;
+constexpr std::int64_t max_ask_interval_ms = 50;
+/// An older answer doesn't tell what an operation may expect, so it is asked for again.
+constexpr std::int64_t max_answer_age_ms = 100;
 
 }  // namespace
 
@@ -156,7 +158,13 @@
             value.grants.push_back({entry.count, until});
             granted.push_back(entry.organisation);
         }
-        value.is_answered = true;
+        value.left = 0;
+        if (is_expected) {
+            const auto& demands = open_->message.request.demands;
+            const auto asked =
+                std::ranges::find(demands, entry.organisation, &limit_demand::organisation);
+            value.left = asked == demands.end() ? 0 : asked->count - entry.count;
+        }
         value.answered_at = now;
         value.wait_ms = entry.wait_ms;
         value.is_listed = entry.wait_ms > 0 && value.waiting > 0;
@@ -194,15 +202,19 @@
     return until;
 }
 
-std::optional<std::int64_t> limit_client::get_wait_ms(const std::string& organisation,
-                                                      std::int64_t now) const {
+bool limit_client::is_hopeless(const std::string& organisation, std::int64_t ahead,
+                               std::int64_t left_ms, std::int64_t now) const {
     const auto position = accounts_.find(organisation);
-    if (position == accounts_.end() || !position->second.is_answered ||
-        position->second.answered_at + max_ask_interval_ms + timing_.answer_limit_ms <= now) {
-        return std::nullopt;
+    if (position == accounts_.end()) {
+        return false;
+    }
+    const account& value = position->second;
+    const std::int64_t age_ms = now - value.answered_at;
+    if (value.left <= 0 || value.wait_ms <= 0 || age_ms > max_answer_age_ms) {
+        return false;
     }
-    return std::max<std::int64_t>(0,
-                                  position->second.wait_ms - (now - position->second.answered_at));
+    // Grants of the operations that wait everywhere come evenly over the whole wait.
+    return value.wait_ms * (ahead + 1) > (left_ms + age_ms) * value.left;
 }
 
 }  // namespace hornbeamhook::coordination
--- a/src/coordination/limit_client.h
+++ b/src/coordination/limit_client.h
@@ -48,10 +48,11 @@
     /** Uses one grant: the operation may be sent before the returned time. Empty: none is left. */
     std::optional<std::int64_t> take(const std::string& organisation, std::int64_t now);
 
-    /** Time until the waiting operations of the organisation could be granted; empty while no
-     * accountant has answered lately. */
-    std::optional<std::int64_t> get_wait_ms(const std::string& organisation,
-                                            std::int64_t now) const;
+    /** Whether an operation with `ahead` others of this VM before it will not get a grant within
+     * `left_ms`, by the accountant's newest answer and the time since. False while no answer is
+     * recent enough to tell. */
+    bool is_hopeless(const std::string& organisation, std::int64_t ahead, std::int64_t left_ms,
+                     std::int64_t now) const;
 
 private:
     struct held_grants {
@@ -62,8 +63,8 @@
         std::int64_t waiting = 0;
         std::int64_t ask_at = 0;
         std::int64_t wait_ms = 0;
+        std::int64_t left = 0;  ///< Operations that were asked for and not granted.
         std::int64_t answered_at = 0;
-        bool is_answered = false;
         bool is_listed = false;  ///< The accountant knows of operations that still wait.
         std::vector<held_grants> grants;
     };
--- a/src/gateway/limit_exchange.cpp
+++ b/src/gateway/limit_exchange.cpp
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "coordination/home_assignment.h"
+#include "gateway/statement_time_limits.h"
 
 namespace hornbeamhook::gateway {
 
@@ -128,6 +129,13 @@
 void limit_exchange::report_waiting(const std::string& organisation, std::int64_t now) {
     shard& value = shards_[get_shard(organisation)];
     const auto list = waiting_.find(organisation);
+    if (list != waiting_.end()) {
+        // What was refused since must not be asked for: its grants would expire unused.
+        std::erase_if(list->second, [](const std::weak_ptr<pending_statement>& entry) {
+            const pending_statement_ptr pending = entry.lock();
+            return !pending || pending->is_settled;
+        });
+    }
     value.client->set_waiting(organisation, list == waiting_.end() ? 0 : std::ssize(list->second));
     poll(value, now);
 }
@@ -140,7 +148,9 @@
     std::vector<pending_statement_ptr> list;
     for (const std::weak_ptr<pending_statement>& entry : found->second) {
         const pending_statement_ptr pending = entry.lock();
-        if (pending && !pending->is_settled) {
+        // The engine refuses what has waited for its whole objective.
+        if (pending && !pending->is_settled &&
+            now - pending->arrived_at < get_objective(*pending)) {
             list.push_back(pending);
         }
     }
@@ -178,9 +188,23 @@
     if (!pending.is_waiting_for_grant) {
         return false;
     }
-    const auto wait =
-        shards_[get_shard(pending.organisation)].client->get_wait_ms(pending.organisation, now);
-    return wait && *wait > left_ms;
+    const auto list = waiting_.find(pending.organisation);
+    if (list == waiting_.end()) {
+        return false;
+    }
+    std::int64_t ahead = 0;
+    bool is_later = false;
+    for (const std::weak_ptr<pending_statement>& entry : list->second) {
+        const pending_statement_ptr other = entry.lock();
+        if (other.get() == &pending) {
+            is_later = true;
+        } else if (other && !other->is_settled &&
+                   (other->is_before(pending) || (!is_later && !pending.is_before(*other)))) {
+            ++ahead;
+        }
+    }
+    return shards_[get_shard(pending.organisation)].client->is_hopeless(pending.organisation, ahead,
+                                                                        left_ms, now);
 }
 
 }  // namespace hornbeamhook::gateway
--- a/src/gateway/operation_gate.h
+++ b/src/gateway/operation_gate.h
@@ -18,7 +18,8 @@
      * dispatched when it may. */
     virtual bool allow(const pending_statement_ptr& pending, std::int64_t now) = 0;
 
-    /** Whether a waiting statement will not be allowed within `left_ms`. */
+    /** Whether a waiting statement will not be allowed within `left_ms`, by what is known of the
+     * limit; more urgent statements of its organisation are allowed first. */
     virtual bool is_hopeless(const pending_statement& pending, std::int64_t left_ms,
                              std::int64_t now) const = 0;
 };
--- a/src/gateway/session_engine.cpp
+++ b/src/gateway/session_engine.cpp
@@ -217,7 +217,7 @@
         return;
     }
     const std::int64_t now = transport::get_boot_time();
-    if (is_beyond_limit(group, *pending, now)) {
+    if (is_beyond_limit(group, *pending, max_grant_wait_ms, now)) {
         refuse(group, pending, pending->get_refusal_code(), limit_reached);
         return;
     }
@@ -233,8 +233,8 @@
 }
 
 bool session_engine::is_beyond_limit(const target_group& group, const pending_statement& pending,
-                                     std::int64_t now) const {
-    const std::int64_t limit = std::min(get_wait_limit(group, pending, now), max_grant_wait_ms);
+                                     std::int64_t max_wait_ms, std::int64_t now) const {
+    const std::int64_t limit = std::min(get_wait_limit(group, pending, now), max_wait_ms);
     return gate_ != nullptr && pending.is_waiting_for_grant &&
            gate_->is_hopeless(pending, limit - (now - pending.arrived_at), now);
 }
@@ -680,8 +680,8 @@
             std::erase(group.queue, pending);
             continue;
         }
-        const bool is_overdue = now - pending->arrived_at >= max_grant_wait_ms;
-        if (is_overdue && is_beyond_limit(group, *pending, now)) {
+        const bool is_long = now - pending->arrived_at >= max_grant_wait_ms;
+        if (is_long && is_beyond_limit(group, *pending, max_kept_grant_wait_ms, now)) {
             refuse(group, pending, pending->get_refusal_code(), limit_reached);
             continue;
         }
--- a/src/gateway/session_engine.h
+++ b/src/gateway/session_engine.h
@@ -158,9 +158,10 @@
     /** Plans the homes of all targets after the fleet or the connection limits changed. */
     void update_plans(const coordination::member_change& change);
     int get_connection_limit(const target_state& target) const;
-    /** Whether its organisation's limit will not allow the statement within its wait limit. */
+    /** Whether its organisation's limit will not allow the statement within its wait limit and
+     * `max_wait_ms`, both from its arrival. */
     bool is_beyond_limit(const target_group& group, const pending_statement& pending,
-                         std::int64_t now) const;
+                         std::int64_t max_wait_ms, std::int64_t now) const;
     /** How long a statement waits that no target may run now. */
     std::int64_t get_not_runnable_wait(const target_group& group, std::int64_t objective_ms,
                                        std::int64_t now) const;
--- a/src/gateway/statement_time_limits.h
+++ b/src/gateway/statement_time_limits.h
@@ -15,10 +15,12 @@
 /// Delay before a statement that failed at all targets or homes is sent to them again.
 inline constexpr std::int64_t retry_delay_ms = 100;
 
-/// How long a statement may wait for a grant of its organisation's limit once an accountant has
-/// answered: a round trip between regions and a resent datagram. A longer queue would be filled by
-/// statements with long objectives, and what is beyond the limit would hold places of others.
+/// A statement is refused on arrival if it must wait longer than this for a grant of its
+/// organisation's limit: a round trip between regions and a resent datagram. A longer queue would
+/// hold places that others need.
 inline constexpr std::int64_t max_grant_wait_ms = 100;
+/// A statement that was let in keeps its place until it must wait longer than this.
+inline constexpr std::int64_t max_kept_grant_wait_ms = 200;
 
 inline std::int64_t get_objective(const pending_statement& pending) {
     return pending.target_route.objective_ms > 0 ? pending.target_route.objective_ms
--- a/tests/coordination/operation_limits_exploration_test.cpp
+++ b/tests/coordination/operation_limits_exploration_test.cpp
@@ -54,6 +54,18 @@
     std::vector<int> failures;  ///< Kinds of failure, each as likely as it is often in the list.
     std::int64_t max_failure_interval_ms = 1500;
     std::int64_t rivals = 2;  ///< VMs that are taken for the best accountant.
+    /// The load from overload_at on, with the gateway's rule of waiting. 0: no overload.
+    double overload = 0;
+    std::int64_t overload_at = 4000;
+    std::int64_t min_delay_ms = 1;  ///< One way.
+    std::int64_t max_delay_ms = 12;
+};
+
+/** An operation in a gateway, which refuses what it does not expect to send in time. */
+struct waiting_operation {
+    std::int64_t id = 0;
+    std::int64_t arrived_at = 0;
+    std::int64_t objective_ms = 0;  ///< The shorter, the more urgent.
 };
 
 /** The limits and lists that the configuration had, and since when. */
@@ -83,7 +95,8 @@
     std::set<int> sides{0};  ///< Reaches the VMs that share a side.
     std::unique_ptr<limit_client> client;
     std::unique_ptr<limit_accountant> accountant;
-    std::vector<std::int64_t> waiting;  ///< Arrival times.
+    std::vector<std::int64_t> waiting;          ///< Arrival times.
+    std::vector<waiting_operation> operations;  ///< With the gateway's rule, most urgent first.
 };
 
 struct simulation {
@@ -137,9 +150,10 @@
             if (&from != &to && chance(settings.loss)) {
                 continue;
             }
-            const std::int64_t delay = &from == &to            ? 0
-                                       : chance(settings.late) ? between(20, 3000)
-                                                               : between(1, 12);
+            const std::int64_t delay = &from == &to ? 0
+                                       : chance(settings.late)
+                                           ? between(20, 3000)
+                                           : between(settings.min_delay_ms, settings.max_delay_ms);
             at_vm(to, now + delay, action);
         }
     }
@@ -149,6 +163,7 @@
         vm.is_running = true;
         vm.ranked_at = -1000;
         vm.waiting.clear();
+        vm.operations.clear();
         const std::uint64_t process = ++processes;
         const std::int64_t local = now + vm.offset;
         vm.accountant = std::make_unique<limit_accountant>(
@@ -188,6 +203,10 @@
     }
 
     void offer(simulated_vm& vm) {
+        if (settings.overload > 0) {
+            offer_as_gateway(vm);
+            return;
+        }
         const double mean = settings.load * static_cast<double>(limits.at(now).rate_per_s) *
                             tick_ms / 1000 / static_cast<double>(vms.size());
         const int arrived = std::poisson_distribution<int>(mean)(random);
@@ -229,6 +248,93 @@
         });
     }
 
+    void offer_as_gateway(simulated_vm& vm) {
+        const double load = now < settings.overload_at ? settings.load : settings.overload;
+        const double mean = load * static_cast<double>(limits.at(now).rate_per_s) * tick_ms / 1000 /
+                            static_cast<double>(vms.size());
+        const int arrived = std::poisson_distribution<int>(mean)(random);
+        for (int i = 0; i < arrived; ++i) {
+            at_vm(vm, now + between(0, tick_ms - 1), [this, &vm] { arrive(vm); });
+        }
+        std::vector<waiting_operation> kept;
+        for (const waiting_operation& each : vm.operations) {
+            const std::int64_t age = now - each.arrived_at;
+            const bool is_late =
+                age >= each.objective_ms || (age >= admit_ms && is_hopeless(vm, each, keep_ms));
+            if (is_late) {
+                ++refused;
+            } else {
+                kept.push_back(each);
+            }
+        }
+        vm.operations = std::move(kept);
+        ask_as_gateway(vm);
+    }
+
+    void arrive(simulated_vm& vm) {
+        ++offered;
+        arrivals.push_back(now);
+        const waiting_operation added{
+            ++order, now, std::array{250, 500, 1000}[static_cast<std::size_t>(between(0, 2))]};
+        const auto position = std::ranges::upper_bound(vm.operations, added.objective_ms, {},
+                                                       &waiting_operation::objective_ms);
+        vm.operations.insert(position, added);
+        ask_as_gateway(vm);
+        const auto found = std::ranges::find(vm.operations, added.id, &waiting_operation::id);
+        if (found != vm.operations.end() && is_hopeless(vm, added, admit_ms)) {
+            vm.operations.erase(found);
+            ++refused;
+        }
+    }
+
+    // As max_grant_wait_ms and max_kept_grant_wait_ms of the gateway.
+    static constexpr std::int64_t admit_ms = 100;
+    static constexpr std::int64_t keep_ms = 200;
+
+    bool is_hopeless(simulated_vm& vm, const waiting_operation& operation, std::int64_t limit_ms) {
+        const std::int64_t left =
+            std::min(limit_ms, operation.objective_ms) - (now - operation.arrived_at);
+        const auto position =
+            std::ranges::find(vm.operations, operation.id, &waiting_operation::id);
+        return vm.client->is_hopeless(organisation_name, position - vm.operations.begin(), left,
+                                      now + vm.offset);
+    }
+
+    void ask_as_gateway(simulated_vm& vm) {
+        const std::int64_t local = now + vm.offset;
+        refused += std::erase_if(vm.operations, [&](const waiting_operation& each) {
+            return now - each.arrived_at >= each.objective_ms;
+        });
+        while (!vm.operations.empty() && vm.client->take(organisation_name, local)) {
+            EXPECT_LT(now - vm.operations.front().arrived_at, vm.operations.front().objective_ms);
+            waited_ms += now - vm.operations.front().arrived_at;
+            vm.operations.erase(vm.operations.begin());
+            sent.push_back(now);
+        }
+        vm.client->set_waiting(organisation_name, std::ssize(vm.operations));
+        const auto message = vm.client->poll(local);
+        simulated_vm* to = message ? find(message->to) : nullptr;
+        if (to == nullptr) {
+            return;
+        }
+        if (to == &vm) {
+            answer_as_gateway(vm, vm.accountant->handle(message->request, local));
+            return;
+        }
+        send(vm, *to, [this, &vm, to, request = message->request] {
+            const auto answer = to->accountant->handle(request, now + to->offset);
+            if (answer) {
+                send(*to, vm, [this, &vm, answer] { answer_as_gateway(vm, answer); });
+            }
+        });
+    }
+
+    void answer_as_gateway(simulated_vm& vm, const std::optional<limit_answer>& answer) {
+        if (answer && !vm.client->handle(*answer, now + vm.offset).empty()) {
+            ask_as_gateway(vm);
+        }
+    }
+
     void fail() {
         at(now + between(100, settings.max_failure_interval_ms), [this] { fail(); });
         simulated_vm& vm = *vms[static_cast<std::size_t>(between(0, std::ssize(vms) - 1))];
@@ -572,5 +678,74 @@
                                          std::pair{3, 0.9}, std::pair{30, 0.5}, std::pair{30, 0.9},
                                          std::pair{500, 0.5}, std::pair{500, 0.9}));
 
+struct overload_case {
+    int vms = 1;
+    std::int64_t rate_per_s = 0;
+    double overload = 0;
+    std::int64_t max_delay_ms = 12;  ///< Of a datagram.
+};
+
+class operation_limits_overload : public testing::TestWithParam<overload_case> {};
+
+// hot organisation: guards against a limit that is left unused while operations are refused, and
+// against an operation that waits longer than its objective.
+TEST_P(operation_limits_overload, uses_the_limit) {
+    plan settings;
+    settings.vms = GetParam().vms;
+    settings.is_calm = true;
+    settings.loss = 0.001;
+    settings.late = 0;
+    settings.repetition = 0;
+    settings.terms.rate_per_s = GetParam().rate_per_s;
+    settings.terms.burst = GetParam().rate_per_s;
+    settings.load = 0.2;
+    settings.overload = GetParam().overload;
+    settings.max_delay_ms = GetParam().max_delay_ms;
+    settings.min_delay_ms = settings.max_delay_ms / 2;
+    settings.duration_ms = settings.overload_at + settings.terms.window_ms;
+    double sent = 0;
+    double allowed = 0;
+    double owed = 0;
+    double datagrams = 0;
+    // Small limits vary most from run to run.
+    const int runs = GetParam().rate_per_s <= 10 ? 100 : 20;
+    for (int i = 0; i < runs; ++i) {
+        simulation sim(tests::get_seed() + static_cast<std::uint64_t>(i), settings,
+                       limit_fault::none);
+        sim.run();
+        EXPECT_LE(sim.get_excess(), 0);
+        const auto before = std::ranges::count_if(
+            sim.sent, [&](std::int64_t at) { return at < settings.overload_at; });
+        sent += static_cast<double>(std::ssize(sim.sent) - before);
+        owed +=
+            static_cast<double>(std::ssize(sim.arrivals) - count_reference_refusals(sim) - before);
+        allowed +=
+            static_cast<double>(settings.terms.rate_per_s * settings.terms.window_ms) / 1000 +
+            static_cast<double>(settings.terms.burst);
+        datagrams += static_cast<double>(sim.datagrams) * 1000 /
+                     static_cast<double>(settings.duration_ms) / settings.vms;
+    }
+    std::cout << "vms=" << settings.vms << " rate=" << settings.terms.rate_per_s
+              << " overload=" << settings.overload << " max_delay_ms=" << settings.max_delay_ms
+              << " sent_of_a_single_bucket=" << sent / owed << " sent_of_allowed=" << sent / allowed
+              << " datagrams_per_s_and_vm=" << datagrams / runs << '\n';
+    EXPECT_GE(sent / owed, 0.95);
+    if (settings.overload >= 3) {
+        EXPECT_GE(sent / allowed, 0.95);
+    }
+}
+INSTANTIATE_TEST_SUITE_P(loads, operation_limits_overload,
+                         testing::Values(overload_case{1, 10, 3}, overload_case{1, 500, 8},
+                                         overload_case{3, 10, 3}, overload_case{3, 100, 8},
+                                         overload_case{8, 3, 3}, overload_case{8, 3, 8},
+                                         overload_case{8, 30, 1.5}, overload_case{8, 30, 3},
+                                         overload_case{8, 30, 8}, overload_case{8, 100, 1},
+                                         overload_case{8, 100, 1, 30}, overload_case{8, 100, 3, 30},
+                                         overload_case{8, 100, 3, 60}, overload_case{8, 500, 1.5},
+                                         overload_case{8, 500, 3, 30}, overload_case{8, 500, 3, 60},
+                                         overload_case{8, 500, 8}, overload_case{73, 30, 3},
+                                         overload_case{73, 30, 8}, overload_case{73, 500, 3},
+                                         overload_case{73, 500, 8}));
+
 }  // namespace
 }  // namespace hornbeamhook::coordination
--- a/tests/coordination/operation_limits_test.cpp
+++ b/tests/coordination/operation_limits_test.cpp
@@ -214,6 +214,23 @@
     EXPECT_TRUE(has_voted_for_next);
 }
 
+// hot organisation: guards against statements that are refused by an answer that grants since have
+// made wrong, and against more waiting statements than will get a grant in time.
+TEST_F(limit_client_test, judges_a_statement_by_its_place_and_the_time_since) {
+    client.set_waiting("o", 10);
+    const auto request = client.poll(1000);
+    ASSERT_TRUE(request);
+    EXPECT_FALSE(client.is_hopeless("o", 100, 0, 1000));  // Nothing is known yet.
+    limit_answer answer = answer_to(request->request, 1, 5);
+    answer.grants[0].wait_ms = 200;  // For 5 operations of this VM and what the others ask.
+    client.handle(answer, 1010);
+    EXPECT_FALSE(client.is_hopeless("o", 1, 100, 1010));
+    EXPECT_TRUE(client.is_hopeless("o", 2, 100, 1010));
+    EXPECT_FALSE(client.is_hopeless("o", 2, 100, 1030));
+    EXPECT_TRUE(client.is_hopeless("o", 4, 100, 1109));
+    EXPECT_FALSE(client.is_hopeless("o", 9, 100, 1111));  // Too old, so it is asked for again.
+}
+
 // Guards against VMs that raise their shares while a removed VM still lends its own.
 TEST_F(limit_client_test, a_shorter_list_raises_the_share_later) {
     auto request = client.poll(700);
