--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -178,7 +178,11 @@
 void gateway::serve_control(const transport::http_call& call,
                             const transport::http_listener::responder& respond) {
     if (call.path == "/metrics") {
-        respond({.status = status_ok, .body = counters_.format(), .content_type = "text/plain"});
+        std::string text = counters_.format();
+        if (limits_) {
+            text += limits_->format_metrics();
+        }
+        respond({.status = status_ok, .body = std::move(text), .content_type = "text/plain"});
     } else if (call.path == "/internal/v1/snapshot") {
         respond({.status = status_ok, .body = watcher_.format_snapshot()});
     } else if (call.path == "/internal/v1/updates") {
--- a/src/gateway/limit_exchange.cpp
+++ b/src/gateway/limit_exchange.cpp
@@ -164,6 +164,7 @@
         }
         (*next)->grant_until = *until;
         (*next)->is_waiting_for_grant = false;
+        counts_.count_granted(organisation);
         granted_groups_.insert((*next)->target_route.group);
     }
     found->second.assign(next, list.end());
@@ -207,4 +208,19 @@
                                                                         left_ms, now);
 }
 
+void limit_exchange::count_refused(const pending_statement& pending) {
+    counts_.count_refused(pending.organisation);
+}
+
+std::string limit_exchange::format_metrics() const {
+    std::map<std::string, std::int64_t> waiting;
+    for (const auto& [name, list] : waiting_) {
+        waiting[name] = std::ranges::count_if(list, [](const auto& entry) {
+            const pending_statement_ptr pending = entry.lock();
+            return pending && !pending->is_settled;
+        });
+    }
+    return format_operation_metrics(counts_, waiting);
+}
+
 }  // namespace hornbeamhook::gateway
--- a/src/gateway/limit_exchange.h
+++ b/src/gateway/limit_exchange.h
@@ -13,6 +13,7 @@
 #include "coordination/limit_accountant.h"
 #include "coordination/limit_client.h"
 #include "gateway/operation_gate.h"
+#include "gateway/organisation_counts.h"
 #include "gateway/organisation_table.h"
 #include "gateway/peer_message.h"
 
@@ -51,6 +52,10 @@
     bool allow(const pending_statement_ptr& pending, std::int64_t now) override;
     bool is_hopeless(const pending_statement& pending, std::int64_t left_ms,
                      std::int64_t now) const override;
+    void count_refused(const pending_statement& pending) override;
+
+    /** Operations by organisation in the Prometheus text format. */
+    std::string format_metrics() const;
 
 private:
     /// The organisations are divided, so that no single VM answers for all of them.
@@ -77,6 +82,7 @@
     std::array<shard, shard_count> shards_;
     /// By organisation. The engine owns the statements, and its end must end their sessions.
     std::map<std::string, std::vector<std::weak_ptr<pending_statement>>> waiting_;
+    organisation_counts counts_;
     std::set<std::string> granted_groups_;  ///< Groups whose queues hold statements with grants.
     /// While the engine asks about a statement its queues must not be dispatched.
     bool is_asked_ = false;
--- a/src/gateway/operation_gate.h
+++ b/src/gateway/operation_gate.h
@@ -22,6 +22,9 @@
      * limit; more urgent statements of its organisation are allowed first. */
     virtual bool is_hopeless(const pending_statement& pending, std::int64_t left_ms,
                              std::int64_t now) const = 0;
+
+    /** Counts a waiting statement that is refused because of the limit. */
+    virtual void count_refused(const pending_statement& pending) = 0;
 };
 
 }  // namespace hornbeamhook::gateway
--- a/src/gateway/session_engine.cpp
+++ b/src/gateway/session_engine.cpp
@@ -218,6 +218,7 @@
     }
     const std::int64_t now = transport::get_boot_time();
     if (is_beyond_limit(group, *pending, max_grant_wait_ms, now)) {
+        gate_->count_refused(*pending);
         refuse(group, pending, pending->get_refusal_code(), limit_reached);
         return;
     }
@@ -682,6 +683,7 @@
         }
         const bool is_long = now - pending->arrived_at >= max_grant_wait_ms;
         if (is_long && is_beyond_limit(group, *pending, max_kept_grant_wait_ms, now)) {
+            gate_->count_refused(*pending);
             refuse(group, pending, pending->get_refusal_code(), limit_reached);
             continue;
         }
@@ -691,6 +693,9 @@
                                        ? get_not_runnable_wait(group, get_objective(*pending), now)
                                        : get_wait_limit(group, *pending, now);
         if (now - pending->arrived_at >= limit) {
+            if (pending->is_waiting_for_grant && gate_ != nullptr) {
+                gate_->count_refused(*pending);
+            }
             refuse(group, pending, pending->get_refusal_code(),
                    pending->is_waiting_for_grant ? limit_reached
                    : !is_not_runnable            ? "no connection became free"
--- a/tests/gateway/operation_limit_test.cpp
+++ b/tests/gateway/operation_limit_test.cpp
@@ -151,6 +151,14 @@
         }
     }
     EXPECT_GT(refused, 10);
+    const std::string metrics = limits_.format_metrics();
+    const std::string sample = "limit_refused_total{organisation=\"anna\"} ";
+    const std::size_t found = metrics.find(sample);
+    ASSERT_NE(found, std::string::npos) << metrics;
+    // Each caller may have one refusal that has not arrived yet.
+    const int counted = std::stoi(metrics.substr(found + sample.size()));
+    EXPECT_GE(counted, refused);
+    EXPECT_LE(counted, refused + 12);
     EXPECT_GE(served, 20);           // 3 s at 10 a second, less what the start costs.
     EXPECT_LE(served, 10 * 4 + 15);  // 4 s since the first vote, and the bucket.
     std::cout << "served=" << served << " refused=" << refused << '\n';
