--- a/tests/platform/store_codec_test.cpp
+++ b/tests/platform/store_codec_test.cpp
@@ -255,6 +255,26 @@
     }
 }
 
+// Guards against callers that are all refused while no log line tells why.
+TEST(store_codec, reports_organisations_that_are_no_list) {
+    for (const nlohmann::json& odd :
+         {nlohmann::json::object(), nlohmann::json("anna"), nlohmann::json(7)}) {
+        const platform_rows rows = decode_organisations(odd);
+        ASSERT_TRUE(rows.newest_configuration) << odd;
+        EXPECT_EQ(rows.errors.size(), 1U) << odd;
+    }
+}
+
+// Guards against a version that is dropped without a log line.
+TEST(store_codec, reports_a_configuration_that_is_no_object) {
+    for (const char* text : {"", "[]", "{", "7", "{\"Version\": 7, \"Routes\": [\"\xff\"]}"}) {
+        const platform_rows rows =
+            store_codec().decode(platform_table::configuration, {{"op", "config", text, 1, false}});
+        EXPECT_FALSE(rows.newest_configuration) << text;
+        EXPECT_EQ(rows.errors.size(), 1U) << text;
+    }
+}
+
 // Guards against a rate of 0 that is taken for no limit.
 TEST(store_codec, a_rate_of_zero_is_a_limit) {
     nlohmann::json entry = make_organisation("anna", {"k"});
