Apply new versions to statements that wait, retries and routes

A new version was compared with open transactions only, and only if the organisations had changed. So a statement that waited ran for an organisation which had lost its key to another one, and a statement that was sent could be retried or sent to another target after its key was dropped or moved. Where a route came to need a key, or was dropped, open transactions and waiting statements went on.

The decision is a module of its own now, caller_authorisation. Each session is reviewed when organisations or routes change, where callers are identified. What was not sent runs for the organisation that holds the key now, or is refused; what was sent is answered but sent to no other target.

The organisation of a statement is looked up once, not twice, and the route is not copied for it, also where callers are not identified.

--- a/src/gateway/caller_session.cpp
+++ b/src/gateway/caller_session.cpp
@@ -2,6 +2,7 @@
 
 #include <utility>
 
+#include "gateway/caller_authorisation.h"
 #include "gateway/session_engine.h"
 
 namespace hornbeamhook::gateway {
@@ -224,7 +225,7 @@
     } else if (phase_ == phase::starting) {
         engine_.log_bad_input(caller_, "statement before session start");
         close();
-    } else if (!is_authorised()) {
+    } else if (!authorise()) {
         end_unauthorised();
     } else {
         is_busy_ = true;
@@ -233,26 +234,25 @@
     }
 }
 
-std::optional<std::string> caller_session::find_organisation(const route& value) const {
-    if (origin_ == session_origin::peer) {
-        return limits_.organisation;
-    }
-    if (!engine_.identifies_callers() || value.is_anonymous) {
-        return std::string();
+bool caller_session::authorise() {
+    if (!engine_.identifies_callers()) {
+        return true;
     }
-    const organisation* found = key_ ? engine_.find_organisation(*key_) : nullptr;
-    return found == nullptr ? std::nullopt : std::optional(found->name);
-}
-
-bool caller_session::is_authorised() const {
-    const bool is_in_transaction =
-        phase_ == phase::deferred_transaction || phase_ == phase::open_transaction;
-    const std::optional<route> used = is_in_transaction ? std::optional(route_) : get_route();
-    if (!used) {
+    const route* used = engine_.find_route(database_);
+    if (used == nullptr) {
         return true;  // A database that was removed is reported as such.
     }
-    const std::optional<std::string> found = find_organisation(*used);
-    return found && (phase_ != phase::open_transaction || *found == organisation_);
+    if (phase_ == phase::open_transaction) {
+        return review_caller(engine_.get_organisations(), key_, used, &organisation_) ==
+               authorisation_change::none;
+    }
+    std::optional<std::string> found =
+        find_callers_organisation(engine_.get_organisations(), key_, *used);
+    if (!found) {
+        return false;
+    }
+    organisation_ = *std::move(found);
+    return true;
 }
 
 void caller_session::end_unauthorised() {
@@ -263,13 +263,52 @@
 }
 
 void caller_session::review_authorisation() {
-    if (is_closed_ || origin_ == session_origin::peer || phase_ == phase::starting ||
-        is_authorised()) {
+    if (is_closed_ || origin_ == session_origin::peer || phase_ == phase::starting) {
+        return;
+    }
+    const bool is_running = phase_ == phase::open_transaction || pending_;
+    switch (review_caller(engine_.get_organisations(), key_, engine_.find_route(database_),
+                          is_running ? &organisation_ : nullptr)) {
+        case authorisation_change::none:
+            return;
+        case authorisation_change::moved:
+            handle_move();
+            return;
+        case authorisation_change::revoked:
+            handle_revocation();
+            return;
+        case authorisation_change::route_dropped:
+            handle_dropped_route();
+            return;
+    }
+}
+
+void caller_session::handle_move() {
+    if (!pending_) {
+        handle_revocation();  // The transaction can't go on for another organisation.
         return;
     }
-    const bool was_sent = pinned_statement_ || (pending_ && pending_->attempts > 0);
-    if (was_sent) {
-        is_revoked_ = true;
+    const pending_statement_ptr pending = pending_;
+    if (pending->attempts > 0) {
+        ends_after_answer_ = pending->begin.has_value();
+        engine_.withdraw(pending, failure_code::busy, "its key has moved to another organisation");
+        return;
+    }
+    pending->is_settled = true;
+    const caller_statement statement = std::move(pending->statement);
+    pending_ = nullptr;
+    if (authorise()) {
+        submit(statement);
+    }
+}
+
+void caller_session::handle_revocation() {
+    if (pinned_statement_) {
+        ends_after_answer_ = true;
+    } else if (pending_ && pending_->attempts > 0) {
+        ends_after_answer_ = true;
+        engine_.withdraw(pending_statement_ptr(pending_), failure_code::unauthorised,
+                         "its key was revoked");
     } else if (is_busy_) {
         end_unauthorised();
     } else {
@@ -278,6 +317,18 @@
     }
 }
 
+void caller_session::handle_dropped_route() {
+    if (pinned_statement_) {
+        ends_after_answer_ = true;
+    } else if (const pending_statement_ptr pending = pending_) {
+        ends_after_answer_ = pending->begin && pending->attempts > 0;
+        engine_.withdraw(pending, failure_code::unknown_database, "no such database");
+    } else if (phase_ == phase::open_transaction || phase_ == phase::deferred_transaction) {
+        drop_link();
+        phase_ = phase::failed_transaction;
+    }
+}
+
 void caller_session::handle_start(const session_start& start) {
     if (phase_ != phase::starting) {
         engine_.log_bad_input(caller_, "session already started");
@@ -287,7 +338,7 @@
     database_ = start.database;
     if (engine_.identifies_callers()) {
         key_ = make_key_digest(start.caller);
-        const organisation* found = engine_.find_organisation(*key_);
+        const organisation* found = engine_.get_organisations().find_by_key(*key_);
         caller_ = found == nullptr ? "unidentified" : found->name;
     } else {
         caller_ = start.caller;
@@ -300,7 +351,7 @@
         close();
         return;
     }
-    if (!is_authorised()) {
+    if (!authorise()) {
         end_unauthorised();
         return;
     }
@@ -479,19 +530,13 @@
 }
 
 void caller_session::submit(const caller_statement& statement) {
-    const std::optional<route> found = get_route();
+    std::optional<route> found = phase_ == phase::idle ? get_route() : std::nullopt;
     if (!found && phase_ == phase::idle) {
         reply_failure(failure_code::unknown_database, "no such database");
         return;
     }
-    const std::optional<std::string> organisation =
-        find_organisation(phase_ == phase::deferred_transaction ? route_ : *found);
-    if (!organisation) {
-        end_unauthorised();
-        return;
-    }
     const auto pending = std::make_shared<pending_statement>();
-    pending->organisation = *organisation;
+    pending->organisation = origin_ == session_origin::peer ? limits_.organisation : organisation_;
     pending->session = shared_from_this();
     pending->statement = statement;
     pending->arrived_at = last_active_at_;
@@ -504,9 +549,9 @@
         pending->needs_primary =
             route_.policy == read_policy::primary || begin_->kind != statement_kind::begin_read;
     } else {
-        pending->target_route = *found;
+        pending->target_route = *std::move(found);
         pending->operation_started_at = last_active_at_;
-        pending->needs_primary = found->policy == read_policy::primary || !is_read;
+        pending->needs_primary = pending->target_route.policy == read_policy::primary || !is_read;
         pending->is_idempotent = is_read;
     }
     if (origin_ == session_origin::peer) {
@@ -695,7 +740,7 @@
     is_busy_ = false;
     last_active_at_ = transport::get_boot_time();
     stream_->write(std::move(message));
-    if (is_revoked_) {
+    if (ends_after_answer_) {
         close();
         return;
     }
--- a/src/gateway/caller_session.h
+++ b/src/gateway/caller_session.h
@@ -61,8 +61,11 @@
     /** Ends a transaction that is idle, or whose statement is unanswered, for too long. */
     void enforce_time_limit(std::int64_t now, std::int64_t transaction_idle_ms);
 
-    /** Ends the session if its key identifies no organisation any more, or another one than the
-     * open transaction runs for. A statement that was sent is answered first. */
+    /** Applies the newest configuration to a session whose callers are identified. Without an
+     * organisation the session ends; an open transaction ends too if the key has moved to another
+     * organisation or the database was removed. A statement that was sent is answered first and is
+     * sent to no other target; one that was not sent runs for the organisation that holds the key
+     * now, or is refused. */
     void review_authorisation();
 
     /** Answers the outstanding statement, if any, because this VM stops: not run, or in doubt. */
@@ -94,11 +97,12 @@
     void reject_input(const std::string& reason, failure_code code = failure_code::malformed);
     /** The route in the current configuration; empty if the database was removed. */
     std::optional<route> get_route() const;
-    /** For which organisation statements on the route run now; an empty name if callers are not
-     * identified there. Empty if the session's key identifies no organisation. */
-    std::optional<std::string> find_organisation(const route& value) const;
-    /** Whether the next statement may run as far as the session's key is concerned. */
-    bool is_authorised() const;
+    /** Whether the next statement may run as far as the session's key is concerned; notes its
+     * organisation. */
+    bool authorise();
+    void handle_move();
+    void handle_revocation();
+    void handle_dropped_route();
     /** Reports that the session's key identifies no organisation, and ends the session. */
     void end_unauthorised();
     void handle_start(const session_start& start);
@@ -137,7 +141,8 @@
     std::string database_;
     std::string caller_;  ///< As logs name the caller; never its key.
     std::optional<key_digest> key_;
-    std::string organisation_;  ///< Of the open transaction.
+    /// Of the outstanding statement and the open transaction; empty if callers are not identified.
+    std::string organisation_;
     coordination::session_values values_;
     std::map<std::string, coordination::statement_definition> prepared_;
     phase phase_ = phase::starting;
@@ -154,7 +159,7 @@
     bool is_busy_ = false;  ///< A statement is outstanding.
     bool is_closed_ = false;
     bool is_handling_ = false;
-    bool is_revoked_ = false;  ///< Ends after the answer to the outstanding statement.
+    bool ends_after_answer_ = false;  ///< To the outstanding statement.
     std::size_t counted_input_bytes_ = 0;
     std::optional<coordination::holder_number> holder_;
     std::int64_t message_begun_at_ = 0;  ///< Of an incomplete message; 0 without one.
--- a/src/gateway/pending_statement.h
+++ b/src/gateway/pending_statement.h
@@ -41,6 +41,7 @@
     std::int64_t grant_until = 0;
     bool is_waiting_for_grant = false;
     bool is_settled = false;                ///< The caller was answered or has disconnected.
+    bool is_withdrawn = false;              ///< It is sent to no other target.
     bool is_in_doubt = false;               ///< A connection was lost after the statement was sent.
     std::set<std::string> avoided_targets;  ///< Targets at which it failed.
     std::set<std::string> avoided_homes;    ///< Homes through which it failed.
--- a/src/gateway/session_engine.cpp
+++ b/src/gateway/session_engine.cpp
@@ -81,7 +81,9 @@
 }
 
 void session_engine::set_configuration(const configuration& value) {
-    const bool may_revoke = configuration_.organisations != value.organisations;
+    const bool may_revoke =
+        identifies_callers_ && (configuration_.organisations != value.organisations ||
+                                configuration_.routes != value.routes);
     configuration_ = value;
     update_plans({});
     links_.set_organisations(value.organisations);
@@ -210,6 +212,15 @@
            "this VM stops");
 }
 
+void session_engine::withdraw(const pending_statement_ptr& pending, failure_code code,
+                              const std::string& reason) {
+    pending->is_withdrawn = true;
+    if (pending->outstanding_links.empty()) {
+        refuse(groups_[pending->target_route.group], pending,
+               pending->attempts == 0 ? code : pending->get_refusal_code(), reason);
+    }
+}
+
 void session_engine::submit(const pending_statement_ptr& pending) {
     target_group& group = groups_[pending->target_route.group];
     group.name = pending->target_route.group;
@@ -436,7 +447,8 @@
     send(
         *pending->session, link, pending->statement, pending->begin, required_position,
         [pending, is_sent] {
-            if (pending->is_settled || is_grant_expired(*pending, transport::get_boot_time())) {
+            if (pending->is_settled || pending->is_withdrawn ||
+                is_grant_expired(*pending, transport::get_boot_time())) {
                 return false;
             }
             *is_sent = true;
@@ -532,6 +544,9 @@
 bool session_engine::may_retry(const pending_statement& pending,
                                const target_answer& answer) const {
     const std::int64_t waited = transport::get_boot_time() - pending.arrived_at;
+    if (pending.is_withdrawn) {
+        return false;
+    }
     if (pending.is_relayed()) {
         return false;  // The VM that forwarded it decides about retries.
     }
@@ -732,8 +747,9 @@
     const std::vector<pending_statement_ptr> running = group.running;
     for (const pending_statement_ptr& pending : running) {
         const bool is_due =
-            pending->is_idempotent && !pending->is_settled && !is_grant_expired(*pending, now) &&
-            pending->outstanding_links.size() == 1 && pending->attempts < 2 &&
+            pending->is_idempotent && !pending->is_settled && !pending->is_withdrawn &&
+            !is_grant_expired(*pending, now) && pending->outstanding_links.size() == 1 &&
+            pending->attempts < 2 &&
             now - pending->last_sent_at >= scale(get_objective(*pending), hedge_delay_fraction);
         if (!is_due) {
             continue;
--- a/src/gateway/session_engine.h
+++ b/src/gateway/session_engine.h
@@ -47,8 +47,9 @@
 
     // For the owner of the configuration and of discovery.
 
-    /** Replaces the configuration; open transactions keep their route. Sessions whose key no
-     * organisation holds any more end. */
+    /** Replaces the configuration; open transactions keep their route. Where callers are
+     * identified, sessions whose key no organisation holds any more end, and transactions on a
+     * database that was removed. */
     void set_configuration(const configuration& value);
     /** Whether callers need the key of an organisation. */
     void set_identifies_callers(bool value) {
@@ -114,10 +115,8 @@
     answer_flow& get_answer_flow() { return answer_flow_; }
     const route* find_route(const std::string& database) const;
     bool identifies_callers() const { return identifies_callers_; }
-    /** The organisation that holds the key in the newest configuration; null if there is none. */
-    const organisation* find_organisation(const key_digest& key) const {
-        return configuration_.organisations.find_by_key(key);
-    }
+    /** Of the newest configuration. */
+    const organisation_table& get_organisations() const { return configuration_.organisations; }
     void submit(const pending_statement_ptr& pending);
     /** Sends a statement on a link after setting the session's values and prepared statements
      * there, unless `may_send` is set and false by then. `limits` is sent first and has no answer.
@@ -130,6 +129,10 @@
     /** Unpins a link and rolls back its open transaction. */
     void release_pinned(const std::shared_ptr<target_link>& link);
     void remove_session(const caller_session& session);
+    /** Sends a statement to no target any more, because the newest configuration does not allow it.
+     * Refuses it unless a target may still answer; with `code` if it was not sent. */
+    void withdraw(const pending_statement_ptr& pending, failure_code code,
+                  const std::string& reason);
     /** Refuses a statement that this VM cannot finish because it stops. */
     void refuse_for_stop(const pending_statement_ptr& pending);
     /** Term of the group's current record; 0 without one. */
--- a/tests/gateway/organisation_test.cpp
+++ b/tests/gateway/organisation_test.cpp
@@ -52,6 +52,13 @@
         engine_.set_configuration(value_);
     }
 
+    /** The next version gives the key to another organisation. */
+    void move(const std::string& key, const std::string& organisation) {
+        ++value_.version;
+        value_.organisations.names[make_key_digest(key)] = organisation;
+        engine_.set_configuration(value_);
+    }
+
     /** Adds the primary; the script also sees the lines that open connections. */
     void add_primary(scripted_target::script answer) {
         const transport::endpoint address = *transport::parse_endpoint(tests::get_free_address());
@@ -195,6 +202,143 @@
     EXPECT_EQ(starts_.back(), "STARTUP g bert t1");
 }
 
+// Guards against a statement that runs under the name of an organisation that lost its key.
+TEST_F(organisation_test, a_waiting_statement_runs_for_the_organisation_that_holds_its_key_now) {
+    bool is_answering = false;
+    add_primary([&](const std::string& line) {
+        return line.starts_with("STARTUP") && !is_answering ? std::string()
+                                                            : make_idle_target()(line);
+    });
+    const auto caller = open_session("strict", "key-a");
+    caller->lines.clear();
+    caller->send("QUERY 1 WRITE k x");
+    run_until([&] { return !starts_.empty(); });
+    move("key-a", "bert");
+    is_answering = true;
+    target_->write_to_all("READY I 1.5\r\n");
+    run_until([&] { return contains(caller->lines, "READY"); });
+    EXPECT_TRUE(contains(caller->lines, "COMPLETE")) << caller->lines.front();
+    EXPECT_EQ(starts_, (std::vector<std::string>{"STARTUP g anna t1", "STARTUP g bert t1"}));
+    EXPECT_EQ(std::count_if(target_->lines.begin(), target_->lines.end(),
+                            [](const std::string& line) { return contains({line}, "WRITE"); }),
+              1);
+    EXPECT_FALSE(caller->is_ended);
+}
+
+// Guards against a statement that is sent again after its key was dropped.
+TEST_F(organisation_test, a_statement_is_not_retried_when_its_key_is_dropped) {
+    add_primary([](const std::string& line) {
+        return std::string(line.starts_with("STARTUP") ? "READY I 1.5\r\n" : "");
+    });
+    const auto caller = open_session("strict", "key-a");
+    caller->lines.clear();
+    caller->send("QUERY 1 READ k");
+    run_until([&] { return contains(target_->lines, "READ k"); });
+    revoke("key-a");
+    target_->write_to_all("ERROR BUSY full\r\nREADY I 1.5\r\n");
+    run_until([&] { return caller->is_ended; });
+    EXPECT_EQ(target_->lines.size(), 1U);
+    EXPECT_TRUE(contains(caller->lines, "ERROR BUSY"));
+}
+
+// Guards against the same when its key has moved; the session goes on for the other organisation.
+TEST_F(organisation_test, a_statement_is_not_retried_for_an_organisation_that_lost_its_key) {
+    add_primary([](const std::string& line) {
+        return std::string(line.starts_with("STARTUP") ? "READY I 1.5\r\n" : "");
+    });
+    const auto caller = open_session("strict", "key-a");
+    caller->lines.clear();
+    caller->send("QUERY 1 READ k");
+    run_until([&] { return contains(target_->lines, "READ k"); });
+    move("key-a", "bert");
+    target_->write_to_all("ERROR BUSY full\r\nREADY I 1.5\r\n");
+    run_until([&] { return contains(caller->lines, "READY"); });
+    EXPECT_EQ(target_->lines.size(), 1U);
+    EXPECT_TRUE(contains(caller->lines, "ERROR BUSY"));
+    EXPECT_FALSE(caller->is_ended);
+}
+
+// Guards against a retry after the version that dropped the key, of a statement that waits for it.
+TEST_F(organisation_test, a_statement_that_waits_for_a_retry_ends_when_its_key_is_dropped) {
+    add_primary([](const std::string& line) {
+        return std::string(line.starts_with("STARTUP") ? "READY I 1.5\r\n" : "");
+    });
+    const auto caller = open_session("strict", "key-a");
+    caller->lines.clear();
+    caller->send("QUERY 1 READ k");
+    run_until([&] { return contains(target_->lines, "READ k"); });
+    engine_.get_groups()["g"].lease.expire();  // It has to wait after its first attempt.
+    target_->write_to_all("ERROR BUSY full\r\nREADY I 1.5\r\n");
+    run_until([&] { return counters_.retries.Value() > 0; });
+    revoke("key-a");
+    const std::size_t sent = target_->lines.size();
+    engine_.get_groups()["g"].lease.confirm({"t1", 1, {}, 10}, transport::get_boot_time());
+    engine_.dispatch("g");
+    run_until([&] { return caller->is_ended; });
+    EXPECT_EQ(target_->lines.size(), sent);
+}
+
+// Guards against callers without a key that go on after their route has come to need one.
+TEST_F(organisation_test, a_route_that_comes_to_need_a_key_ends_sessions_without_one) {
+    add_primary(make_idle_target());
+    const auto idle = open_session("open", "unknown");
+    const auto deferred = open_session("open", "unknown");
+    ask(*deferred, "BEGIN");
+    const auto open = open_session("open", "key-a");
+    ask(*open, "BEGIN");
+    ask(*open, "WRITE k x");
+    const auto other = open_session("open", "key-b");
+    value_.routes["open"].is_anonymous = false;
+    ++value_.version;
+    engine_.set_configuration(value_);
+    run_until([&] {
+        return idle->is_ended && deferred->is_ended && open->is_ended &&
+               contains(target_->lines, "ROLLBACK");
+    });
+    EXPECT_EQ(ask(*other, "READ k").front(), "DATAROW row");
+    EXPECT_EQ(starts_.back(), "STARTUP g bert t1");
+}
+
+// Guards against a transaction that ends without need.
+TEST_F(organisation_test, a_transaction_goes_on_when_its_route_needs_no_key_any_more) {
+    add_primary(make_idle_target());
+    const auto caller = open_session("strict", "key-a");
+    ask(*caller, "BEGIN");
+    ask(*caller, "WRITE k x");
+    value_.routes["strict"].is_anonymous = true;
+    ++value_.version;
+    engine_.set_configuration(value_);
+    EXPECT_TRUE(contains(ask(*caller, "COMMIT"), "COMPLETE"));
+}
+
+// Guards against statements and transactions that outlive their route.
+TEST_F(organisation_test, a_dropped_route_ends_what_waits_and_what_is_open) {
+    add_primary(make_idle_target());
+    const auto open = open_session("strict", "key-a");
+    ask(*open, "BEGIN");
+    ask(*open, "WRITE k x");
+    const auto deferred = open_session("strict", "key-a");
+    ask(*deferred, "BEGIN");
+    const auto waiting = open_session("strict", "key-b");
+    engine_.get_groups()["g"].lease.expire();
+    waiting->lines.clear();
+    waiting->send("QUERY 1 READ late");
+    for (int i = 0; i < 3; ++i) {
+        uv_run(loop_.get_handle(), UV_RUN_NOWAIT);
+    }
+    value_.routes.erase("strict");
+    ++value_.version;
+    engine_.set_configuration(value_);
+    run_until([&] { return contains(waiting->lines, "READY"); });
+    EXPECT_TRUE(contains(waiting->lines, "ERROR NODB")) << waiting->lines.front();
+    run_until([&] { return contains(target_->lines, "ROLLBACK"); });
+    engine_.get_groups()["g"].lease.confirm({"t1", 1, {}, 10}, transport::get_boot_time());
+    EXPECT_TRUE(contains(ask(*open, "COMMIT"), "ERROR ABORTED"));
+    EXPECT_TRUE(contains(ask(*deferred, "COMMIT"), "ERROR ABORTED"));
+    EXPECT_FALSE(contains(target_->lines, "COMMIT"));
+    EXPECT_FALSE(contains(target_->lines, "late"));
+}
+
 // Guards against organisations that wait forever because others hold all connections of a target.
 TEST_F(organisation_test, an_idle_connection_is_replaced_for_another_organisation) {
     constexpr int organisations = 20;  // More than the connections that the VM may hold.
