Add organisations and changing keys to the test of the whole path

Two tests of statement_integrity give callers keys of four organisations, or a key that nobody holds, while new versions revoke, add and move keys and let a route need a key or not; VMs adopt them one after the other. One organisation is limited and half of the sessions use its key. The targets record for which organisation each statement ran; it must be one that held the key of the session, at its VM, between the statement's start and its arrival. No line at a target may hold a key, and nothing runs that got AUTHFAIL.

It does not find a version that is not applied to waiting statements; organisation_test does.

--- a/tests/gateway/statement_integrity_test.cpp
+++ b/tests/gateway/statement_integrity_test.cpp
@@ -2,6 +2,7 @@
 // is compared with what each session was acknowledged.
 
 #include <gtest/gtest.h>
+#include <sodium.h>
 
 #include <algorithm>
 #include <array>
@@ -12,6 +13,7 @@
 #include <random>
 #include <set>
 
+#include "gateway/limit_exchange.h"
 #include "platform/wire_codec.h"
 #include "support/random_seed.h"
 #include "support/reference_target.h"
@@ -40,6 +42,9 @@
     double unexpected_rate = 0;     ///< Of answers that are late or tell an unexpected state.
     bool has_leaving_callers = false;
     bool has_pipelines = false;  ///< Several statements are sent without waiting.
+    /// Callers have keys of organisations, which change; one organisation is limited and sends more
+    /// than the others.
+    bool has_organisations = false;
     std::size_t sessions_per_vm = 8;
     std::int64_t run_ms = 3000;
     std::uint64_t default_runs = 2;
@@ -52,10 +57,20 @@
     std::map<std::string, std::string> values;
     std::string transaction;  ///< Id of the BEGIN; empty outside of a transaction.
     bool is_write = false;
+    std::size_t vm = 0;
+    std::string database;
+    std::string key;  ///< Of its session.
+    std::int64_t sent_at = 0;
     std::uint64_t required_position = 0;  ///< That a read has to include.
     bool is_acknowledged = false;
 };
 
+/** What one version of the configuration says about the callers. */
+struct known_callers {
+    std::map<std::string, std::string> holders;  ///< Organisations by key.
+    bool is_open_anonymous = true;               ///< The route "open" needs no key.
+};
+
 enum class local_statement { none, begin, rollback, other };
 
 /** A statement without its answer. */
@@ -72,6 +87,8 @@
     std::unique_ptr<test_caller> caller;
     std::size_t vm = 0;
     std::string database;
+    std::string key;
+    std::int64_t opened_at = 0;
     std::map<std::string, std::string> values;
     std::map<std::string, reference_statement> prepared;
     std::string transaction;
@@ -136,6 +153,15 @@
 constexpr std::int64_t timeout_ms = 800;            ///< Of the routes.
 constexpr std::int64_t max_answer_delay_ms = 2000;  ///< Beyond the time-out.
 constexpr std::int64_t staleness_ms = 300;
+const std::string no_organisation = "hornbeamhook";  ///< As targets are told it.
+const std::string key_prefix = "key-";
+/// Limit of the organisation "heavy". The window is longer than a run.
+constexpr coordination::limit_terms heavy_terms{100, 50, 5000, 0.1, 20};
+
+/** The tolerance; rate and burst come from the configuration. */
+coordination::limit_terms get_common_terms() {
+    return {0, 0, heavy_terms.window_ms, heavy_terms.excess, heavy_terms.slack};
+}
 
 /** Three homes beside a primary, and two VMs that reach it only through these. */
 class integrity_run {
@@ -151,7 +177,7 @@
               std::pair("near-4", "near"), std::pair("entry", "far")}) {
             vms_.push_back(std::make_unique<test_vm>(loop_, codec_, name, place));
         }
-        configuration value;
+        configuration& value = configuration_;
         value.version = 1;
         value.routes["strict"] = {"strict", "g", read_policy::primary, 0, timeout_ms, 400, 1};
         value.routes["bounded"] = {"bounded", "g", read_policy::bounded, staleness_ms, timeout_ms,
@@ -159,8 +185,14 @@
         value.routes["own"] = {"own", "g", read_policy::own_writes, staleness_ms, timeout_ms,
                                400,   1};
         value.connection_limits["g"] = 4;
-        for (const auto& vm : vms_) {
+        callers_by_vm_.resize(vms_.size());
+        if (options_.has_organisations) {
+            add_organisations();
+        }
+        for (std::size_t i = 0; i < vms_.size(); ++i) {
+            const auto& vm = vms_[i];
             vm->engine.set_configuration(value);
+            callers_by_vm_[i].emplace_back(0, callers_);
             set_fleet(*vm, "");
             for (const auto& [id, target] : targets_) {
                 list_target(*vm, id);
@@ -180,6 +212,11 @@
         while (transport::get_boot_time() < end) {
             allow_for_stall();
             update_targets();
+            run_later();
+            if (options_.has_organisations) {
+                change_callers();
+                exchange_limits();
+            }
             if (options_.has_disturbances) {
                 disturb();
             }
@@ -196,6 +233,18 @@
                   << ", lagging "
                   << (targets_.contains("t2") ? targets_["t2"].server->lagging_answers : 0)
                   << ", most prepared " << targets_["t1"].server->max_prepared_count << '\n';
+        if (options_.has_organisations) {
+            std::cout << "versions " << configuration_.version << ", sessions refused by key "
+                      << refused_keys_ << ", runs";
+            for (const auto& [name, count] : count_runs_by_organisation()) {
+                std::cout << ' ' << name << ' ' << count;
+                EXPECT_GT(count, 0U) << name;
+            }
+            const std::size_t heavy = count_heavy_operations();
+            std::cout << ", operations of heavy " << heavy << '\n';
+            EXPECT_LE(static_cast<double>(heavy), coordination::get_window_allowance(heavy_terms));
+            EXPECT_GT(refused_keys_, 0U);
+        }
         EXPECT_GT(answered_, 100U);
         EXPECT_EQ(options_.has_replica, get_replica_runs() > 0);
     }
@@ -237,6 +286,201 @@
         vm.engine.set_fleet(live, static_cast<int>(vms_.size()));
     }
 
+    /** "heavy" is limited, and half of the sessions use its key. */
+    void add_organisations() {
+        EXPECT_GE(sodium_init(), 0);
+        std::vector<std::string> names;
+        for (const auto& vm : vms_) {
+            names.push_back(vm->member.vm);
+        }
+        const std::int64_t now = transport::get_boot_time();
+        for (std::size_t i = 0; i < vms_.size(); ++i) {
+            session_engine& engine = vms_[i]->engine;
+            limits_.push_back(std::make_unique<limit_exchange>(
+                names[i], i + 1, get_common_terms(), now,
+                limit_exchange_owner{
+                    .find_organisation =
+                        [&engine](const std::string& name) {
+                            return engine.find_organisation_by_name(name);
+                        },
+                    .send =
+                        [this](const std::string& vm, const peer_message& message) {
+                            limit_messages_.emplace_back(vm, message);
+                        },
+                    .dispatch = [&engine](const std::string& group) { engine.dispatch(group); }}));
+            limits_.back()->set_members(names, static_cast<std::int64_t>(names.size()), now);
+            engine.set_identifies_callers(true);
+            engine.set_shares_fairly(true);
+            engine.set_operation_gate(limits_.back().get());
+        }
+        for (const char* name : {"heavy", "anna", "bert", "cleo"}) {
+            configuration_.organisations.organisations[name].name = name;
+            callers_.holders[key_prefix + name] = name;
+            for (auto& [id, target] : targets_) {
+                target.server->organisations.insert(name);
+                target.server->forbidden_text = key_prefix;
+            }
+        }
+        configuration_.organisations.organisations["heavy"].limit =
+            operation_limit{heavy_terms.rate_per_s, heavy_terms.burst};
+        configuration_.routes["open"] = {"open", "g", read_policy::primary, 0, timeout_ms, 400,
+                                         1,      true};
+        set_keys();
+    }
+
+    void set_keys() {
+        configuration_.organisations.names.clear();
+        for (const auto& [key, name] : callers_.holders) {
+            configuration_.organisations.names[make_key_digest(key)] = name;
+        }
+        configuration_.routes["open"].is_anonymous = callers_.is_open_anonymous;
+    }
+
+    std::string draw_key() {
+        static constexpr std::array<const char*, 8> names{"heavy", "heavy", "heavy", "heavy",
+                                                          "anna",  "bert",  "cleo",  "unknown"};
+        return key_prefix + names[random_() % names.size()];
+    }
+
+    /** New versions revoke, add and move keys, and reach the VMs one after the other. */
+    void change_callers() {
+        const std::int64_t now = transport::get_boot_time();
+        if (now < next_version_at_) {
+            return;
+        }
+        constexpr std::int64_t max_interval_ms = 200;
+        next_version_at_ = now + static_cast<std::int64_t>(random_() % max_interval_ms);
+        static constexpr std::array<const char*, 4> names{"heavy", "anna", "bert", "cleo"};
+        const std::string name = names[random_() % names.size()];
+        switch (random_() % 6) {
+            case 0:
+                callers_.holders.erase(key_prefix + name);
+                break;
+            case 1:
+                callers_.holders[key_prefix + name] = names[random_() % names.size()];
+                break;
+            case 2:
+                callers_.is_open_anonymous = !callers_.is_open_anonymous;
+                break;
+            default:
+                callers_.holders[key_prefix + name] = name;
+                break;
+        }
+        ++configuration_.version;
+        set_keys();
+        constexpr std::int64_t max_delay_ms = 100;
+        for (std::size_t i = 0; i < vms_.size(); ++i) {
+            later_.emplace(now + static_cast<std::int64_t>(random_() % max_delay_ms),
+                           [this, i, value = configuration_, callers = callers_] {
+                               adopt(i, value, callers);
+                           });
+        }
+    }
+
+    void adopt(std::size_t vm, const configuration& value, const known_callers& callers) {
+        if (value.version <= adopted_versions_[vm]) {
+            return;
+        }
+        adopted_versions_[vm] = value.version;
+        callers_by_vm_[vm].emplace_back(transport::get_boot_time(), callers);
+        vms_[vm]->engine.set_configuration(value);
+    }
+
+    void exchange_limits() {
+        const std::int64_t now = transport::get_boot_time();
+        if (now >= next_limit_tick_at_) {
+            next_limit_tick_at_ = now + limit_tick_ms;
+            for (const auto& each : limits_) {
+                each->tick(now);
+            }
+        }
+        for (const auto& [vm, message] : std::exchange(limit_messages_, {})) {
+            for (std::size_t i = 0; i < vms_.size(); ++i) {
+                if (vms_[i]->member.vm != vm) {
+                    continue;
+                }
+                if (const auto* request = std::get_if<coordination::limit_request>(&message)) {
+                    limits_[i]->handle(*request, now);
+                } else if (const auto* answer = std::get_if<coordination::limit_answer>(&message)) {
+                    limits_[i]->handle(*answer, now);
+                }
+            }
+        }
+    }
+
+    /** Names under which the session's VM may have run something at a time from `begin` to `end`;
+     * an empty name if it had to refuse then. */
+    std::set<std::string> list_organisations(std::size_t vm, const std::string& database,
+                                             const std::string& key, bool is_in_transaction,
+                                             std::int64_t begin, std::int64_t end) const {
+        std::set<std::string> result;
+        const auto& versions = callers_by_vm_[vm];
+        for (std::size_t i = 0; i < versions.size() && versions[i].first <= end; ++i) {
+            if (i + 1 < versions.size() && versions[i + 1].first < begin) {
+                continue;
+            }
+            const known_callers& known = versions[i].second;
+            const auto holder = known.holders.find(key);
+            const std::string name = holder == known.holders.end() ? "" : holder->second;
+            const bool is_anonymous = database == "open" && known.is_open_anonymous;
+            result.insert(is_anonymous ? no_organisation : name);
+            if (is_anonymous && is_in_transaction) {
+                result.insert(name);  // It began when the route needed a key.
+            }
+        }
+        return result;
+    }
+
+    std::map<std::string, std::size_t> count_runs_by_organisation() const {
+        std::map<std::string, std::size_t> result;
+        for (const auto& [id, target] : targets_) {
+            for (const std::string& name : target.server->organisations) {
+                result.try_emplace(name);
+            }
+            for (const reference_run& run : target.server->runs) {
+                ++result[run.organisation];
+            }
+        }
+        return result;
+    }
+
+    /** A transaction is one operation, also if it was begun several times. */
+    std::size_t count_heavy_operations() const {
+        std::set<std::string> operations;
+        for (const auto& [id, target] : targets_) {
+            for (const reference_run& run : target.server->runs) {
+                if (run.organisation == "heavy") {
+                    operations.insert(run.transaction.empty() ? run.id : run.transaction);
+                }
+            }
+        }
+        return operations.size();
+    }
+
+    /** Compares the answer to the start of a session with what its VM knew meanwhile. */
+    void check_start(const integrity_session& session) {
+        const std::string& answer = session.caller->lines.front();
+        const bool is_refused = answer.starts_with("ERROR AUTHFAIL");
+        refused_keys_ += is_refused ? 1 : 0;
+        EXPECT_TRUE(is_refused || answer.starts_with("READY")) << answer;
+        const std::set<std::string> names =
+            list_organisations(session.vm, session.database, session.key, false, session.opened_at,
+                               transport::get_boot_time());
+        const bool may_be = is_refused ? names.contains("") : names != std::set<std::string>{""};
+        EXPECT_TRUE(may_be) << session.key << " on " << session.database << ": " << answer;
+    }
+
+    /** A session that was ended because of its key has run nothing that was outstanding. */
+    void note_end(const integrity_session& session) {
+        const auto& lines = session.caller->lines;
+        if (session.is_started && session.handled_lines < lines.size() &&
+            lines.back().starts_with("ERROR AUTHFAIL")) {
+            for (const outstanding_statement& statement : session.outstanding) {
+                unauthorised_.insert(statement.id);
+            }
+        }
+    }
+
     double draw() { return std::uniform_real_distribution<>(0, 1)(random_); }
 
     template <std::size_t count>
@@ -350,14 +594,19 @@
         return next == positions_.begin() ? 0 : std::prev(next)->second;
     }
 
-    /** Begins and ends disturbances, several at a time. */
-    void disturb() {
+    /** Ends disturbances that are over, and lets VMs learn what is due. */
+    void run_later() {
         const std::int64_t now = transport::get_boot_time();
         while (!later_.empty() && later_.begin()->first <= now) {
             const auto action = later_.begin()->second;
             later_.erase(later_.begin());
             action();
         }
+    }
+
+    /** Begins disturbances, several at a time. */
+    void disturb() {
+        const std::int64_t now = transport::get_boot_time();
         if (now < next_disturbance_at_) {
             return;
         }
@@ -437,18 +686,28 @@
             static constexpr std::array<const char*, 3> databases{"strict", "bounded", "own"};
             session.database = options_.has_replica ? databases[random_() % 3] : "strict";
             session.caller = std::make_unique<test_caller>(loop_, vms_[session.vm]->caller_address);
-            session.caller->send("STARTUP " + session.database + " u");
+            if (options_.has_organisations) {
+                session.database = random_() % 6 == 0 ? "open" : session.database;
+                session.key = draw_key();
+            }
+            session.caller->send("STARTUP " + session.database + " " +
+                                 (options_.has_organisations ? session.key : "u"));
             session.waiting_since = now;
+            session.opened_at = now;
             return;
         }
         if (!session.is_started) {
             session.is_started = !session.caller->lines.empty();
             session.handled_lines = session.caller->lines.size();
+            if (session.is_started && options_.has_organisations) {
+                check_start(session);
+            }
         }
         while (session.caller && !session.outstanding.empty() && take_answer(session)) {
         }
         if (session.caller && session.caller->is_ended) {
             ++ended_;
+            note_end(session);
             reset(session);
         }
         if (!session.caller) {
@@ -523,6 +782,10 @@
     void send_data(integrity_session& session, const std::string& text, sent_statement statement) {
         statement.values = session.values;
         statement.transaction = session.transaction;
+        statement.vm = session.vm;
+        statement.database = session.database;
+        statement.key = session.key;
+        statement.sent_at = transport::get_boot_time();
         statement.required_position =
             session.transaction.empty() ? get_required_position(session) : session.begin_position;
         const std::string id = send(session, text, local_statement::none);
@@ -531,7 +794,7 @@
 
     std::uint64_t get_required_position(const integrity_session& session) const {
         const std::int64_t now = transport::get_boot_time();
-        if (session.database == "strict") {
+        if (session.database == "strict" || session.database == "open") {
             return get_position(now);
         }
         const std::uint64_t bound = get_position(now - staleness_ms);
@@ -747,6 +1010,15 @@
             return {};
         }
         const sent_statement& expected = sent->second;
+        if (options_.has_organisations) {
+            const std::set<std::string> names =
+                list_organisations(expected.vm, expected.database, expected.key,
+                                   !expected.transaction.empty(), expected.sent_at, run.arrived_at);
+            EXPECT_TRUE(names.contains(run.organisation))
+                << run.id << " with " << expected.key << " on " << expected.database << " ran for "
+                << run.organisation;
+            EXPECT_FALSE(unauthorised_.contains(run.id)) << "ran although refused: " << run.id;
+        }
         if (!run.transaction.empty()) {
             transactions[run.transaction][run.connection].insert(run.id);
         }
@@ -766,8 +1038,7 @@
         }
         return (is_same ? "other session values: " : "other statement: ") + run.id + " " +
                describe(expected) + " ran as " +
-               describe(
-                   {run.text, run.prepared, run.values, run.transaction, run.is_write, 0, false});
+               describe({run.text, run.prepared, run.values, run.transaction, run.is_write});
     }
 
     /** Writes that were acknowledged are kept, those of a transaction if its COMMIT was. */
@@ -805,6 +1076,16 @@
     transport::event_loop loop_;
     platform::wire_codec codec_;
     std::map<std::string, listed_target> targets_;
+    configuration configuration_;  ///< The newest one; VMs learn of it later.
+    known_callers callers_;        ///< The same, as keys.
+    std::vector<std::vector<std::pair<std::int64_t, known_callers>>> callers_by_vm_;  ///< By time.
+    std::map<std::size_t, std::int64_t> adopted_versions_;                            ///< By VM.
+    std::vector<std::unique_ptr<limit_exchange>> limits_;                             ///< By VM.
+    std::vector<std::pair<std::string, peer_message>> limit_messages_;
+    std::int64_t next_limit_tick_at_ = 0;
+    std::int64_t next_version_at_ = 0;
+    std::set<std::string> unauthorised_;  ///< Ids of statements that were refused for their key.
+    std::size_t refused_keys_ = 0;
     std::vector<std::unique_ptr<test_vm>> vms_;
     std::map<std::int64_t, std::uint64_t> positions_;  ///< Of the primary, by time.
     std::int64_t replica_lags_until_ = 0;
@@ -894,6 +1175,26 @@
               0U);
 }
 
+// Guards against statements that run for an organisation which does not hold the key of their
+// session, against keys that targets learn, and against versions that are not in force at once.
+TEST(statement_integrity, keys_of_organisations_that_change) {
+    EXPECT_EQ(run_seeds({.has_organisations = true, .default_runs = 1}), 0U);
+}
+
+// Guards against the same while connections, homes and leases fail.
+TEST(statement_integrity, keys_that_change_under_disturbances) {
+    run_seeds({.setup_refusal_rate = 0.02,
+               .data_fault_rate = 0.01,
+               .has_replica = true,
+               .has_disturbances = true,
+               .unexpected_rate = 0.01,
+               .has_leaving_callers = true,
+               .has_pipelines = true,
+               .has_organisations = true,
+               .run_ms = 3000,
+               .default_runs = 1});
+}
+
 // Guards against any of these in combination.
 TEST(statement_integrity, all_disturbances_together) {
     run_seeds({.setup_refusal_rate = 0.02,
--- a/tests/support/reference_target.h
+++ b/tests/support/reference_target.h
@@ -31,9 +31,11 @@
     std::string text;  ///< Without the required position; for EXECUTE the item and data only.
     std::optional<reference_statement> prepared;  ///< For EXECUTE.
     std::map<std::string, std::string> values;
-    std::string connection;      ///< Target and number; no number is used twice.
-    std::uint64_t position = 0;  ///< What the log of the target had reached.
-    std::string transaction;     ///< Id of the BEGIN; empty outside of a transaction.
+    std::string connection;       ///< Target and number; no number is used twice.
+    std::string organisation;     ///< Named at the start of the connection.
+    std::int64_t arrived_at = 0;  ///< At the target, which may run it later.
+    std::uint64_t position = 0;   ///< What the log of the target had reached.
+    std::string transaction;      ///< Id of the BEGIN; empty outside of a transaction.
     std::string proof;
     std::string row;  ///< Empty if it writes.
     bool is_write = false;
@@ -107,6 +109,7 @@
             }
             while (!open->inputs.empty() && open->inputs.front().due_at <= now) {
                 const std::string line = open->inputs.front().bytes;
+                open->arrived_at = open->inputs.front().arrived_at;
                 open->inputs.pop_front();
                 handle_line(*open, line, open->is_deferred);
                 open->is_deferred = false;
@@ -115,6 +118,8 @@
     }
 
     std::int64_t late_ms = 0;
+    std::set<std::string> organisations{"hornbeamhook"};  ///< That connections may name.
+    std::string forbidden_text;      ///< A line that holds it is a violation, unless it is empty.
     std::set<std::string> received;  ///< Ids of all statements, of those that did not run too.
     std::vector<reference_run> runs;
     std::vector<std::string> violations;  ///< Messages that break the protocol.
@@ -128,6 +133,7 @@
     struct delayed_bytes {
         std::int64_t due_at = 0;
         std::string bytes;
+        std::int64_t arrived_at = 0;
     };
 
     struct connection {
@@ -137,6 +143,8 @@
         std::shared_ptr<transport::tcp_stream> stream;
         transport::line_buffer lines{2 * max_message_bytes};
         int number = 0;
+        std::string organisation;
+        std::int64_t arrived_at = 0;  ///< Of the line that is handled.
         bool is_started = false;
         bool is_silent = false;
         std::map<std::string, std::string> values;
@@ -169,10 +177,12 @@
                                    if (!line) {
                                        break;
                                    }
+                                   const std::int64_t now = transport::get_boot_time();
                                    if (accepted->inputs.empty()) {
+                                       accepted->arrived_at = now;
                                        handle_line(*accepted, std::string(*line), false);
                                    } else {
-                                       accepted->inputs.push_back({0, std::string(*line)});
+                                       accepted->inputs.push_back({0, std::string(*line), now});
                                    }
                                }
                            },
@@ -209,11 +219,17 @@
             from.stream->reset();
             return;
         }
+        if (!forbidden_text.empty() && line.find(forbidden_text) != std::string::npos) {
+            violations.push_back("forbidden text: " + line.substr(0, 200));
+        }
         std::string_view rest = line;
         const std::string word = take_word(rest);
         if (!from.is_started) {
             from.is_started = true;
-            if (word != "STARTUP" || rest != "g hornbeamhook " + id_) {
+            const std::string group = take_word(rest);
+            from.organisation = take_word(rest);
+            if (word != "STARTUP" || group != "g" || !organisations.contains(from.organisation) ||
+                rest != id_) {
                 reject(from, line, "unknown start");
                 return;
             }
@@ -270,7 +286,7 @@
         }
         if (fault == target_fault::run_late) {
             from.is_deferred = true;
-            from.inputs.push_front({transport::get_boot_time() + late_ms, line});
+            from.inputs.push_front({transport::get_boot_time() + late_ms, line, from.arrived_at});
             return;
         }
         from.is_silent = from.is_silent || fault == target_fault::stay_silent;
@@ -363,6 +379,8 @@
         entry.text = text;
         entry.values = from.values;
         entry.connection = id_ + "." + std::to_string(from.number);
+        entry.organisation = from.organisation;
+        entry.arrived_at = from.arrived_at;
         entry.position = position;
         entry.transaction = from.transaction;
         entry.is_reading = from.is_reading;
