Send nothing in a transaction after its key was dropped

A statement of an open transaction was still sent if its set-up was outstanding when a version dropped or moved the session's key. It is not sent now; the caller gets ABORTED and the transaction is rolled back.

--- a/src/gateway/caller_session.cpp
+++ b/src/gateway/caller_session.cpp
@@ -625,7 +625,11 @@
     pinned_statement_ = statement;
     pinned_sent_at_ = last_active_at_;
     const std::weak_ptr<caller_session> weak = weak_from_this();
-    engine_.send(*this, link_, statement, std::nullopt, std::nullopt, {},
+    const auto may_send = [weak] {
+        const auto self = weak.lock();
+        return self && !self->ends_after_answer_;
+    };
+    engine_.send(*this, link_, statement, std::nullopt, std::nullopt, may_send,
                  [weak, statement](const target_answer& answer) {
                      if (const auto self = weak.lock()) {
                          self->finish_pinned(statement, answer);
--- a/tests/gateway/organisation_test.cpp
+++ b/tests/gateway/organisation_test.cpp
@@ -241,6 +241,25 @@
     EXPECT_TRUE(contains(caller->lines, "ERROR BUSY"));
 }
 
+// Guards against a statement of a transaction that is sent after its key was dropped.
+TEST_F(organisation_test, a_transaction_sends_nothing_after_a_setup_when_its_key_is_dropped) {
+    add_primary([answer = make_idle_target()](const std::string& line) {
+        return contains({line}, "SET v") ? std::string() : answer(line);
+    });
+    const auto caller = open_session("strict", "key-a");
+    ask(*caller, "BEGIN");
+    ask(*caller, "WRITE k x");
+    ask(*caller, "SET v 1");
+    caller->lines.clear();
+    caller->send("QUERY 1 WRITE late x");
+    run_until([&] { return contains(target_->lines, "SET v"); });
+    revoke("key-a");
+    target_->write_to_all("COMPLETE -\r\nREADY T 1.5\r\n");
+    run_until([&] { return caller->is_ended && contains(target_->lines, "ROLLBACK"); });
+    EXPECT_FALSE(contains(target_->lines, "late"));
+    EXPECT_TRUE(contains(caller->lines, "ERROR ABORTED"));
+}
+
 // Guards against the same when its key has moved; the session goes on for the other organisation.
 TEST_F(organisation_test, a_statement_is_not_retried_for_an_organisation_that_lost_its_key) {
     add_primary([](const std::string& line) {
