Limit what HTTP clients of the proxy hold

A crowd of clients could fill the memory of hornbeamhook-proxy, or keep all its HTTP threads busy. Causes, traced: - After Pistache refuses a request that is too large, it parses what follows as a new request line, and scans that from its begin with each piece of 4 KiB. A stack of all threads after 100 bodies of 6 MiB shows the four HTTP threads in RequestLineStep; /readyz was not answered. - Bodies that stop half-way had no limit together. - The parser keeps the memory of a body while its connection is open.

http_shares decides which connection goes: one budget of bytes and one of connections for callers and for other VMs, and limits of time. It uses holder_budget and vm_limits. http_limits carries it out around Pistache. A refused request is answered once, nothing after it is parsed, and its connection ends. New settings memory_mb and max_descriptors; a counter and a log event, at most one line per limit and second.

--- a/src/main/hornbeamhook_proxy.cpp
+++ b/src/main/hornbeamhook_proxy.cpp
@@ -1,3 +1,4 @@
+#include <malloc.h>
 #include <sodium.h>
 
 #include <chrono>
@@ -13,6 +14,7 @@
 using hornbeamhook::protocol::proxy_settings;
 
 constexpr int exit_failure = 1;
+constexpr int mapped_allocation_bytes = 131072;
 
 int run(const proxy_settings& settings) {
     if (sodium_init() < 0) {
@@ -21,6 +23,9 @@
     }
     const hornbeamhook::transport::termination_signals signals;
     std::signal(SIGPIPE, SIG_IGN);
+    // Large bodies are mapped, so that their memory is given back. By default the allocator raises
+    // this threshold with the first of them and keeps the memory of later ones.
+    mallopt(M_MMAP_THRESHOLD, mapped_allocation_bytes);
     const auto started = std::chrono::duration_cast<std::chrono::milliseconds>(
         std::chrono::system_clock::now().time_since_epoch());
     try {
--- a/src/protocol/proxy_settings.cpp
+++ b/src/protocol/proxy_settings.cpp
@@ -13,6 +13,8 @@
 using std::chrono::milliseconds;
 
 constexpr std::int64_t max_interval_ms = 600'000;
+constexpr std::int64_t max_memory_mb = 1 << 20;
+constexpr std::int64_t max_descriptor_limit = 1 << 20;
 
 milliseconds read_duration(state::json_reader& reader, const char* field, milliseconds fallback) {
     return milliseconds(reader.get_integer(field, 1, max_interval_ms, fallback.count()));
@@ -89,6 +91,9 @@
         reader.get_integer("reserved_connections", 0, 1000, settings.reserved_connections));
     settings.max_request_bytes = reader.get_integer(
         "max_request_bytes", 1024, 64 << 20, static_cast<std::int64_t>(settings.max_request_bytes));
+    settings.memory_mb = reader.get_integer("memory_mb", 0, max_memory_mb, settings.memory_mb);
+    settings.max_descriptors =
+        reader.get_integer("max_descriptors", 0, max_descriptor_limit, settings.max_descriptors);
     read_durations(reader, settings);
     BOOST_LEAF_CHECK(reader.finish());
     return settings;
--- a/src/protocol/proxy_settings.h
+++ b/src/protocol/proxy_settings.h
@@ -2,6 +2,7 @@
 
 #include <boost/leaf.hpp>
 #include <chrono>
+#include <cstdint>
 #include <map>
 #include <nlohmann/json.hpp>
 #include <string>
@@ -32,6 +33,8 @@
     int http_threads = 4;
     int reserved_connections = 6;  ///< Per target, for control connections of the whole fleet.
     std::size_t max_request_bytes = 1U << 20U;
+    std::int64_t memory_mb = 0;        ///< Of the VM, in MiB; 0: unknown, large.
+    std::int64_t max_descriptors = 0;  ///< That the process may open; 0: unknown, many.
     std::chrono::milliseconds heartbeat_interval{250};           ///< Polls by active pollers.
     std::chrono::milliseconds standby_heartbeat_interval{1000};  ///< Polls by the other pollers.
     std::chrono::milliseconds probe_timeout{300};
--- a/src/proxy/data_events.h
+++ b/src/proxy/data_events.h
@@ -12,6 +12,8 @@
                                                            transport::event_severity::warning};
 inline constexpr transport::event_type event_access_denied{1010, "access_denied",
                                                            transport::event_severity::warning};
+inline constexpr transport::event_type event_connections_limited{
+    1011, "connections_limited", transport::event_severity::warning};
 inline constexpr transport::event_type event_target_failure{1020, "target_failure",
                                                             transport::event_severity::warning};
 inline constexpr transport::event_type event_outcome_unknown{1021, "outcome_unknown",
--- a/src/proxy/data_metrics.cpp
+++ b/src/proxy/data_metrics.cpp
@@ -48,6 +48,9 @@
         add_counter(registry, "hornbeamhook_target_failures_total",
                     "Exchanges with targets that failed, SQL errors included.")
             .Add({});
+    counter_family& limited =
+        add_counter(registry, "hornbeamhook_limited_connections_total",
+                    "HTTP connections closed because their clients reached a limit.");
     histogram_family& durations = prometheus::BuildHistogram()
                                       .Name("hornbeamhook_request_duration_seconds")
                                       .Help("Time from arrival to answer at the entry.")
@@ -106,6 +109,10 @@
     implementation_->target_failures.Increment();
 }
 
+void data_metrics::record_limited_connections(const std::string& limit, std::size_t count) {
+    implementation_->limited.Add({{"limit", limit}}).Increment(static_cast<double>(count));
+}
+
 std::string data_metrics::serialise(const gauge_sample& gauges) {
     implementation_->queued.Add({{"kind", "read"}}).Set(static_cast<double>(gauges.queued_reads));
     implementation_->queued.Add({{"kind", "write"}}).Set(static_cast<double>(gauges.queued_writes));
--- a/src/proxy/data_metrics.h
+++ b/src/proxy/data_metrics.h
@@ -49,6 +49,9 @@
     /** Counts an exchange with a target that failed. */
     void record_target_failure();
 
+    /** Counts connections that were closed for a limit; `limit` is from a fixed set. */
+    void record_limited_connections(const std::string& limit, std::size_t count);
+
     /** Sets the gauges and returns the whole text. */
     std::string serialise(const gauge_sample& gauges);
 
--- a/src/proxy/proxy_server.cpp
+++ b/src/proxy/proxy_server.cpp
@@ -54,11 +54,22 @@
     return {status, std::move(text), "text/plain; charset=utf-8"};
 }
 
-transport::http_server_options make_server_options(const protocol::proxy_settings& settings) {
+transport::http_server_options make_server_options(const protocol::proxy_settings& settings,
+                                                   data_metrics& metrics) {
     transport::http_server_options options;
     options.address = settings.listen_address;
     options.threads = settings.http_threads;
     options.max_request_bytes = settings.max_request_bytes * message_factor + message_overhead;
+    options.limits = coordination::make_vm_limits(settings.memory_mb, settings.max_descriptors);
+    options.is_from_peer = [secret = settings.fleet_secret](const http_request& head) {
+        return head.path.starts_with("/internal/v1/") &&
+               protocol::is_equal_in_constant_time(head.fleet_secret, secret);
+    };
+    options.limited = [&metrics](coordination::http_limit limit, std::size_t count) {
+        metrics.record_limited_connections(coordination::to_string(limit), count);
+        transport::log_event(event_connections_limited, {{"limit", coordination::to_string(limit)},
+                                                         {"count", std::to_string(count)}});
+    };
     return options;
 }
 
@@ -78,7 +89,7 @@
           transactions(runtime),
           entry({settings, groups, home, transactions, metrics, audit, usage, started}),
           fleet_workers(fleet_threads, max_queued_fleet_requests),
-          server(make_server_options(settings),
+          server(make_server_options(settings, metrics),
                  [this](http_request request, http_responder respond) {
                      handle(std::move(request), std::move(respond));
                  }) {}
--- a/src/transport/http_server.h
+++ b/src/transport/http_server.h
@@ -6,6 +6,9 @@
 #include <memory>
 #include <string>
 
+#include "coordination/http_shares.h"
+#include "coordination/vm_limits.h"
+#include "transport/http_limits.h"
 #include "transport/http_message.h"
 
 namespace hornbeamhook::transport {
@@ -20,9 +23,20 @@
     std::size_t max_request_bytes = 1U << 20U;
     /// Idle client connections are closed after this time.
     std::chrono::seconds keepalive_timeout{300};
+    /// What all clients may hold together; the bytes of each share are raised to what one request
+    /// of the largest size needs. Those of `http_bytes` and `answer_bytes` are not used.
+    coordination::vm_limits limits = coordination::make_vm_limits(0, 0);
+    /// Whether a request, of which only the head is known, is one of another VM; null: none is.
+    /// Called on the server's threads.
+    std::function<bool(const http_request& head)> is_from_peer;
+    /// Told about connections that were closed for a limit; may be null. Called on one thread.
+    http_limited_callback limited;
 };
 
-/** HTTP server on Pistache. The handler runs on the server's threads and must not block for long.
+/**
+ * HTTP server on Pistache. The handler runs on the server's threads and must not block for long.
+ * Clients that hold too much memory, send too slowly or do not read are closed
+ * (docs/design/caller-limits.md).
  */
 class http_server {
 public:
