Claim a planned change only if it can end

Cause: in the first 15 s of a fleet nobody may ignore a silent VM that the list holds. A change of a primary that is to leave was begun nevertheless: the claim ended all leases, the change was given up after 2.1 s, and the claimed record blocked the group for 6.5 s.

Change: a primary that is to leave is replaced only by a VM that has been listed for 15 s or hears from every VM that may hold a lease. Changes of lost and demoted primaries, and takeovers, go on as before. leadership_manager is split: target_state collects its own contact.

Left: a VM lost within the last 1.8 s counts as heard. A change by an established VM still waits up to 2.1 s for a silent one.

--- a/src/gateway/leadership_manager.cpp
+++ b/src/gateway/leadership_manager.cpp
@@ -386,26 +386,13 @@
     }
     target_state* primary = group.find_primary();
     coordination::primary_contact contact;
-    contact.is_listed = primary != nullptr && primary->removed_at == 0;
+    contact.is_listed = false;
     if (primary != nullptr) {
-        target_state& target = *primary;
-        contact.last_answer_at = target.last_answer_at;
-        contact.refused_since = target.refused_since;
-        for (const auto& link : target.links) {
-            // Prefer the oldest request sent after the last answer, else any earlier one.
-            const std::int64_t waiting = link->get_oldest_sent_at();
-            const bool is_newer = waiting > contact.last_answer_at;
-            const bool is_known_newer = contact.waiting_since > contact.last_answer_at;
-            const bool is_better = contact.waiting_since == 0 || (is_newer && !is_known_newer) ||
-                                   (is_newer && waiting < contact.waiting_since);
-            if (waiting != 0 && is_better) {
-                contact.waiting_since = waiting;
-            }
-        }
+        contact = primary->get_contact();
         status.silent_since = coordination::update_silence_start(status.silent_since, contact, now);
         contact.waiting_since = status.silent_since;
-        if (status.silent_since != 0 && now - target.last_answer_at >= probe_delay_ms) {
-            engine_.probe(target);
+        if (status.silent_since != 0 && now - primary->last_answer_at >= probe_delay_ms) {
+            engine_.probe(*primary);
         }
     } else {
         contact.last_answer_at = status.record_received_at;
@@ -648,6 +635,7 @@
     auto input = get_promotion_input(group->second, status, now);
     input.rank = get_claim_rank(group->second, now);
     input.members = fleet_.get_lease_holders(now);
+    input.silent_members = fleet_.get_silent_lease_holders(now);
     const auto actions = status.promotion.step(input, event, now);
     if (status.promotion.get_phase() != before) {
         log_.write(event_promotion_step,
--- a/src/gateway/target_group.cpp
+++ b/src/gateway/target_group.cpp
@@ -20,6 +20,25 @@
 
 }  // namespace
 
+coordination::primary_contact target_state::get_contact() const {
+    coordination::primary_contact contact;
+    contact.is_listed = removed_at == 0;
+    contact.last_answer_at = last_answer_at;
+    contact.refused_since = refused_since;
+    for (const auto& link : links) {
+        // Prefer the oldest request sent after the last answer, else any earlier one.
+        const std::int64_t waiting = link->get_oldest_sent_at();
+        const bool is_newer = waiting > contact.last_answer_at;
+        const bool is_known_newer = contact.waiting_since > contact.last_answer_at;
+        const bool is_better = contact.waiting_since == 0 || (is_newer && !is_known_newer) ||
+                               (is_newer && waiting < contact.waiting_since);
+        if (waiting != 0 && is_better) {
+            contact.waiting_since = waiting;
+        }
+    }
+    return contact;
+}
+
 int target_state::count_busy_links() const {
     return static_cast<int>(
         std::count_if(links.begin(), links.end(), [](const std::shared_ptr<target_link>& link) {
--- a/src/gateway/target_group.h
+++ b/src/gateway/target_group.h
@@ -10,6 +10,7 @@
 #include "coordination/fair_order.h"
 #include "coordination/position_history.h"
 #include "coordination/primary_lease.h"
+#include "coordination/primary_loss.h"
 #include "coordination/target_pace.h"
 #include "gateway/home_plan.h"
 #include "gateway/pending_statement.h"
@@ -51,6 +52,9 @@
         refused_since = 0;
     }
 
+    /** What this VM knows of its silence, from all connections to it. */
+    coordination::primary_contact get_contact() const;
+
     /** Counts connections with an outstanding statement or still being opened. */
     int count_busy_links() const;
 
