Queue no statement whose wait is as likely too long as not

Cause: the model of an overloaded primary refuses 510 of 5,025 statements late, bound 502. The late refusals are spread over all 20 s of the run, with more in seconds of slow answers (63 at a mean of 155 ms). The decision is at fault, not the bound: a statement is queued until its expected wait equals the longest allowed, so a small variation of the answers makes it be refused after waiting instead of at once.

Change: the expected wait has a margin of 10 %.

--- a/src/coordination/queue_wait.cpp
+++ b/src/coordination/queue_wait.cpp
@@ -13,6 +13,10 @@
 constexpr double min_wait_share = 0.2;
 /// Answer times vary around their mean; adding 30 % covers most of them.
 constexpr double answer_margin = 1.3;
+/// The wait in a queue varies less, as a sum of many answer times. Without a margin a statement is
+/// queued until its expected wait is the longest allowed, and about every second such wait is
+/// longer.
+constexpr double wait_margin = 1.1;
 
 /// Share of the objective that a statement waits while no target may run it.
 constexpr double not_runnable_wait_share = 0.1;
@@ -34,7 +38,8 @@
     if (connections <= 0) {
         return 0;
     }
-    return static_cast<std::int64_t>((ahead + 1) * std::max(answer_ms, 0.0) / connections);
+    return static_cast<std::int64_t>(wait_margin * (ahead + 1) * std::max(answer_ms, 0.0) /
+                                     connections);
 }
 
 std::int64_t get_not_runnable_wait_ms(std::int64_t objective_ms, bool is_primary_known,
--- a/src/coordination/queue_wait.h
+++ b/src/coordination/queue_wait.h
@@ -13,7 +13,8 @@
 std::int64_t get_max_wait_ms(std::int64_t objective_ms, double answer_ms);
 
 /**
- * Expected time until a statement behind `ahead` others gets one of the connections, in ms. If this
+ * Expected time until a statement behind `ahead` others gets one of the connections, in ms, with a
+ * margin for answers that take longer than usual. If this
  * is longer than it may wait, it should be refused at once, so that its caller can try elsewhere.
  * Without connections nothing is known, and the result is 0. Pure, thread safe.
  */
--- a/tests/coordination/queue_wait_test.cpp
+++ b/tests/coordination/queue_wait_test.cpp
@@ -16,8 +16,9 @@
 namespace {
 
 TEST(queue_wait, divides_the_expected_wait_by_the_connections) {
-    EXPECT_EQ(get_expected_wait_ms(0, 4, 200), 50);
-    EXPECT_EQ(get_expected_wait_ms(7, 4, 200), 400);
+    // With a margin of 10 %.
+    EXPECT_EQ(get_expected_wait_ms(0, 4, 200), 55);
+    EXPECT_EQ(get_expected_wait_ms(7, 4, 200), 440);
     EXPECT_EQ(get_expected_wait_ms(7, 0, 200), 0);
     EXPECT_EQ(get_expected_wait_ms(7, 4, 0), 0);
 }
@@ -154,11 +155,8 @@
     return result;
 }
 
-// Guards against an overloaded primary that answers everything too late: if the wait for a
-// connection is limited to a fixed share of the objective, this wait and the one in the target's
-// own queue together exceed the objective, as in run scale-1 of nilehorn-pool-grown.
-TEST(queue_wait, an_overloaded_primary_answers_in_time) {
-    const std::uint64_t seed = tests::get_seed();
+/** Checks the statements that a primary answers and refuses under this seed. */
+void check_overload(std::uint64_t seed) {
     const auto get_limit = [](double answer_ms) { return get_max_wait_ms(500, answer_ms); };
     const overload_result adapted = run_overload(seed, get_limit, true);
     const overload_result without_refusal = run_overload(seed, get_limit, false);
@@ -178,5 +176,17 @@
     EXPECT_GT(without_refusal.refused_late * 10, without_refusal.submitted);
 }
 
+// Guards against an overloaded primary that answers everything too late: if the wait for a
+// connection is limited to a fixed share of the objective, this wait and the one in the target's
+// own queue together exceed the objective, as in run scale-1 of nilehorn-pool-grown.
+TEST(queue_wait, an_overloaded_primary_answers_in_time) {
+    check_overload(tests::get_seed());
+}
+
+// Guards against statements that are queued up to an expected wait that half of them exceed.
+TEST(queue_wait, seeds_of_an_overload_that_failed_before) {
+    check_overload(375340478);
+}
+
 }  // namespace
 }  // namespace hornbeamhook::coordination
