Replace a primary that is lost before its first record

Change: the suspicion and the votes of the other VMs also apply to the target that discovery lists as primary, or listed last, in a group without a record. The claim is a write under the condition that there is no record, so either it or the first record is written. It waits until this VM has known the store's era for 6.5 s, because a restore may have lost an earlier claim. A primary that returns is kept only if no target knows a newer term. A suspicion starts again when it is about another target. target_group finds the watched primary.

A group whose primary no VM has seen listed stays without one.

--- a/src/coordination/promotion.cpp
+++ b/src/coordination/promotion.cpp
@@ -202,29 +202,16 @@
         pending_reason_ = change_reason::none;
         return;
     }
-    if (!input.record) {
-        // A superseded primary is listed as primary for a while. Its record may have been lost with
-        // the store.
-        if (!input.discovered_primary || input.listed_primaries.size() > 1) {
-            pending_since_ = now;
-        } else if (now - pending_since_ >= input.rank * rank_delay_ms &&
-                   now - sent_at_ > lease_duration_ms) {
-            sent_at_ = now;
-            out.emplace_back(write_record{++write_,
-                                          {input.discovered_primary->first,
-                                           input.discovered_primary->second,
-                                           {},
-                                           0,
-                                           input.era},
-                                          0});
-        }
-        return;
-    }
-    if (input.record->version < ended_version_) {
+    if (input.record && input.record->version < ended_version_) {
         // The read that returns this VM's own record has not completed.
         return;
     }
     const change_reason reason = find_reason(input, now);
+    if (!input.record && reason == change_reason::none) {
+        pending_reason_ = change_reason::none;
+        write_first(input, now, out);
+        return;
+    }
     if (reason != pending_reason_) {
         pending_reason_ = reason;
         pending_since_ = now;
@@ -234,16 +221,44 @@
     }
 }
 
+void promotion::write_first(const promotion_input& input, std::int64_t now, actions& out) {
+    // A superseded primary is listed as primary for a while. Its record may have been lost with the
+    // store.
+    if (!input.discovered_primary || input.listed_primaries.size() > 1) {
+        pending_since_ = now;
+    } else if (now - pending_since_ >= input.rank * rank_delay_ms &&
+               now - sent_at_ > lease_duration_ms) {
+        sent_at_ = now;
+        out.emplace_back(write_record{
+            ++write_,
+            {input.discovered_primary->first, input.discovered_primary->second, {}, 0, input.era},
+            0});
+    }
+}
+
+bool promotion::is_unrecorded_lost(const promotion_input& input, std::int64_t now) const {
+    // The store may have been restored to a copy without the row of a claim whose promotion is
+    // still to be requested.
+    return input.is_loss_confirmed && input.unrecorded_primary &&
+           input.listed_primaries.size() <= 1 && now - input.era_since > takeover_timeout_ms &&
+           now - sent_at_ > lease_duration_ms;
+}
+
 change_reason promotion::find_reason(const promotion_input& input, std::int64_t now) {
-    if (input.record->is_changing() || input.record->is_restored()) {
+    if (input.record && (input.record->is_changing() || input.record->is_restored())) {
         return now - observed_since_ > takeover_timeout_ms ? change_reason::unfinished
                                                            : change_reason::none;
     }
     std::set<std::string> others = input.candidates;
-    others.erase(input.record->target);
+    if (input.record || input.unrecorded_primary) {
+        others.erase(input.record ? input.record->target : input.unrecorded_primary->first);
+    }
     if (others.empty()) {
         return change_reason::none;
     }
+    if (!input.record) {
+        return is_unrecorded_lost(input, now) ? change_reason::lost : change_reason::none;
+    }
     if (input.is_loss_confirmed) {
         return change_reason::lost;
     }
@@ -268,15 +283,21 @@
     phase_since_ = now;
     sent_at_ = now;
     reason_ = reason;
-    old_ = *input.record;
+    old_ = input.record ? *input.record
+                        : leadership_record{input.unrecorded_primary->first,
+                                            input.unrecorded_primary->second,
+                                            {},
+                                            0,
+                                            input.era};
     excluded_.clear();
-    may_be_promoted_ = old_.is_changing() || old_.is_restored();
+    // The record of an earlier change may be lost with the store.
+    may_be_promoted_ = !input.record || old_.is_changing() || old_.is_restored();
     ++write_;
     claim_id_ = input.changer + '/' + std::to_string(write_);
     claim_era_ = input.era;
     claim_sent_at_ = now;
-    out.emplace_back(write_record{
-        write_, {old_.target, old_.term, claim_id_, 0, claim_era_}, input.record->version});
+    out.emplace_back(
+        write_record{write_, {old_.target, old_.term, claim_id_, 0, claim_era_}, old_.version});
 }
 
 void promotion::handle_written(const promotion_input& input, const record_written& event,
@@ -454,6 +475,12 @@
         abandon("no target could be promoted before the deadline", out);
         return;
     }
+    if (old_.term == 0) {
+        // The claim was of no record, and this VM had not reached the primary.
+        for (const auto& [target, report] : reports_) {
+            old_.term = std::max(old_.term, report ? report->term : 0);
+        }
+    }
     const auto primary = find_reported_primary();
     const bool is_old = primary && primary->first == old_.target && primary->second == old_.term;
     const bool is_usable = primary && input.candidates.contains(primary->first) &&
--- a/src/coordination/promotion.h
+++ b/src/coordination/promotion.h
@@ -40,6 +40,7 @@
     std::string changer;  ///< This VM and its incarnation.
     std::optional<leadership_record> record;
     std::int64_t era = 0;               ///< The store's era as of this VM's newest read.
+    std::int64_t era_since = 0;         ///< When this VM first read the store in this era.
     bool has_lease = false;             ///< This VM may use the primary of the record.
     store_version revoked_version = 0;  ///< Records up to this one give no lease to this VM.
     bool is_record_fresh = false;       ///< The store was read recently.
@@ -57,6 +58,8 @@
     std::int64_t members_requested_at = 0;  ///< When the store read that listed them was sent.
     /// Primary according to discovery, with its term, once this VM has connected to it.
     std::optional<std::pair<std::string, state::term_number>> discovered_primary;
+    /// Primary of a group without a record, listed now or last; its term is 0 if not known.
+    std::optional<std::pair<std::string, state::term_number>> unrecorded_primary;
     std::set<std::string> listed_primaries;  ///< Targets that discovery lists as primary.
     /// Targets that answered this VM recently, on any connection, with the position that their log
     /// had reached in the last answer that named one.
@@ -203,6 +206,10 @@
     bool is_claim_standing(const promotion_input& input, std::int64_t now) const;
     /** Writes a restored record again, so that other VMs know that no change was lost. */
     void write_restored(const promotion_input& input, std::int64_t now, actions& out);
+    /** Whether the primary of a group without a record may be replaced as lost. */
+    bool is_unrecorded_lost(const promotion_input& input, std::int64_t now) const;
+    /** Writes the first record of a group whose primary is reached. */
+    void write_first(const promotion_input& input, std::int64_t now, actions& out);
     /** Whether a change can get past the leases of the members that are silent now. */
     static bool can_change_end(const promotion_input& input);
     change_reason find_reason(const promotion_input& input, std::int64_t now);
--- a/src/gateway/leadership_manager.cpp
+++ b/src/gateway/leadership_manager.cpp
@@ -82,13 +82,14 @@
 }
 
 void leadership_manager::update_era(std::int64_t era, std::int64_t now) {
-    if (era <= era_) {
+    if (era <= era_ && era_since_ != 0) {
         return;
     }
     if (era_ != 0) {
         restored_at_ = now;
     }
     era_ = era;
+    era_since_ = now;
 }
 
 void leadership_manager::apply_records(const std::vector<stored_row>& rows,
@@ -380,11 +381,17 @@
 void leadership_manager::check_suspicion(target_group& group, group_status& status,
                                          std::int64_t now) {
     const auto& record = group.lease.get_record();
-    if (!record || record->is_changing()) {
+    target_state* primary = group.find_watched_primary();
+    if (record ? record->is_changing() : primary == nullptr) {
         status.suspect_since = 0;
         return;
     }
-    target_state* primary = group.find_primary();
+    const std::string target = record ? record->target : primary->entry.id;
+    if (std::exchange(status.watched, target) != target) {
+        status.reachability_answers.clear();
+        status.suspect_since = 0;
+        status.silent_since = 0;
+    }
     coordination::primary_contact contact;
     contact.is_listed = false;
     if (primary != nullptr) {
@@ -406,7 +413,7 @@
         status.suspect_since = now;
         log_.write(event_primary_suspected,
                    {{"group", group.name},
-                    {"target", record->target},
+                    {"target", target},
                     {"answer_ms_ago", std::to_string(now - contact.last_answer_at)},
                     {"refused", contact.refused_since != 0 ? "yes" : "no"},
                     {"listed", contact.is_listed ? "yes" : "no"}});
@@ -415,7 +422,7 @@
         status.reachability_requested_at = now;
         for (const std::string& vm : get_loss_voters(group, now)) {
             messenger_.send(fleet_.get_members().at(vm).peer_address,
-                            reachability_request{group.name, record->target});
+                            reachability_request{group.name, target});
         }
     }
 }
@@ -423,7 +430,7 @@
 std::set<std::string> leadership_manager::get_loss_voters(const target_group& group,
                                                           std::int64_t now) const {
     std::set<std::string> responsive = fleet_.get_responsive_members(now);
-    const target_state* primary = group.find_primary();
+    const target_state* primary = group.find_watched_primary();
     if (primary == nullptr) {
         return responsive;
     }
@@ -438,8 +445,7 @@
 }
 
 int leadership_manager::get_claim_rank(const target_group& group, std::int64_t now) const {
-    const target_state* primary =
-        group.lease.get_record() ? group.find_primary() : find_listed_primary(group);
+    const target_state* primary = group.find_watched_primary();
     if (primary == nullptr || primary->plan.homes.empty()) {
         return fleet_.get_rank(group.name, now);
     }
@@ -475,8 +481,9 @@
 
 void leadership_manager::handle(const reachability_answer& message) {
     const auto group = engine_.get_groups().find(message.group);
-    if (group == engine_.get_groups().end() || !group->second.lease.get_record() ||
-        group->second.lease.get_record()->target != message.target) {
+    const target_state* primary =
+        group == engine_.get_groups().end() ? nullptr : group->second.find_watched_primary();
+    if (primary == nullptr || primary->entry.id != message.target) {
         return;
     }
     group_statuses_[message.group].reachability_answers[message.vm] = {transport::get_boot_time(),
@@ -535,18 +542,9 @@
            !is_primary_leaving(group) && !is_primary_demoted(group, status, now);
 }
 
-const target_state* leadership_manager::find_listed_primary(const target_group& group) {
-    for (const auto& [id, target] : group.targets) {
-        if (target.removed_at == 0 && target.entry.is_primary) {
-            return &target;
-        }
-    }
-    return nullptr;
-}
-
 std::optional<int> leadership_manager::get_first_record_rank(const target_group& group,
                                                              std::int64_t now) const {
-    const target_state* primary = find_listed_primary(group);
+    const target_state* primary = group.find_listed_primary();
     if (primary == nullptr || !is_claim_allowed(now) || !is_store_read_recent(now)) {
         return std::nullopt;
     }
@@ -577,6 +575,7 @@
     input.changer = get_changer();
     input.record = group.lease.get_record();
     input.era = era_;
+    input.era_since = era_since_;
     input.has_lease = group.lease.get_usable(now).has_value();
     input.revoked_version = group.lease.get_revoked_version();
     input.is_record_fresh = is_store_read_recent(now);
@@ -606,6 +605,10 @@
             }
         }
     }
+    const target_state* watched = input.record ? nullptr : group.find_watched_primary();
+    if (watched != nullptr) {
+        input.unrecorded_primary = {watched->entry.id, watched->term};
+    }
     input.is_primary_leaving = is_primary_leaving(group);
     input.is_primary_demoted = is_primary_demoted(group, status, now);
     return input;
@@ -620,7 +623,8 @@
     group_status& status = group_statuses_[name];
     const auto& record = group->second.lease.get_record();
     const bool is_tick = std::holds_alternative<coordination::input_changed>(event);
-    if (is_tick && !record && !prepare_first_record(group->second, status, now)) {
+    if (is_tick && !record && !prepare_first_record(group->second, status, now) &&
+        status.suspect_since == 0) {
         return;
     }
     const bool was_idle = status.idle_version != 0;
@@ -660,13 +664,15 @@
         action.expected,
         true};
     store_.change(platform_.format_change(change),
-                  [this, name, write = action.write, is_first = action.expected == 0,
-                   is_restored](const transport::http_exchange_answer& answer) {
+                  [this, name, write = action.write,
+                   is_first = action.expected == 0 && !action.record.is_changing(),
+                   is_notable = is_restored || action.expected == 0](
+                      const transport::http_exchange_answer& answer) {
                       const store_answer parsed = platform_.parse_store_answer(answer);
                       if (parsed.outcome == store_outcome::done) {
                           if (is_first) {
                               send_first_record_notice(name, parsed.version);
-                          } else if (is_restored) {
+                          } else if (is_notable) {
                               send_notice(name, parsed.version);
                           }
                           step(name, coordination::record_written{write, parsed.version});
@@ -816,7 +822,7 @@
 void leadership_manager::send_first_record_notice(const std::string& name, std::int64_t version) {
     const auto group = engine_.get_groups().find(name);
     const target_state* primary =
-        group == engine_.get_groups().end() ? nullptr : find_listed_primary(group->second);
+        group == engine_.get_groups().end() ? nullptr : group->second.find_listed_primary();
     if (primary == nullptr || primary->plan.homes.empty()) {
         send_notice(name, version);
         return;
--- a/src/gateway/leadership_manager.h
+++ b/src/gateway/leadership_manager.h
@@ -97,6 +97,7 @@
         coordination::first_record_turn first_record_turn;
         /// About the primary, by VM.
         std::map<std::string, coordination::peer_report> reachability_answers;
+        std::string watched;  ///< The target that the suspicion is about.
         std::int64_t suspect_since = 0;
         std::int64_t silent_since = 0;  ///< From update_silence_start(); 0 if not silent.
         std::int64_t reachability_requested_at = 0;
@@ -124,8 +125,6 @@
     /** The other VMs that have to confirm the loss of the primary: its responsive homes, or all
      * responsive VMs if there are none. */
     std::set<std::string> get_loss_voters(const target_group& group, std::int64_t now) const;
-    /** The target that discovery lists as primary; null without one. */
-    static const target_state* find_listed_primary(const target_group& group);
     /** Position of this VM among those that may write the first record of the group; empty if it
      * may not. */
     std::optional<int> get_first_record_rank(const target_group& group, std::int64_t now) const;
@@ -180,6 +179,7 @@
     std::map<std::string, group_status> group_statuses_;
     std::int64_t store_read_at_ = 0;
     std::int64_t era_ = 0;          ///< The store's era as of the newest read.
+    std::int64_t era_since_ = 0;    ///< When this VM first read the store in this era.
     std::int64_t restored_at_ = 0;  ///< When this VM learned of the last restore; 0 without one.
     std::optional<std::vector<record_promise>> final_promises_;  ///< Set by retire().
     transport::loop_timer timer_;
--- a/src/gateway/target_group.cpp
+++ b/src/gateway/target_group.cpp
@@ -149,4 +149,25 @@
     return const_cast<target_state*>(std::as_const(*this).find_primary());
 }
 
+const target_state* target_group::find_listed_primary() const {
+    const auto entry = std::find_if(targets.begin(), targets.end(), [](const auto& each) {
+        return each.second.removed_at == 0 && each.second.entry.is_primary;
+    });
+    return entry == targets.end() ? nullptr : &entry->second;
+}
+
+const target_state* target_group::find_watched_primary() const {
+    const target_state* listed = find_listed_primary();
+    if (lease.get_record() || listed != nullptr) {
+        return lease.get_record() ? find_primary() : listed;
+    }
+    const auto entry = std::find_if(targets.begin(), targets.end(),
+                                    [](const auto& each) { return each.second.entry.is_primary; });
+    return entry == targets.end() ? nullptr : &entry->second;
+}
+
+target_state* target_group::find_watched_primary() {
+    return const_cast<target_state*>(std::as_const(*this).find_watched_primary());
+}
+
 }  // namespace hornbeamhook::gateway
--- a/src/gateway/target_group.h
+++ b/src/gateway/target_group.h
@@ -100,6 +100,14 @@
     const target_state* find_primary() const;
     target_state* find_primary();
 
+    /** The target that discovery lists as primary; null without one. */
+    const target_state* find_listed_primary() const;
+
+    /** find_primary(), or without a record the target that discovery lists as primary, or listed
+     * last; null if it is not known. */
+    const target_state* find_watched_primary() const;
+    target_state* find_watched_primary();
+
     /** Slows the start of a target that has just been promoted. */
     void pace_promotion();
 };
--- a/tests/coordination/promotion_test.cpp
+++ b/tests/coordination/promotion_test.cpp
@@ -381,6 +381,79 @@
     EXPECT_NE(find<write_record>(promotion().step(demoted, input_changed{}, 1000)), nullptr);
 }
 
+/** The input of a group whose primary t1 was lost before any record was written. */
+promotion_input make_unrecorded_input() {
+    promotion_input input = make_input();
+    input.record.reset();
+    input.unrecorded_primary = {"t1", 0};
+    input.listed_primaries = {"t1"};
+    input.is_loss_confirmed = true;
+    return input;
+}
+
+// Guards against a primary that is never replaced because it was lost before the first leadership
+// record was written (review case 3).
+TEST(promotion, a_primary_without_a_record_is_replaced) {
+    promotion machine;
+    const promotion_input input = make_unrecorded_input();
+    auto actions = machine.step(input, input_changed{}, 10000);
+    ASSERT_NE(find<write_record>(actions), nullptr);
+    EXPECT_EQ(find<write_record>(actions)->expected, 0);
+    EXPECT_EQ(find<write_record>(actions)->record,
+              (leadership_record{"t1", 0, "vm1/7/1", 0, input.era}));
+    machine.step(input, record_written{1, 11}, 10020);
+    machine.step(input, lease_released{"vm1", 11}, 10030);
+    machine.step(input, lease_released{"vm2", 11}, 10030);
+    machine.step(input, report_received{1, "t1", std::nullopt}, 10040);
+    machine.step(input, report_received{1, "t2", make_replica(90)}, 10040);
+    actions = machine.step(input, report_received{1, "t3", make_replica(95)}, 10040);
+    ASSERT_NE(find<request_promotion>(actions), nullptr);
+    EXPECT_EQ(find<request_promotion>(actions)->target, "t3");
+    actions = machine.step(input, promotion_answered{11, promotion_outcome::accepted}, 10060);
+    ASSERT_NE(find<step_down>(actions), nullptr);
+    EXPECT_EQ(find<step_down>(actions)->target, "t1");
+    EXPECT_EQ(find<step_down>(actions)->term, 4U);
+}
+
+// Guards against two promotions at once: the store may have lost the claim of another VM.
+TEST(promotion, a_primary_without_a_record_is_not_replaced_soon_after_a_restore) {
+    promotion machine;
+    promotion_input input = make_unrecorded_input();
+    input.era_since = 4000;
+    EXPECT_EQ(find<write_record>(machine.step(input, input_changed{}, 10000)), nullptr);
+    EXPECT_NE(find<write_record>(machine.step(input, input_changed{}, 10501)), nullptr);
+}
+
+// Guards against the replacement of the wrong one of two listed primaries, and against a claim
+// while this VM or another one reaches the primary.
+TEST(promotion, a_primary_without_a_record_is_kept_unless_it_is_lost_for_sure) {
+    promotion_input two = make_unrecorded_input();
+    two.listed_primaries.insert("t2");
+    EXPECT_TRUE(promotion().step(two, input_changed{}, 10000).empty());
+    promotion_input reached = make_unrecorded_input();
+    reached.is_loss_confirmed = false;
+    reached.discovered_primary = {"t1", 3};
+    const auto actions = promotion().step(reached, input_changed{}, 10000);
+    ASSERT_NE(find<write_record>(actions), nullptr);
+    EXPECT_EQ(find<write_record>(actions)->record, (leadership_record{"t1", 3, {}, 0}));
+}
+
+// Guards against a returning primary that is recorded although the claim of another VM, which the
+// store lost, may have promoted a replica.
+TEST(promotion, a_returning_primary_without_a_record_is_kept_if_no_target_knows_a_newer_term) {
+    promotion machine;
+    const promotion_input input = make_unrecorded_input();
+    machine.step(input, input_changed{}, 10000);
+    machine.step(input, record_written{1, 11}, 10020);
+    machine.step(input, lease_released{"vm1", 11}, 10030);
+    machine.step(input, lease_released{"vm2", 11}, 10030);
+    const survey_report old{true, 3, {3, 100}, 0};
+    machine.step(input, report_received{1, "t1", old}, 10040);
+    machine.step(input, report_received{1, "t2", std::nullopt}, 10040);
+    const auto actions = machine.step(input, report_received{1, "t3", make_replica(95)}, 10040);
+    EXPECT_EQ(find<write_record>(actions), nullptr);
+}
+
 // Guards against writes in flight that the old primary commits while the new one takes over.
 TEST(promotion, demotes_the_old_primary_and_records_the_new_one) {
     claimed_promotion claimed;
--- a/tests/gateway/leadership_exploration_test.cpp
+++ b/tests/gateway/leadership_exploration_test.cpp
@@ -1,6 +1,7 @@
 #include <gtest/gtest.h>
 
 #include <cstdint>
+#include <iostream>
 #include <utility>
 #include <vector>
 
@@ -134,6 +135,24 @@
     }
 }
 
+// Guards against two primaries in use after a primary was lost before its first record was written
+// (review case 3): it returns, another VM writes the record, or the store loses the claim.
+TEST(leadership_exploration, an_unrecorded_primary_is_replaced_by_one) {
+    constexpr int runs = 1000;
+    int promotions = 0;
+    int claims = 0;
+    const std::uint64_t first = tests::get_seed();
+    for (std::uint64_t seed = first; seed < first + runs; ++seed) {
+        const auto result = run_simulation(seed, injected_fault::none, schedule::no_first_record);
+        ASSERT_EQ(result->violations, 0) << "HORNBEAMHOOK_SEED=" << seed << " " << result->detail;
+        promotions += result->promotions;
+        claims += result->unrecorded_claims;
+    }
+    EXPECT_GT(promotions, runs) << "too few promotions to test the rules";
+    EXPECT_GT(claims, runs / 3) << "too few claims to test the rules";
+    std::cout << claims << " claims without a record, " << promotions << " promotions\n";
+}
+
 /// The rarest injected fault is detected in about one run in a thousand. Seeds are fixed, so that
 /// the result does not depend on chance.
 constexpr std::uint64_t max_fault_runs = 8000;
--- a/tests/support/leadership_simulation.h
+++ b/tests/support/leadership_simulation.h
@@ -90,6 +90,7 @@
     std::int64_t rows_read_at = -1;  ///< Send time of the newest read; -1 before the first.
     std::int64_t store_read_at = -100000;
     std::int64_t seen_era = 0;
+    std::int64_t era_since = 0;
     std::int64_t restored_at = -100000;
     std::int64_t suspended_until = 0;
     bool is_store_unreachable = false;
@@ -210,6 +211,7 @@
     std::map<std::string, simulated_target> targets;
     std::string newest_primary;
     std::int64_t newest_fence = 0;
+    int unrecorded_claims = 0;    ///< Of a group without a record.
     std::int64_t stopped_ms = 0;  ///< Only counted in schedule::silent_row.
     int promotions = 0;
     int violations = 0;
@@ -443,6 +445,7 @@
     if (era > seen_era) {
         restored_at = seen_era == 0 ? restored_at : sim.now;
         seen_era = era;
+        era_since = sim.now;
     }
     if (!record && lease.get_record()) {
         record = coordination::make_lost_record(*lease.get_record(), era);
@@ -517,6 +520,7 @@
         coordination::lease_duration_ms + coordination::clock_drift_margin_ms;
     input.record = lease.get_record();
     input.era = get_era();
+    input.era_since = era_since;
     input.has_lease = lease.get_usable(sim.now).has_value();
     input.revoked_version = lease.get_revoked_version();
     input.is_record_fresh = sim.now - store_read_at < 1600;
@@ -542,6 +546,9 @@
             input.discovered_primary = {id, target.term};
             input.listed_primaries.insert(id);
         }
+        if (target.is_primary && !input.record) {
+            input.unrecorded_primary = {id, target.is_up ? target.term : 0};
+        }
     }
     // Losses are declared at random, because safety must not depend on detecting them correctly.
     input.is_loss_confirmed = suspects_loss;
@@ -560,6 +567,7 @@
             const std::int64_t delay =
                 is_lost ? sim.random_between(1, 4000) : sim.random_between(1, 40);
             const auto change = *write;
+            sim.unrecorded_claims += change.expected == 0 && change.record.is_changing() ? 1 : 0;
             sim.at(sim.now + delay, [this, self, change, is_lost] {
                 const auto present = sim.rows.find("group/g");
                 const std::int64_t number = present == sim.rows.end() ? 0 : present->second.version;
@@ -653,7 +661,7 @@
             });
         } else if (const auto* demotion = std::get_if<coordination::step_down>(&action)) {
             simulated_target& model = sim.targets[demotion->target];
-            const bool is_lost = sim.loses_reports && sim.chance(0.5);
+            const bool is_lost = !model.is_up || (sim.loses_reports && sim.chance(0.5));
             if (!is_lost && model.term < demotion->term) {
                 model.is_primary = false;
             }
@@ -674,6 +682,7 @@
     late_removals,      ///< VMs stop as planned and start again; their rows are removed late.
     refused_reports,    ///< Mixed faults, and targets are too busy to answer most surveys.
     survivors_restart,  ///< All VMs outside a cut part restart after they removed it.
+    no_first_record,    ///< Restores; the primary is down before the first record, and returns.
     silent_row,         ///< The list holds a lost VM from the start, and the primary is to leave.
     storeless_parts,  ///< The store refuses some VMs while VMs are cut off, suspended and replaced.
 };
@@ -1038,7 +1047,16 @@
         sim.run();
         return result;
     }
-    if (events == schedule::restores) {
+    if (events == schedule::no_first_record) {
+        // It may also fail while the first record is written, and return during its replacement.
+        const bool is_down_early = sim.chance(0.7);
+        sim.targets["t0"].is_up = !is_down_early;
+        sim.at(sim.random_between(2000, 3000), [&sim] { sim.targets["t0"].is_up = false; });
+        sim.at(sim.random_between(4000, 14000), [&sim] { sim.targets["t0"].is_up = true; });
+        sim.at(sim.random_between(5000, 9000), [&sim] { sim.set_all_suspect(true); });
+        sim.at(sim.random_between(9000, 13000), [&sim] { sim.set_all_suspect(false); });
+    }
+    if (events == schedule::restores || events == schedule::no_first_record) {
         add_restores(sim);
     }
     const auto faults = static_cast<int>(sim.random_between(2, 9));
