Claim planned changes as before

Cause: a planned change that was not claimed while a listed VM was silent left a target that is to leave in use.

--- a/src/coordination/promotion.cpp
+++ b/src/coordination/promotion.cpp
@@ -265,16 +265,7 @@
     if (input.is_primary_demoted) {
         return change_reason::demoted;
     }
-    // The primary still serves, and a claim that cannot end would stop its group until the
-    // takeover.
-    return input.is_primary_leaving && can_change_end(input) ? change_reason::leaving
-                                                             : change_reason::none;
-}
-
-bool promotion::can_change_end(const promotion_input& input) {
-    // An established VM waits only for the end of a lease. Any other one needs the answer of an
-    // established member, and cannot tell which ones are.
-    return input.is_established || input.silent_members.empty();
+    return input.is_primary_leaving ? change_reason::leaving : change_reason::none;
 }
 
 void promotion::claim(const promotion_input& input, change_reason reason, std::int64_t now,
--- a/src/coordination/promotion.h
+++ b/src/coordination/promotion.h
@@ -53,8 +53,6 @@
     std::set<std::string> candidates;  ///< Targets that may become primary: listed and not leaving.
     std::set<std::string> targets;     ///< All listed targets.
     std::set<std::string> members;     ///< VMs that must release their lease, including this one.
-    /// Those of `members` that this VM has not heard from recently.
-    std::set<std::string> silent_members;
     std::int64_t members_requested_at = 0;  ///< When the store read that listed them was sent.
     /// Primary according to discovery, with its term, once this VM has connected to it.
     std::optional<std::pair<std::string, state::term_number>> discovered_primary;
@@ -210,8 +208,6 @@
     bool is_unrecorded_lost(const promotion_input& input, std::int64_t now) const;
     /** Writes the first record of a group whose primary is reached. */
     void write_first(const promotion_input& input, std::int64_t now, actions& out);
-    /** Whether a change can get past the leases of the members that are silent now. */
-    static bool can_change_end(const promotion_input& input);
     change_reason find_reason(const promotion_input& input, std::int64_t now);
     void claim(const promotion_input& input, change_reason reason, std::int64_t now, actions& out);
     void begin_revoking(const promotion_input& input, std::int64_t version, std::int64_t now,
--- a/src/gateway/fleet_membership.cpp
+++ b/src/gateway/fleet_membership.cpp
@@ -342,20 +342,6 @@
     return result;
 }
 
-std::set<std::string> fleet_membership::get_silent_lease_holders(std::int64_t now) const {
-    std::set<std::string> result = get_lease_holders(now);
-    result.erase(self_.vm);
-    for (const std::string& vm : get_responsive_members(now)) {
-        result.erase(vm);
-    }
-    for (const auto& [vm, process] : unlisted_) {
-        if (now - process.heard_at < responsive_timeout_ms && !members_.contains(vm)) {
-            result.erase(vm);
-        }
-    }
-    return result;
-}
-
 std::set<std::string> fleet_membership::get_removable_members(std::int64_t now) const {
     std::set<std::string> result;
     if (!is_established(now) ||
--- a/src/gateway/fleet_membership.h
+++ b/src/gateway/fleet_membership.h
@@ -104,9 +104,6 @@
      */
     std::set<std::string> get_lease_holders(std::int64_t now) const;
 
-    /** Lease holders that this VM has not heard from recently. */
-    std::set<std::string> get_silent_lease_holders(std::int64_t now) const;
-
     /**
      * Members that have not answered for longer than the removal timeout. Empty while this VM hears
      * from few members, because then its own connection has failed, and until it is established: a
--- a/src/gateway/leadership_manager.cpp
+++ b/src/gateway/leadership_manager.cpp
@@ -639,7 +639,6 @@
     auto input = get_promotion_input(group->second, status, now);
     input.rank = get_claim_rank(group->second, now);
     input.members = fleet_.get_lease_holders(now);
-    input.silent_members = fleet_.get_silent_lease_holders(now);
     const auto actions = status.promotion.step(input, event, now);
     if (status.promotion.get_phase() != before) {
         log_.write(event_promotion_step,
