--- a/src/gateway/target_group.h
+++ b/src/gateway/target_group.h
@@ -10,6 +10,7 @@
 #include "coordination/fair_order.h"
 #include "coordination/position_history.h"
 #include "coordination/primary_lease.h"
+#include "coordination/primary_loss.h"
 #include "coordination/target_pace.h"
 #include "gateway/home_plan.h"
 #include "gateway/pending_statement.h"
@@ -51,6 +52,9 @@
         refused_since = 0;
     }
 
+    /** What this VM knows of its silence, from all connections to it. */
+    coordination::primary_contact get_contact() const;
+
     /** Counts connections with an outstanding statement or still being opened. */
     int count_busy_links() const;
 
@@ -96,6 +100,14 @@
     const target_state* find_primary() const;
     target_state* find_primary();
 
+    /** The target that discovery lists as primary; null without one. */
+    const target_state* find_listed_primary() const;
+
+    /** find_primary(), or without a record the target that discovery lists as primary, or listed
+     * last; null if it is not known. */
+    const target_state* find_watched_primary() const;
+    target_state* find_watched_primary();
+
     /** Slows the start of a target that has just been promoted. */
     void pace_promotion();
 };
